--- /dev/null
+++ b/standin/main.cpp
@@ -0,0 +1,7 @@
+#include <cstdio>
+
+int main()
+{
+    std::puts("verbenaproxy " VERBENA_VERSION);
+    return 0;
+}
