Add HTTP server and client on Boost.Beast with bounds for slow and large peers

Cause: callers, operators, engines and the metrics page all speak HTTP; answers have to stream. Change: http_server (header, body, rate, idle and write bounds, total upload memory, chunked answers that end with the last chunk only when complete), http_client with a progress bound for each read. Conclusion: one HTTP stack for all roles.

--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,169 @@
+#include "net/http_client.h"
+
+#include "net/address.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace verbena::net {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t read_size = 16 * 1024;
+
+std::string request_text(const host_port& address, const http_call& call)
+{
+    std::string text = call.method + ' ' + call.target + " HTTP/1.1\r\nHost: " + address.host + ':' +
+                       std::to_string(address.port) + "\r\nConnection: close\r\n";
+    for (const auto& [name, value] : call.headers) {
+        text += name + ": " + value + "\r\n";
+    }
+    text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n\r\n";
+    return text;
+}
+
+class client_stream : public http_stream {
+public:
+    explicit client_stream(const asio::any_io_executor& executor) : m_stream(executor) {}
+
+    task<result<void>> connect(tcp::endpoint endpoint, milliseconds timeout)
+    {
+        m_stream.expires_after(timeout);
+        auto [failure] = co_await m_stream.async_connect(endpoint, no_throw);
+        if (failure) {
+            co_return io_error("connect", failure);
+        }
+        error_code ignored;
+        m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        co_return success();
+    }
+
+    task<result<void>> send(std::string head, std::string body)
+    {
+        const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(body)};
+        auto [failure, written] = co_await asio::async_write(m_stream, parts, no_throw);
+        if (failure) {
+            co_return io_error("send", failure);
+        }
+        co_return success();
+    }
+
+    task<result<void>> read_head(milliseconds timeout)
+    {
+        m_parser.body_limit(boost::none);
+        m_stream.expires_after(timeout);
+        auto [failure, size] = co_await http::async_read_header(m_stream, m_buffer, m_parser, no_throw);
+        if (failure) {
+            co_return io_error("read head", failure);
+        }
+        co_return success();
+    }
+
+    void expires_after(milliseconds timeout) { m_stream.expires_after(timeout); }
+
+    unsigned status() const override { return m_parser.get().result_int(); }
+
+    std::string content_type() const override
+    {
+        return std::string(m_parser.get()[http::field::content_type]);
+    }
+
+    std::string header(const std::string& name) const override { return std::string(m_parser.get()[name]); }
+
+    task<result<std::string>> read_some(milliseconds progress) override
+    {
+        std::string piece;
+        while (piece.empty() && !m_parser.is_done()) {
+            piece.resize(read_size);
+            m_parser.get().body().data = piece.data();
+            m_parser.get().body().size = piece.size();
+            m_stream.expires_after(progress);
+            auto [failure, size] = co_await http::async_read_some(m_stream, m_buffer, m_parser, no_throw);
+            if (failure && failure != http::error::need_buffer) {
+                co_return io_error("read body", failure);
+            }
+            piece.resize(piece.size() - m_parser.get().body().size);
+        }
+        co_return piece;
+    }
+
+    void close() override
+    {
+        error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+
+private:
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    http::response_parser<http::buffer_body> m_parser;
+};
+
+} // namespace
+
+task<result<std::unique_ptr<http_stream>>> open_http(host_port address, http_call call,
+                                                     milliseconds connect_timeout, milliseconds head_timeout,
+                                                     std::shared_ptr<bool> sent)
+{
+    BOOST_OUTCOME_CO_TRY(const tcp::endpoint endpoint, to_endpoint(address));
+    auto stream = std::make_unique<client_stream>(co_await asio::this_coro::executor);
+    const result<void> connected = co_await stream->connect(endpoint, connect_timeout);
+    if (!connected) {
+        co_return connected.error();
+    }
+    if (sent) {
+        *sent = true;
+    }
+    stream->expires_after(head_timeout);
+    const result<void> written = co_await stream->send(request_text(address, call), std::move(call.body));
+    if (!written) {
+        co_return written.error();
+    }
+    const result<void> head = co_await stream->read_head(head_timeout);
+    if (!head) {
+        co_return head.error();
+    }
+    co_return std::unique_ptr<http_stream>(std::move(stream));
+}
+
+task<result<http_response>> fetch_http(host_port address, http_call call, milliseconds timeout,
+                                       std::size_t max_body)
+{
+    auto opened = co_await open_http(std::move(address), std::move(call), timeout, timeout);
+    if (!opened) {
+        co_return opened.error();
+    }
+    http_stream& stream = *opened.value();
+    http_response response;
+    response.status = stream.status();
+    response.content_type = stream.content_type();
+    while (true) {
+        const result<std::string> piece = co_await stream.read_some(timeout);
+        if (!piece) {
+            co_return piece.error();
+        }
+        if (piece.value().empty()) {
+            break;
+        }
+        response.body += piece.value();
+        if (response.body.size() > max_body) {
+            co_return make_error(error_kind::too_large, "the answer is larger than expected",
+                                 "raise the bound");
+        }
+    }
+    const std::string location = stream.header("Location");
+    if (!location.empty()) {
+        response.headers.emplace_back("Location", location);
+    }
+    co_return response;
+}
+
+} // namespace verbena::net
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,343 @@
+#include "net/http_server.h"
+
+#include "net/address.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+#include <cstdio>
+
+namespace verbena::net {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+// A body below the lowest rate is refused only after this time, so that a pause at the start does no harm.
+constexpr milliseconds body_rate_grace{5'000};
+
+using body_parser = http::request_parser<http::string_body>;
+
+// Adds to a counter for the life of the object.
+class scoped_count {
+public:
+    explicit scoped_count(std::atomic<std::size_t>& counter) : m_counter(counter) { ++m_counter; }
+    scoped_count(const scoped_count&) = delete;
+    scoped_count& operator=(const scoped_count&) = delete;
+    ~scoped_count() { --m_counter; }
+
+private:
+    std::atomic<std::size_t>& m_counter;
+};
+
+// Keeps the sum of received body bytes up to date while a body grows.
+class body_reservation {
+public:
+    explicit body_reservation(std::atomic<std::uint64_t>& total) : m_total(total) {}
+    body_reservation(const body_reservation&) = delete;
+    body_reservation& operator=(const body_reservation&) = delete;
+    ~body_reservation() { m_total -= m_held; }
+
+    std::uint64_t set(std::uint64_t bytes)
+    {
+        m_total += bytes - m_held;
+        m_held = bytes;
+        return m_total.load();
+    }
+
+private:
+    std::atomic<std::uint64_t>& m_total;
+    std::uint64_t m_held = 0;
+};
+
+struct refusal_text {
+    unsigned status;
+    const char* kind;
+    const char* message;
+    const char* remedy;
+};
+
+refusal_text refusal_for(const error_code& failure, bool in_header)
+{
+    if (failure == http::error::header_limit) {
+        return {431, "headers_too_large", "the request headers are too large",
+                "send fewer or shorter headers"};
+    }
+    if (failure == http::error::body_limit) {
+        return {413, "body_too_large", "the request body is too large", "send a shorter prompt"};
+    }
+    if (failure == beast::error::timeout) {
+        return {408, "slow_sender",
+                in_header ? "the headers did not arrive in time" : "the body did not arrive in time",
+                "send the request faster"};
+    }
+    return {400, "malformed_http", "the request is not valid HTTP", "check the client"};
+}
+
+http_request to_request(http::request<http::string_body>&& message)
+{
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.body = std::move(message.body());
+    request.headers = std::move(static_cast<http_fields&>(message.base()));
+    return request;
+}
+
+} // namespace
+
+std::string_view http_request::header(std::string_view name) const
+{
+    const auto place = headers.find(beast::string_view(name.data(), name.size()));
+    if (place == headers.end()) {
+        return {};
+    }
+    return {place->value().data(), place->value().size()};
+}
+
+http_response http_handler::refuse(unsigned status, const std::string& kind, const std::string& message,
+                                   const std::string& remedy)
+{
+    const boost::json::value body = {
+        {"error", {{"type", kind}, {"message", message}, {"remedy", remedy}, {"outcome", "not_run"}}}};
+    return http_response{status, "application/json", boost::json::serialize(body) + "\n", {}};
+}
+
+http_exchange::http_exchange(http_server& server, beast::tcp_stream& stream, http_request request,
+                             bool keep_alive)
+    : m_server(server), m_stream(stream), m_request(std::move(request)), m_keep_alive(keep_alive)
+{
+}
+
+std::string http_exchange::head_text(unsigned status, std::string_view content_type,
+                                     const http_header_list& headers) const
+{
+    const auto reason = http::obsolete_reason(static_cast<http::status>(status));
+    std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reason) + "\r\n";
+    text += "Content-Type: " + std::string(content_type) + "\r\n";
+    for (const auto& [name, value] : headers) {
+        text += name + ": " + value + "\r\n";
+    }
+    if (!m_keep_alive || m_server.stopping()) {
+        text += "Connection: close\r\n";
+    }
+    return text;
+}
+
+task<result<void>> http_exchange::write_all(std::string_view data)
+{
+    while (!data.empty()) {
+        m_stream.expires_after(m_server.limits().write_timeout);
+        auto [failure, written] =
+            co_await m_stream.async_write_some(asio::buffer(data.data(), data.size()), no_throw);
+        if (failure) {
+            co_return failure == beast::error::timeout
+                ? make_error(error_kind::timeout, "the caller read nothing for the write timeout",
+                             "read faster")
+                : io_error("write", failure);
+        }
+        data.remove_prefix(written);
+    }
+    co_return success();
+}
+
+task<result<void>> http_exchange::reply(http_response response)
+{
+    m_started = true;
+    std::string text = head_text(response.status, response.content_type, response.headers);
+    text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n";
+    text += response.body;
+    const result<void> written = co_await write_all(text);
+    m_finished = written.has_value();
+    co_return written;
+}
+
+task<result<void>> http_exchange::start_stream(unsigned status, std::string content_type,
+                                               http_header_list headers)
+{
+    m_started = true;
+    const std::string text = head_text(status, content_type, headers) + "Transfer-Encoding: chunked\r\n\r\n";
+    co_return co_await write_all(text);
+}
+
+task<result<void>> http_exchange::write(std::string_view data)
+{
+    char size[20];
+    const int length = std::snprintf(size, sizeof size, "%zx\r\n", data.size());
+    std::string text;
+    text.reserve(data.size() + static_cast<std::size_t>(length) + 2);
+    text.append(size, static_cast<std::size_t>(length)).append(data).append("\r\n");
+    co_return co_await write_all(text);
+}
+
+task<result<void>> http_exchange::finish()
+{
+    const result<void> written = co_await write_all("0\r\n\r\n");
+    m_finished = written.has_value();
+    co_return written;
+}
+
+task<bool> http_exchange::wait_closed()
+{
+    auto [failure] = co_await m_stream.socket().async_wait(tcp::socket::wait_read, no_throw);
+    if (failure) {
+        co_return failure != asio::error::operation_aborted;
+    }
+    error_code ignored;
+    co_return m_stream.socket().available(ignored) == 0;
+}
+
+result<std::shared_ptr<http_server>> http_server::create(asio::io_context& io, const host_port& address,
+                                                         const http_limits& limits, http_handler& handler,
+                                                         metrics& counters, std::string name)
+{
+    BOOST_OUTCOME_TRY(tcp::acceptor acceptor, open_acceptor(io, address));
+    return std::make_shared<http_server>(io, std::move(acceptor), limits, handler, counters, std::move(name));
+}
+
+http_server::http_server(asio::io_context& io, tcp::acceptor acceptor, const http_limits& limits,
+                         http_handler& handler, metrics& counters, std::string name)
+    : m_io(io), m_acceptor(std::move(acceptor)), m_limits(limits), m_handler(handler), m_metrics(counters),
+      m_name(std::move(name)), m_port(m_acceptor.local_endpoint().port())
+{
+}
+
+void http_server::start()
+{
+    asio::co_spawn(
+        m_acceptor.get_executor(), [self = shared_from_this()] { return self->accept_loop(); },
+        asio::detached);
+}
+
+void http_server::stop_accepting()
+{
+    m_stopping = true;
+    asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+        error_code ignored;
+        self->m_acceptor.close(ignored);
+    });
+}
+
+void http_server::count(const char* event)
+{
+    m_metrics.add("verbena_http_events_total", {{"server", m_name}, {"event", event}});
+}
+
+task<void> http_server::accept_loop()
+{
+    while (!m_stopping) {
+        tcp::socket socket(asio::make_strand(m_io));
+        auto [failure] = co_await m_acceptor.async_accept(socket, no_throw);
+        if (failure == asio::error::operation_aborted || !m_acceptor.is_open()) {
+            co_return;
+        }
+        if (failure) {
+            count("accept_failed");
+            // Out of file descriptors: wait for connections to end instead of spinning.
+            co_await sleep_for(milliseconds(50));
+            continue;
+        }
+        if (m_connections >= m_limits.max_connections) {
+            count("connection_limit");
+            continue;
+        }
+        const auto executor = socket.get_executor();
+        asio::co_spawn(
+            executor,
+            [self = shared_from_this(), accepted = std::move(socket)]() mutable {
+                return self->serve(std::move(accepted));
+            },
+            asio::detached);
+    }
+}
+
+task<void> http_server::serve(tcp::socket socket)
+{
+    const scoped_count open(m_connections);
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer(m_limits.max_header + 64 * 1024);
+    bool more = true;
+    while (more) {
+        more = co_await serve_one(stream, buffer);
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+task<bool> http_server::refuse(beast::tcp_stream& stream, unsigned status, const char* kind,
+                               const char* message, const char* remedy)
+{
+    count(kind);
+    http_exchange exchange(*this, stream, http_request{}, false);
+    http_response response = m_handler.refuse(status, kind, message, remedy);
+    co_await exchange.reply(std::move(response));
+    co_return false;
+}
+
+task<bool> http_server::serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+{
+    body_parser parser;
+    parser.header_limit(m_limits.max_header);
+    parser.body_limit(m_limits.max_body);
+    stream.expires_after(m_limits.idle_timeout);
+    if (buffer.size() == 0) {
+        auto [failure] = co_await stream.socket().async_wait(tcp::socket::wait_read, no_throw);
+        if (failure || m_stopping) {
+            co_return false;
+        }
+    }
+    stream.expires_after(m_limits.header_timeout);
+    auto [header_failure, header_size] = co_await http::async_read_header(stream, buffer, parser, no_throw);
+    if (header_failure == http::error::end_of_stream || header_failure == asio::error::connection_reset) {
+        co_return false;
+    }
+    if (header_failure) {
+        const refusal_text text = refusal_for(header_failure, true);
+        co_return co_await refuse(stream, text.status, text.kind, text.message, text.remedy);
+    }
+    const scoped_count active(m_active);
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(stream, asio::buffer(go_on.data(), go_on.size()), no_throw);
+    }
+    body_reservation reservation(m_body_bytes);
+    const time_point body_start = clock::now();
+    while (!parser.is_done()) {
+        stream.expires_at(
+            std::min(body_start + m_limits.body_timeout, clock::now() + m_limits.header_timeout));
+        auto [failure, size] = co_await http::async_read_some(stream, buffer, parser, no_throw);
+        if (failure) {
+            const refusal_text text = refusal_for(failure, false);
+            co_return co_await refuse(stream, text.status, text.kind, text.message, text.remedy);
+        }
+        const std::uint64_t received = parser.get().body().size();
+        if (reservation.set(received) > m_limits.max_total_body) {
+            co_return co_await refuse(stream, 503, "upload_memory",
+                                      "too many request bodies are being received", "retry after a second");
+        }
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(clock::now() - body_start);
+        if (elapsed > body_rate_grace &&
+            received * 1000 < static_cast<std::uint64_t>(elapsed.count()) * m_limits.min_body_rate) {
+            co_return co_await refuse(stream, 408, "slow_sender", "the body arrives too slowly",
+                                      "send the request faster");
+        }
+    }
+    stream.expires_never();
+    const bool keep_alive = parser.get().keep_alive();
+    http_exchange exchange(*this, stream, to_request(parser.release()), keep_alive);
+    co_await m_handler.handle(exchange);
+    if (!exchange.finished()) {
+        count("unfinished_answer");
+    }
+    co_return exchange.keep_alive() && !m_stopping;
+}
+
+} // namespace verbena::net
