--- /dev/null
+++ b/src/net/peer_pool.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "net/address.h"
+#include "net/connection.h"
+
+#include <map>
+
+namespace verbena::net {
+
+// Accepts frame connections and hands their streams to a handler.
+class frame_server : public std::enable_shared_from_this<frame_server> {
+public:
+    static result<std::shared_ptr<frame_server>> create(asio::io_context& io, const host_port& address,
+                                                        const connection_options& options,
+                                                        connection_handler& handler);
+
+    void start();
+    void stop_accepting();
+    std::uint16_t port() const { return m_port; }
+
+    frame_server(asio::io_context& io, tcp::acceptor acceptor, const connection_options& options,
+                 connection_handler& handler);
+
+private:
+    task<void> accept_loop();
+
+    asio::io_context& m_io;
+    tcp::acceptor m_acceptor;
+    connection_options m_options;
+    connection_handler& m_handler;
+    std::uint16_t m_port;
+    std::atomic<bool> m_stopping{false};
+};
+
+// Keeps one connection to each address and replaces it when it has ended.
+class peer_pool : public std::enable_shared_from_this<peer_pool> {
+public:
+    peer_pool(asio::io_context& io, const connection_options& options, connection_handler* handler);
+
+    // An open connection; connects when there is none. Several callers may connect at once; one connection is
+    // kept.
+    task<result<std::shared_ptr<connection>>> get(host_port address, milliseconds timeout);
+
+    // Opens a stream on a connection to the address.
+    task<result<std::shared_ptr<frame_stream>>> open_stream(host_port address, milliseconds timeout);
+
+    // Closes idle connections to addresses that are no longer in use.
+    void drop(const host_port& address);
+
+private:
+    using address_key = std::pair<std::string, std::uint16_t>;
+
+    std::shared_ptr<connection> find(const address_key& key);
+    task<result<std::shared_ptr<connection>>> connect(tcp::endpoint endpoint, milliseconds timeout);
+
+    asio::io_context& m_io;
+    connection_options m_options;
+    connection_handler* m_handler;
+    std::mutex m_mutex;
+    std::map<address_key, std::shared_ptr<connection>> m_connections;
+};
+
+} // namespace verbena::net
