Add the policy modules: estimates, admission, routing and budgets

Change: src/policy holds the service-time estimator, memory account, cold-start limit, admission queue with three scheduling policies, router with three choice rules, retry budget, team limits and buffer account. No module reads a clock or holds a lock.

Conclusion: the signatures are usable by the entry and the agent; limits and constants are not yet tuned.

--- /dev/null
+++ b/src/policy/name_map.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace verbena::policy {
+
+// Hash that lets a map with string keys be searched by string_view without a copy.
+struct name_hash {
+    using is_transparent = void;
+
+    std::size_t operator()(std::string_view name) const noexcept
+    {
+        return std::hash<std::string_view>{}(name);
+    }
+};
+
+template <typename T>
+using name_map = std::unordered_map<std::string, T, name_hash, std::equal_to<>>;
+
+} // namespace verbena::policy
--- /dev/null
+++ b/src/policy/router.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "base/random.h"
+#include "base/types.h"
+#include "policy/name_map.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace verbena::policy {
+
+// What the directory says about an endpoint.
+struct endpoint_info {
+    std::string name;
+    std::string failure_domain;
+    std::string service;               // model or plain service
+    std::uint64_t capacity_tokens = 0; // 0: no bound
+    bool accepts_work = true;          // in, not leaving
+    bool cold = false;                 // announced as cold
+};
+
+// Load that an endpoint reported with a refusal or at the end of an answer.
+struct load_report {
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t limit = 0; // requests that may be dispatched; 0: unknown
+    bool cold = false;
+};
+
+struct route_request {
+    std::string_view service;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t max_tokens = 0;
+    std::uint64_t prefix_hash = 0;      // 0: no affinity
+    std::span<const std::string> tried; // endpoints already tried
+};
+
+enum class attempt_end : std::uint8_t { success, failure, refused };
+
+struct router_options {
+    std::string own_failure_domain;
+    double other_domain_penalty = 2.0; // requests
+    clock::duration load_half_life = std::chrono::seconds(1);
+    double affinity_bound = 1.25; // times the mean load
+    std::uint32_t failures_to_eject = 3;
+    clock::duration first_ejection = std::chrono::seconds(1);
+    clock::duration longest_ejection = std::chrono::seconds(30);
+    double ejected_share = 0.5; // of the endpoints of a service
+    double first_ramp_share = 0.1;
+    clock::duration ramp = std::chrono::seconds(30);
+    double long_subset_share = 0.4; // of a service's endpoints in each failure domain that take long work
+};
+
+// How the router selects among the eligible endpoints.
+enum class choice_rule : std::uint8_t { two_candidates, round_robin, least_outstanding };
+
+// Chooses the endpoint of an attempt from this entry's own view. All state is bounded by the directory.
+class router {
+public:
+    explicit router(router_options options, choice_rule rule = choice_rule::two_candidates);
+    ~router();
+    router(const router&) = delete;
+    router& operator=(const router&) = delete;
+    router(router&&) noexcept;
+    router& operator=(router&&) noexcept;
+
+    // Adds an endpoint or changes what is known about it. Its load and health stay.
+    void upsert(const endpoint_info& info);
+    void remove(std::string_view endpoint);
+
+    // Takes a failure domain out of service or returns it; on return its share of the work ramps up.
+    void set_domain(std::string_view failure_domain, bool in, time_point now);
+
+    // Name of the endpoint for the next attempt; empty when none is eligible.
+    std::optional<std::string> pick(const route_request& request, time_point now, random_engine& random);
+
+    // Counts an attempt sent to the endpoint.
+    void started(std::string_view endpoint, const route_request& request);
+
+    // Ends an attempt. Three consecutive failures eject the endpoint; a refusal is no failure.
+    void finished(std::string_view endpoint, const route_request& request, attempt_end end, time_point now);
+
+    // Takes over a load report; its weight halves with each half-life.
+    void report(std::string_view endpoint, const load_report& load, time_point now);
+
+    std::size_t size() const;
+    bool ejected(std::string_view endpoint, time_point now) const;
+    double outstanding(std::string_view endpoint) const;
+
+    // Largest capacity of the endpoints of a service in tokens; 0 when there is none.
+    std::uint64_t largest_capacity(std::string_view service) const;
+
+    // Endpoints of a service that take long work.
+    std::vector<std::string> long_subset(std::string_view service);
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace verbena::policy
--- /dev/null
+++ b/src/policy/scheduling.cpp
@@ -0,0 +1,180 @@
+#include "policy/scheduling.h"
+
+#include "policy/estimate.h"
+
+#include <algorithm>
+
+namespace verbena::policy {
+
+namespace {
+
+constexpr double least_weight = 0.001;
+
+double work_of(const queued_request& request)
+{
+    return work_units(request.prompt_tokens, request.max_tokens);
+}
+
+class first_come_first_served final : public scheduling_policy {
+public:
+    std::string_view name() const override { return "fcfs"; }
+    double start_of(const queued_request& /*request*/) const override { return 0; }
+    double push(const queued_request& /*request*/, double /*weight*/) override { return 0; }
+    void dispatched(const queue_entry& /*entry*/, time_point /*now*/) override {}
+
+    dispatch_order order(const queue_entry& entry, time_point /*now*/) const override
+    {
+        return {.sequence = entry.sequence};
+    }
+
+    bool may_pass(const queue_entry& /*blocked*/, time_point /*now*/) const override { return false; }
+    bool holds_memory(const queue_entry& /*blocked*/, time_point /*now*/) const override { return true; }
+    void idle(length_class /*length*/) override {}
+};
+
+// Common part of the policies that share work between teams inside a length class.
+class fair_policy : public scheduling_policy {
+public:
+    double start_of(const queued_request& request) const override
+    {
+        return clock_of(request.length()).start_of(request.team);
+    }
+
+    double push(const queued_request& request, double weight) override
+    {
+        return clock_of(request.length()).push(request.team, work_of(request), weight);
+    }
+
+    void dispatched(const queue_entry& entry, time_point /*now*/) override
+    {
+        clock_of(entry.request.length()).dispatched(entry.start);
+    }
+
+    bool may_pass(const queue_entry& /*blocked*/, time_point /*now*/) const override { return true; }
+
+    bool holds_memory(const queue_entry& blocked, time_point now) const override
+    {
+        return quarters_waited(blocked.request, now) > 0;
+    }
+
+    void idle(length_class length) override { clock_of(length).reset(); }
+
+private:
+    fair_queue_clock& clock_of(length_class length) { return m_clocks[static_cast<std::size_t>(length)]; }
+    const fair_queue_clock& clock_of(length_class length) const
+    {
+        return m_clocks[static_cast<std::size_t>(length)];
+    }
+
+    std::array<fair_queue_clock, length_class_count> m_clocks;
+};
+
+class class_shares final : public fair_policy {
+public:
+    std::string_view name() const override { return "class_shares"; }
+
+    void dispatched(const queue_entry& entry, time_point now) override
+    {
+        fair_policy::dispatched(entry, now);
+        m_promoted_next = !promoted(entry, now);
+    }
+
+    dispatch_order order(const queue_entry& entry, time_point now) const override
+    {
+        const auto waited = quarters_waited(entry.request, now);
+        const auto length = static_cast<std::uint32_t>(entry.request.length());
+        const auto request = static_cast<std::uint32_t>(entry.request.request);
+        dispatch_order order;
+        order.level = length - std::min(length, waited);
+        order.turn = promoted(entry, now) == m_promoted_next ? 0 : 1;
+        order.rank = request - std::min(request, waited);
+        order.start = entry.start;
+        order.sequence = entry.sequence;
+        return order;
+    }
+
+private:
+    static bool promoted(const queue_entry& entry, time_point now)
+    {
+        return entry.request.length() != length_class::short_prompt &&
+               quarters_waited(entry.request, now) > 0;
+    }
+
+    bool m_promoted_next = true;
+};
+
+class shortest_work final : public fair_policy {
+public:
+    std::string_view name() const override { return "shortest_work"; }
+
+    dispatch_order order(const queue_entry& entry, time_point now) const override
+    {
+        // Each quarter waited counts the work at one eighth, so that three quarters move the largest prompt
+        // ahead of the smallest new one.
+        double work = work_of(entry.request);
+        for (std::uint32_t i = 0; i < quarters_waited(entry.request, now); ++i) {
+            work /= 8;
+        }
+        return {.rank = work, .start = entry.start, .sequence = entry.sequence};
+    }
+};
+
+} // namespace
+
+std::uint32_t quarters_waited(const queued_request& request, time_point now)
+{
+    const auto total = request.deadline - request.arrival;
+    if (total <= clock::duration::zero()) {
+        return 4;
+    }
+    if (now <= request.arrival) {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(4, (now - request.arrival) / (total / 4)));
+}
+
+std::uint32_t engine_priority(length_class length)
+{
+    return static_cast<std::uint32_t>(length_class_count) - 1 - static_cast<std::uint32_t>(length);
+}
+
+double fair_queue_clock::start_of(std::string_view team) const
+{
+    const auto found = m_finish.find(team);
+    return found == m_finish.end() ? m_now : std::max(m_now, found->second);
+}
+
+double fair_queue_clock::push(std::string_view team, double work, double weight)
+{
+    const double start = start_of(team);
+    m_finish.insert_or_assign(std::string(team), start + work / std::max(least_weight, weight));
+    return start;
+}
+
+void fair_queue_clock::dispatched(double start)
+{
+    m_now = std::max(m_now, start);
+}
+
+void fair_queue_clock::reset()
+{
+    m_now = 0;
+    m_finish.clear();
+}
+
+std::unique_ptr<scheduling_policy> make_first_come_first_served()
+{
+    return std::make_unique<first_come_first_served>();
+}
+
+std::unique_ptr<scheduling_policy> make_class_shares()
+{
+    return std::make_unique<class_shares>();
+}
+
+std::unique_ptr<scheduling_policy> make_shortest_work()
+{
+    return std::make_unique<shortest_work>();
+}
+
+} // namespace verbena::policy
