Add the agent: admission, attempts, answers kept for resume, engine client

Cause: the agent is the one process that every request to an endpoint passes, so the hard limits belong there. Ruled out: sending each engine byte straight to the entry, because a slow entry would then hold the engine; the agent keeps the answer instead and delivers it at the entry's pace. Streams now end on both sides by a reset frame.

--- /dev/null
+++ b/src/agent/admission.cpp
@@ -0,0 +1,413 @@
+#include "agent/admission.h"
+
+#include <algorithm>
+
+namespace verbena::agent {
+
+namespace {
+
+// Retry hint when nothing better is known.
+constexpr milliseconds default_retry{1'000};
+constexpr milliseconds longest_retry{30'000};
+
+// Estimates are wrong by some margin; a request is refused only when the estimate passes its deadline by this
+// factor.
+constexpr double deadline_margin = 1.0;
+
+constexpr std::uint64_t plain_capacity = UINT32_MAX;
+
+std::uint32_t length_of(const wire::submitT& submit)
+{
+    return submit.prompt_tokens;
+}
+
+} // namespace
+
+admission::admission(const admission_options& options)
+    : m_options(options), m_memory(options.plain ? plain_capacity : options.memory_tokens),
+      m_cold(policy::cold_limit_options{options.plain ? options.warm_limit : options.cold_limit,
+                                        options.warm_limit}),
+      m_queue(options.queue_limit, policy::make_class_shares())
+{
+}
+
+std::optional<refusal> admission::check_state(const serving_state& state) const
+{
+    if (state.leaving) {
+        return refusal{wire::refusal::leaving, "the endpoint's process is stopping", milliseconds(0)};
+    }
+    if (!state.fresh) {
+        return refusal{wire::refusal::stale, "the endpoint has no confirmed configuration", default_retry};
+    }
+    if (state.domain != op::admin_state::in) {
+        return refusal{wire::refusal::domain_out, "the failure domain is out of service", milliseconds(0)};
+    }
+    if (state.endpoint != op::admin_state::in) {
+        return refusal{wire::refusal::leaving, "the endpoint is leaving or out of service", milliseconds(0)};
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal> admission::check_size(const wire::submitT& submit) const
+{
+    const std::uint64_t tokens = std::uint64_t{submit.prompt_tokens} + submit.max_tokens;
+    if (!m_memory.can_ever_fit(tokens, classify(length_of(submit)))) {
+        const std::uint32_t largest = m_memory.largest_prompt(submit.max_tokens);
+        return refusal{wire::refusal::too_large,
+                       "the prompt does not fit this endpoint; the largest that fits has " +
+                           std::to_string(largest) + " tokens",
+                       milliseconds(0)};
+    }
+    return std::nullopt;
+}
+
+policy::queued_request admission::to_queued(const wire::submitT& submit, const attempt_id& id,
+                                            time_point arrival) const
+{
+    policy::queued_request request;
+    request.attempt = id;
+    request.team = submit.team;
+    request.request = static_cast<request_class>(std::min<std::uint8_t>(submit.request_class, 2));
+    request.prompt_tokens = submit.prompt_tokens;
+    request.max_tokens = submit.max_tokens;
+    request.owner = submit.entry_incarnation;
+    request.arrival = arrival;
+    request.deadline = arrival + milliseconds(submit.time_left_ms);
+    return request;
+}
+
+policy::backlog admission::backlog_of(const policy::queued_request& request, time_point now) const
+{
+    return m_queue.ahead_of(request, now);
+}
+
+std::optional<refusal> admission::check_deadline(const policy::queued_request& request,
+                                                 milliseconds time_left, time_point now) const
+{
+    if (m_options.plain) {
+        return std::nullopt;
+    }
+    policy::backlog ahead = backlog_of(request, now);
+    ahead.limit = m_cold.limit();
+    const auto estimate = m_estimator.estimate(request.prompt_tokens, request.max_tokens, ahead);
+    // Answers often end before max_tokens, so only the time to the first token decides.
+    if (estimate.first_token() > time_left * deadline_margin) {
+        return refusal{wire::refusal::deadline, "the deadline cannot be met here", retry_hint()};
+    }
+    return std::nullopt;
+}
+
+milliseconds admission::retry_hint() const
+{
+    policy::backlog ahead;
+    ahead.waiting = static_cast<std::uint32_t>(m_queue.size());
+    ahead.limit = m_cold.limit();
+    const auto estimate = m_estimator.estimate(1, 1, ahead);
+    return std::clamp(std::chrono::duration_cast<milliseconds>(estimate.queue), default_retry, longest_retry);
+}
+
+std::uint64_t admission::answer_bytes() const
+{
+    std::uint64_t bytes = 0;
+    for (const auto& value : m_table.all()) {
+        bytes += value->log.size();
+    }
+    return bytes;
+}
+
+std::optional<refusal> admission::check(const wire::submitT& submit, const serving_state& state,
+                                        time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    if (auto refused = check_state(state)) {
+        return refused;
+    }
+    if (auto refused = check_size(submit)) {
+        return refused;
+    }
+    const policy::queued_request request = to_queued(submit, attempt_id{}, now);
+    return check_deadline(request, milliseconds(submit.time_left_ms), now);
+}
+
+admission::entry admission::enqueue(const std::shared_ptr<attempt>& value, const serving_state& state,
+                                    time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    entry outcome;
+    outcome.value = m_table.find(value->id);
+    if (outcome.value) {
+        return outcome;
+    }
+    outcome.refused = check_state(state);
+    if (outcome.refused) {
+        return outcome;
+    }
+    if (answer_bytes() > m_options.answer_memory) {
+        outcome.refused = refusal{wire::refusal::memory, "answers wait for slow readers", retry_hint()};
+        return outcome;
+    }
+    const policy::queued_request request = to_queued(value->submit, value->id, value->arrived);
+    const auto time_left = std::chrono::duration_cast<milliseconds>(value->deadline - now);
+    outcome.refused = check_deadline(request, time_left, now);
+    if (outcome.refused) {
+        return outcome;
+    }
+    if (m_table.add(value, now) == attempt_table::add_verdict::closed) {
+        outcome.refused = refusal{wire::refusal::closed, "the attempt was closed", milliseconds(0)};
+        return outcome;
+    }
+    const policy::push_verdict verdict = m_queue.push(request, m_memory, now);
+    if (verdict != policy::push_verdict::queued) {
+        value->phase = attempt_phase::ended;
+        value->ended = now;
+        value->log.fail(attempt_outcome::not_run, policy::to_string(verdict));
+        const bool large = verdict == policy::push_verdict::too_large;
+        outcome.refused =
+            refusal{large ? wire::refusal::too_large : wire::refusal::queue_full,
+                    large ? "the prompt does not fit this endpoint" : "the endpoint's queue is full",
+                    large ? milliseconds(0) : retry_hint()};
+        return outcome;
+    }
+    outcome.value = value;
+    outcome.added = true;
+    policy::backlog ahead = backlog_of(request, now);
+    ahead.limit = m_cold.limit();
+    const auto estimate = m_estimator.estimate(request.prompt_tokens, request.max_tokens, ahead);
+    outcome.queue_estimate = std::chrono::duration_cast<milliseconds>(estimate.queue);
+    return outcome;
+}
+
+admission::work admission::take_work(const serving_state& state, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    work taken;
+    std::vector<policy::queued_request> dropped;
+    const std::optional<refusal> closed = check_state(state);
+    if (closed) {
+        dropped = m_queue.clear();
+    } else {
+        dropped = m_queue.expire(now);
+    }
+    const refusal late{wire::refusal::deadline, "the deadline passed in the queue", milliseconds(0)};
+    for (const policy::queued_request& request : dropped) {
+        const std::shared_ptr<attempt> value = m_table.find(request.attempt);
+        if (value) {
+            value->phase = attempt_phase::ended;
+            value->ended = now;
+            taken.refused.emplace_back(value, closed ? *closed : late);
+        }
+    }
+    while (!closed) {
+        const std::optional<policy::queued_request> next = m_queue.pop(m_memory, m_cold, now);
+        if (!next) {
+            break;
+        }
+        const std::shared_ptr<attempt> value = m_table.find(next->attempt);
+        if (!value) {
+            m_memory.release(next->attempt);
+            continue;
+        }
+        value->phase = attempt_phase::running;
+        value->dispatched = now;
+        taken.dispatch.push_back(value);
+    }
+    return taken;
+}
+
+void admission::released(const std::shared_ptr<attempt>& value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_memory.release(value->id);
+}
+
+void admission::ended(const std::shared_ptr<attempt>& value, std::optional<policy::service_sample> sample,
+                      time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    value->phase = attempt_phase::ended;
+    value->ended = now;
+    value->body.clear();
+    if (sample) {
+        m_estimator.record(*sample);
+        m_cold.record_success(sample->prefill + sample->decode,
+                              policy::work_units(sample->prompt_tokens, sample->output_tokens));
+    }
+}
+
+bool admission::cancel_queued(const std::shared_ptr<attempt>& value, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_queue.remove(value->id)) {
+        return false;
+    }
+    value->phase = attempt_phase::ended;
+    value->ended = now;
+    return true;
+}
+
+std::vector<std::shared_ptr<attempt>> admission::observe(const engine_status& status)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::shared_ptr<attempt>> lost;
+    const bool restarted = m_engine && *m_engine != status.engine;
+    m_engine = status.engine;
+    m_cold.observe_incarnation(status.engine);
+    m_cold.observe_report(status.cold);
+    if (status.capacity_tokens != 0 && !m_options.plain) {
+        m_memory.set_capacity(std::min(status.capacity_tokens, m_options.memory_tokens));
+    }
+    if (restarted) {
+        for (const attempt_id& id : m_memory.clear()) {
+            if (const std::shared_ptr<attempt> value = m_table.find(id)) {
+                lost.push_back(value);
+            }
+        }
+    }
+    return lost;
+}
+
+admission::reconciliation admission::reconcile(const std::vector<held_request>& held)
+{
+    const std::lock_guard lock(m_mutex);
+    reconciliation found;
+    std::uint64_t unaccounted = 0;
+    std::unordered_map<attempt_id, bool> engine_holds;
+    for (const held_request& request : held) {
+        const std::optional<attempt_id> id = parse_engine_id(request.id);
+        if (id && m_memory.contains(*id)) {
+            engine_holds[*id] = true;
+        } else {
+            found.unknown.push_back(request.id);
+            unaccounted += request.tokens;
+        }
+    }
+    m_memory.set_unaccounted(unaccounted);
+    for (const auto& value : m_table.all()) {
+        const bool ended = value->phase == attempt_phase::ended;
+        if (ended && m_memory.contains(value->id) && !engine_holds.contains(value->id)) {
+            m_memory.release(value->id);
+            found.vanished.push_back(value);
+        }
+    }
+    return found;
+}
+
+std::vector<std::shared_ptr<attempt>> admission::take_orphans(time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_table.expire(now);
+    std::vector<std::shared_ptr<attempt>> orphans;
+    for (const auto& value : m_table.all()) {
+        const bool lost = value->owner_lost && now - *value->owner_lost > m_options.owner_lease;
+        const bool late = now >= value->deadline && !value->cancel_requested;
+        if ((lost || late) && value->submit.repeatable && value->phase != attempt_phase::ended) {
+            value->owner_lost = std::nullopt;
+            orphans.push_back(value);
+        }
+    }
+    return orphans;
+}
+
+std::shared_ptr<attempt> admission::find(const attempt_id& id) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_table.find(id);
+}
+
+bool admission::close_unseen(const attempt_id& id, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_table.close_unseen(id, now);
+}
+
+std::uint64_t admission::begin_delivery(const std::shared_ptr<attempt>& value)
+{
+    const std::lock_guard lock(m_mutex);
+    value->owner_lost = std::nullopt;
+    return ++value->delivery;
+}
+
+bool admission::is_current(const std::shared_ptr<attempt>& value, std::uint64_t delivery) const
+{
+    const std::lock_guard lock(m_mutex);
+    return value->delivery == delivery;
+}
+
+void admission::delivery_broken(const std::shared_ptr<attempt>& value, std::uint64_t delivery, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (value->delivery == delivery) {
+        value->owner_lost = now;
+    }
+}
+
+void admission::acknowledged(const std::shared_ptr<attempt>& value)
+{
+    const std::lock_guard lock(m_mutex);
+    value->acknowledged = true;
+}
+
+attempt_phase admission::phase_of(const std::shared_ptr<attempt>& value) const
+{
+    const std::lock_guard lock(m_mutex);
+    return value->phase;
+}
+
+bool admission::request_cancel(const std::shared_ptr<attempt>& value)
+{
+    const std::lock_guard lock(m_mutex);
+    if (value->phase != attempt_phase::running || value->cancel_requested || !value->submit.repeatable) {
+        return false;
+    }
+    value->cancel_requested = true;
+    return true;
+}
+
+bool admission::cancel_requested(const std::shared_ptr<attempt>& value) const
+{
+    const std::lock_guard lock(m_mutex);
+    return value->cancel_requested;
+}
+
+wire::load_summaryT admission::load() const
+{
+    const std::lock_guard lock(m_mutex);
+    wire::load_summaryT summary;
+    summary.running = static_cast<std::uint32_t>(m_memory.size());
+    summary.queued = static_cast<std::uint32_t>(m_queue.size());
+    summary.free_tokens = m_memory.free();
+    summary.limit = m_cold.limit();
+    summary.cold = m_cold.cold();
+    summary.prefill_tokens_per_s =
+        static_cast<std::uint64_t>(m_estimator.prefill_tokens_per_second(length_class::short_prompt));
+    return summary;
+}
+
+bool admission::cold() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_cold.cold();
+}
+
+std::size_t admission::open_attempts() const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto values = m_table.all();
+    return static_cast<std::size_t>(std::count_if(values.begin(), values.end(), [](const auto& value) {
+        return value->phase != attempt_phase::ended;
+    }));
+}
+
+std::uint64_t admission::held_answer_bytes() const
+{
+    const std::lock_guard lock(m_mutex);
+    return answer_bytes();
+}
+
+void admission::set_weight(const std::string& team, double weight)
+{
+    const std::lock_guard lock(m_mutex);
+    m_queue.set_weight(team, weight);
+}
+
+} // namespace verbena::agent
--- /dev/null
+++ b/src/agent/agent_service.cpp
@@ -0,0 +1,209 @@
+#include "agent/agent_service.h"
+
+#include "base/log.h"
+#include "node/freshness.h"
+
+namespace verbena::agent {
+
+namespace {
+
+// Status is asked often, because the cold limit falls on what it says.
+constexpr milliseconds status_interval{250};
+constexpr milliseconds reconcile_interval{1'000};
+constexpr milliseconds table_interval{50};
+
+// A new incarnation waits this long before its first order to an engine that ignores fencing numbers; longer
+// than its predecessor could believe its configuration fresh.
+admission_options to_options(const settings::agent_settingsT& settings)
+{
+    admission_options options;
+    options.plain = settings.kind == "plain";
+    options.memory_tokens = settings.memory_tokens;
+    options.cold_limit = settings.cold_limit;
+    options.warm_limit = settings.warm_limit;
+    options.queue_limit = settings.queue_limit;
+    options.answer_memory = settings.answer_memory;
+    options.owner_lease = milliseconds(settings.owner_lease);
+    return options;
+}
+
+} // namespace
+
+result<std::shared_ptr<agent_service>> agent_service::create(node::process& process,
+                                                             const settings::agent_settingsT& settings)
+{
+    if (!settings.kind.empty() && settings.kind != "plain" && settings.kind != "model") {
+        return make_error(error_kind::invalid_settings, "[agent] kind: '" + settings.kind + "' is not known",
+                          "use model or plain");
+    }
+    BOOST_OUTCOME_TRY(const host_port engine, parse_host_port(settings.engine));
+    auto client = settings.kind == "plain" ? make_plain_service(engine) : make_model_engine(engine);
+    auto service = std::make_shared<agent_service>(process, settings, std::move(client));
+    BOOST_OUTCOME_TRY(service->open(settings));
+    return service;
+}
+
+agent_service::agent_service(node::process& process, const settings::agent_settingsT& settings,
+                             std::unique_ptr<engine_client> engine)
+    : m_process(process), m_settings(settings), m_engine(std::move(engine)), m_admission(to_options(settings))
+{
+}
+
+result<void> agent_service::open(const settings::agent_settingsT& settings)
+{
+    BOOST_OUTCOME_TRY(const host_port address, parse_host_port(settings.listen));
+    net::connection_options options;
+    options.self = net::peer_info{wire::role::agent, m_process.settings().name, m_process.settings().cluster,
+                                  m_process.self_incarnation()};
+    options.counters = &m_process.counters();
+    BOOST_OUTCOME_TRY(m_server, net::frame_server::create(m_process.io(), address, options, *this));
+    m_address = address.host + ":" + std::to_string(m_server->port());
+    BOOST_OUTCOME_TRY(const std::vector<host_port> members, parse_host_ports(m_process.settings().control));
+    start_control_client(members);
+    return success();
+}
+
+void agent_service::start_control_client(const std::vector<host_port>& members)
+{
+    node::control_client::options options;
+    options.members = members;
+    options.self = net::peer_info{wire::role::agent, m_process.settings().name, m_process.settings().cluster,
+                                  m_process.self_incarnation()};
+    net::connection_options connections;
+    connections.self = options.self;
+    connections.counters = &m_process.counters();
+    auto pool = std::make_shared<net::peer_pool>(m_process.io(), connections, nullptr);
+    m_control = std::make_shared<node::control_client>(
+        m_process.io(), std::move(options), std::move(pool), m_config, nullptr, [this] { return announce(); },
+        m_process.counters());
+}
+
+std::unique_ptr<wire::announcementT> agent_service::announce() const
+{
+    if (!m_engine_seen) {
+        return nullptr;
+    }
+    auto value = std::make_unique<wire::announcementT>();
+    value->endpoint = m_settings.endpoint;
+    value->address = m_address;
+    value->incarnation = m_process.self_incarnation();
+    value->failure_domain = m_process.settings().failure_domain;
+    value->service = m_settings.service;
+    value->plain = m_settings.kind == "plain";
+    value->models = split_list(m_settings.models);
+    value->memory_tokens = m_settings.memory_tokens;
+    value->cold = m_admission.cold();
+    value->leaving = m_leaving;
+    return value;
+}
+
+serving_state agent_service::state() const
+{
+    serving_state now;
+    now.fresh = m_config.is_fresh(clock::now()) && m_engine_seen;
+    now.leaving = m_leaving;
+    if (const auto config = m_config.current()) {
+        now.endpoint = config->endpoint_state(m_settings.endpoint);
+        now.domain = config->domain_state(m_process.settings().failure_domain);
+    }
+    return now;
+}
+
+void agent_service::start()
+{
+    auto self = shared_from_this();
+    m_server->start();
+    m_control->start();
+    const auto spawn = [this](auto work) {
+        net::asio::co_spawn(net::asio::make_strand(m_process.io()), std::move(work), net::asio::detached);
+    };
+    spawn([self] { return self->watch_status(); });
+    spawn([self] { return self->watch_held(); });
+    spawn([self] { return self->watch_tables(); });
+    metrics& counters = m_process.counters();
+    counters.gauge("verbena_agent_running", {}, [self] { return double(self->m_admission.load().running); });
+    counters.gauge("verbena_agent_queued", {}, [self] { return double(self->m_admission.load().queued); });
+    counters.gauge("verbena_agent_limit", {}, [self] { return double(self->m_admission.load().limit); });
+    counters.gauge("verbena_agent_free_tokens", {},
+                   [self] { return double(self->m_admission.load().free_tokens); });
+    counters.gauge("verbena_agent_answer_bytes", {},
+                   [self] { return double(self->m_admission.held_answer_bytes()); });
+    m_process.set_ready(true);
+}
+
+void agent_service::stop()
+{
+    m_leaving = true;
+    pump();
+    net::asio::co_spawn(
+        net::asio::make_strand(m_process.io()), [self = shared_from_this()] { return self->drain(); },
+        net::asio::detached);
+}
+
+// Finishes what the endpoint holds. Entries learn from refusals and from the directory that the endpoint
+// leaves.
+net::task<void> agent_service::drain()
+{
+    co_await net::sleep_for(milliseconds(m_process.settings().stop_delay));
+    while (m_admission.open_attempts() != 0) {
+        co_await net::sleep_for(table_interval);
+    }
+    // Entries still read the last answers.
+    co_await net::sleep_for(milliseconds(500));
+    m_server->stop_accepting();
+    log::info("stopped: no attempt is open");
+    m_process.finish();
+}
+
+net::task<void> agent_service::watch_status()
+{
+    bool reachable = true;
+    while (true) {
+        const auto status = co_await m_engine->status();
+        if (status) {
+            m_engine_seen = true;
+            for (const auto& lost : m_admission.observe(status.value())) {
+                lost->log.fail(attempt_outcome::unknown, "the engine restarted");
+            }
+            pump();
+        }
+        if (status.has_value() != reachable) {
+            reachable = status.has_value();
+            log::info(reachable ? "the engine answers again" : "the engine does not answer");
+        }
+        co_await net::sleep_for(status_interval);
+    }
+}
+
+net::task<void> agent_service::watch_held()
+{
+    while (true) {
+        co_await net::sleep_for(reconcile_interval);
+        const auto held = co_await m_engine->held();
+        if (!held) {
+            continue;
+        }
+        const auto found = m_admission.reconcile(held.value());
+        for (const std::string& id : found.unknown) {
+            m_process.counters().add("verbena_agent_unknown_requests_cancelled_total", {});
+            const result<void> cancelled = co_await m_engine->cancel(id);
+            if (!cancelled) {
+                m_process.counters().add("verbena_agent_cancel_failures_total", {});
+            }
+        }
+        pump();
+    }
+}
+
+net::task<void> agent_service::watch_tables()
+{
+    while (true) {
+        co_await net::sleep_for(table_interval);
+        for (const auto& orphan : m_admission.take_orphans(clock::now())) {
+            cancel(orphan, "owner_lost");
+        }
+        pump();
+    }
+}
+
+} // namespace verbena::agent
--- /dev/null
+++ b/src/agent/agent_service.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "agent/admission.h"
+#include "node/control_client.h"
+#include "node/process.h"
+
+#include <memory>
+
+namespace verbena::agent {
+
+// The process beside one endpoint: takes attempts from entries, dispatches them within the endpoint's limits,
+// and keeps their answers until the entries have them.
+class agent_service : public net::connection_handler, public std::enable_shared_from_this<agent_service> {
+public:
+    static result<std::shared_ptr<agent_service>> create(node::process& process,
+                                                         const settings::agent_settingsT& settings);
+
+    agent_service(node::process& process, const settings::agent_settingsT& settings,
+                  std::unique_ptr<engine_client> engine);
+
+    void start();
+
+    // Announces that the endpoint leaves, refuses new work, and ends the process when no attempt is open.
+    void stop();
+
+    void on_stream(const std::shared_ptr<net::frame_stream>& stream, net::received_frame first) override;
+
+private:
+    result<void> open(const settings::agent_settingsT& settings);
+    void start_control_client(const std::vector<host_port>& members);
+    std::unique_ptr<wire::announcementT> announce() const;
+    serving_state state() const;
+    void count(const char* event, const wire::submitT& submit);
+
+    // Streams from entries.
+    net::task<void> serve_submit(std::shared_ptr<net::frame_stream> stream, wire::submitT submit);
+    net::task<void> serve_resume(std::shared_ptr<net::frame_stream> stream, wire::resumeT resume);
+    void serve_query(const std::shared_ptr<net::frame_stream>& stream, const wire::attempt_query& query);
+    net::task<result<std::string>> receive_body(std::shared_ptr<net::frame_stream> stream,
+                                                std::uint32_t length);
+    std::optional<refusal> check_identity(const wire::submitT& submit, time_point received) const;
+    void send_refused(const std::shared_ptr<net::frame_stream>& stream, const attempt_id& id,
+                      const refusal& reason);
+    net::task<void> deliver(std::shared_ptr<net::frame_stream> stream, std::shared_ptr<attempt> value,
+                            std::uint64_t offset);
+    net::task<bool> send_slice(std::shared_ptr<net::frame_stream> stream, const attempt_id& id,
+                               std::uint64_t offset, std::string bytes);
+    void send_end(const std::shared_ptr<net::frame_stream>& stream, const std::shared_ptr<attempt>& value,
+                  const answer_log::slice& view);
+    // Handles what the entry sends while an answer is delivered, until the stream ends.
+    net::task<void> watch_entry(std::shared_ptr<net::frame_stream> stream, std::shared_ptr<attempt> value,
+                                std::uint64_t delivery);
+
+    // The endpoint.
+    void pump();
+    net::task<void> run(std::shared_ptr<attempt> value);
+    struct answer_end {
+        time_point first_byte;
+        std::uint32_t tokens = 0;
+    };
+
+    net::task<result<answer_end>> read_answer(std::shared_ptr<attempt> value,
+                                              std::unique_ptr<net::http_stream> stream);
+    net::task<result<answer_end>> read_events(std::shared_ptr<attempt> value,
+                                              std::unique_ptr<net::http_stream> stream);
+    net::task<result<std::unique_ptr<net::http_stream>>> resume_at_engine(std::shared_ptr<attempt> value,
+                                                                          std::uint32_t events);
+    // Asks the engine to end the attempt and frees its memory once it has; otherwise reconciliation does it
+    // later.
+    net::task<void> cancel_at_engine(std::shared_ptr<attempt> value);
+    void end_failed(const std::shared_ptr<attempt>& value, attempt_outcome outcome,
+                    const std::string& message);
+    void end_done(const std::shared_ptr<attempt>& value, const answer_end& end);
+    void cancel(const std::shared_ptr<attempt>& value, const char* reason);
+    time_point run_end(const attempt& value) const;
+    net::task<void> watch_status();
+    net::task<void> watch_held();
+    net::task<void> watch_tables();
+    net::task<void> drain();
+
+    node::process& m_process;
+    settings::agent_settingsT m_settings;
+    std::unique_ptr<engine_client> m_engine;
+    admission m_admission;
+    node::config_view m_config;
+    std::shared_ptr<net::frame_server> m_server;
+    std::shared_ptr<node::control_client> m_control;
+    std::atomic<bool> m_leaving{false};
+    std::atomic<bool> m_engine_seen{false};
+    std::string m_address;
+};
+
+} // namespace verbena::agent
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -142,18 +142,33 @@
     send(make_frame(std::move(window)));
 }
 
-void frame_stream::close(const error& reason)
+bool frame_stream::close_here(const error& reason)
 {
     {
         const std::lock_guard lock(m_mutex);
         if (m_closed) {
-            return;
+            return false;
         }
         m_closed = reason;
     }
     m_connection->forget_stream(m_id);
     wake_receiver();
     m_credited.try_send(error_code());
+    return true;
+}
+
+void frame_stream::close(const error& reason)
+{
+    if (close_here(reason)) {
+        wire::resetT reset;
+        reset.reason = reason.message;
+        send(make_frame(std::move(reset)));
+    }
+}
+
+stream_guard::~stream_guard()
+{
+    m_stream->close(make_error(error_kind::unavailable, "the stream has ended"));
 }
 
 connection::connection(tcp::socket socket, const connection_options& options, connection_handler* handler,
@@ -403,13 +418,20 @@
         stream->add_credit(window->bytes());
         return;
     }
+    if (const wire::reset* reset = message.frame->message_as_reset()) {
+        const std::string reason = reset->reason() == nullptr ? "" : reset->reason()->str();
+        stream->close_here(make_error(error_kind::unavailable, "the peer ended the stream: " + reason));
+        return;
+    }
     stream->deliver(std::move(message));
 }
 
 void connection::open_from_peer(std::uint32_t id, received_frame message)
 {
     const bool ours = (id % 2 == 1) == m_initiator;
-    const bool late = is_data(*message.frame) || message.frame->message_type() == wire::body::window;
+    const wire::body kind = message.frame->message_type();
+    const bool late = is_data(*message.frame) || kind == wire::body::window || kind == wire::body::reset ||
+                      kind == wire::body::cancel;
     if (ours || late || m_handler == nullptr) {
         count("frame_for_ended_stream");
         return;
@@ -456,7 +478,7 @@
         m_outbox.clear();
     }
     for (const auto& [id, stream] : streams) {
-        stream->close(reason);
+        stream->close_here(reason);
     }
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
         error_code ignored;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -49,7 +49,8 @@
     // Lets the peer send `bytes` more. Call when received data has been passed on.
     void grant(std::size_t bytes);
 
-    // Ends the stream: pending and later receives fail with `reason`.
+    // Ends the stream on both sides: pending and later receives fail with `reason`. Whoever handles a stream
+    // has to close it in the end; stream_guard does.
     void close(const error& reason);
 
 private:
@@ -58,6 +59,8 @@
     using receive_signal = asio::experimental::concurrent_channel<void(error_code)>;
 
     void deliver(received_frame message);
+    // Ends the stream without telling the peer; false when it had ended before.
+    bool close_here(const error& reason);
     void add_credit(std::size_t bytes);
     void wake_receiver();
 
@@ -77,6 +80,18 @@
 // Cost of a data message against the window, in bytes. The fixed part bounds how many tiny messages can wait.
 std::size_t window_cost(std::size_t bytes);
 
+// Closes a stream at the end of a scope.
+class stream_guard {
+public:
+    explicit stream_guard(std::shared_ptr<frame_stream> stream) : m_stream(std::move(stream)) {}
+    stream_guard(const stream_guard&) = delete;
+    stream_guard& operator=(const stream_guard&) = delete;
+    ~stream_guard();
+
+private:
+    std::shared_ptr<frame_stream> m_stream;
+};
+
 // Who is at the other end, from its hello.
 struct peer_info {
     wire::role role = wire::role::unknown;
--- /dev/null
+++ b/src/node/control_client.cpp
@@ -0,0 +1,201 @@
+#include "node/control_client.h"
+
+namespace verbena::node {
+
+namespace {
+
+constexpr milliseconds connect_timeout{1'000};
+
+// Pause between two tries of a key call while the group elects a leader.
+constexpr milliseconds key_retry_pause{100};
+
+std::string address_text(const host_port& address)
+{
+    return address.host + ":" + std::to_string(address.port);
+}
+
+} // namespace
+
+void close_after(net::asio::steady_timer& timer, const std::shared_ptr<net::frame_stream>& stream,
+                 milliseconds timeout)
+{
+    timer.expires_after(timeout);
+    timer.async_wait([stream](const net::error_code& failure) {
+        if (!failure) {
+            stream->close(make_error(error_kind::timeout, "no answer in time", "retry"));
+        }
+    });
+}
+
+control_client::control_client(net::asio::io_context& io, options settings,
+                               std::shared_ptr<net::peer_pool> pool, config_view& config,
+                               directory_view* directory, announcer announce, metrics& counters)
+    : m_io(io), m_options(std::move(settings)), m_pool(std::move(pool)), m_config(config),
+      m_directory(directory), m_announce(std::move(announce)), m_metrics(counters)
+{
+}
+
+void control_client::start()
+{
+    for (const host_port& member : m_options.members) {
+        net::asio::co_spawn(
+            net::asio::make_strand(m_io),
+            [self = shared_from_this(), member] { return self->poll_member(member); }, net::asio::detached);
+    }
+}
+
+net::task<void> control_client::poll_member(host_port member)
+{
+    const std::string name = address_text(member);
+    std::shared_ptr<net::frame_stream> stream;
+    time_point last_answer = clock::now();
+    while (!m_stopping) {
+        const time_point begin = clock::now();
+        if (!stream) {
+            auto opened = co_await m_pool->open_stream(member, connect_timeout);
+            if (opened) {
+                stream = opened.value();
+            }
+        }
+        if (stream) {
+            const result<void> polled = co_await poll_once(member, stream);
+            if (polled) {
+                last_answer = clock::now();
+            } else {
+                m_metrics.add("verbena_poll_failures_total", {{"member", name}});
+                stream->close(polled.error());
+                stream = nullptr;
+            }
+        }
+        if (m_directory != nullptr && clock::now() - last_answer > std::chrono::seconds(10)) {
+            m_directory->forget_member(name);
+            last_answer = clock::now();
+        }
+        const auto spent = std::chrono::duration_cast<milliseconds>(clock::now() - begin);
+        co_await net::sleep_for(std::max(m_options.interval - spent, milliseconds(10)));
+    }
+}
+
+net::task<result<void>> control_client::poll_once(const host_port& member,
+                                                  const std::shared_ptr<net::frame_stream>& stream)
+{
+    const std::string name = address_text(member);
+    wire::pollT poll;
+    poll.name = m_options.self.name;
+    poll.role = m_options.self.role;
+    poll.incarnation = m_options.self.incarnation;
+    poll.revision = m_config.held();
+    if (m_directory != nullptr) {
+        const directory_view::position at = m_directory->position_of(name);
+        poll.directory_epoch = at.epoch;
+        poll.directory_version = at.version;
+    }
+    if (m_announce) {
+        poll.announce = m_announce();
+    }
+    const time_point asked = clock::now();
+    poll.nonce = static_cast<std::uint64_t>(asked.time_since_epoch().count());
+    const std::uint64_t nonce = poll.nonce;
+    stream->send(net::make_frame(std::move(poll)));
+    net::asio::steady_timer timer(co_await net::asio::this_coro::executor);
+    close_after(timer, stream, m_options.reply_timeout);
+    const result<net::received_frame> answer = co_await stream->receive();
+    timer.cancel();
+    if (!answer) {
+        co_return answer.error();
+    }
+    const wire::poll_reply* reply = answer.value().frame->message_as_poll_reply();
+    if (reply == nullptr || reply->nonce() != nonce) {
+        co_return make_error(error_kind::invalid_frame, "unexpected reply to a poll", "check the versions");
+    }
+    take_reply(name, *reply, asked);
+    co_return success();
+}
+
+void control_client::take_reply(const std::string& member, const wire::poll_reply& reply, time_point asked)
+{
+    if (reply.config() != nullptr && reply.confirmed()) {
+        m_config.update({reply.config()->data(), reply.config()->size()});
+    }
+    if (reply.confirmed()) {
+        m_config.confirm(reply.revision(), asked - milliseconds(reply.age_ms()));
+    }
+    if (reply.leader() != nullptr && reply.leader()->size() != 0) {
+        const std::lock_guard lock(m_mutex);
+        m_leader = reply.leader()->str();
+    }
+    if (m_directory != nullptr) {
+        wire::poll_replyT unpacked;
+        reply.UnPackTo(&unpacked);
+        m_directory->apply(member, unpacked);
+    }
+}
+
+host_port control_client::next_target(const wire::key_replyT* last, std::size_t attempt) const
+{
+    std::string hint;
+    if (last != nullptr && !last->leader.empty()) {
+        hint = last->leader;
+    } else if (attempt == 0) {
+        const std::lock_guard lock(m_mutex);
+        hint = m_leader;
+    }
+    if (!hint.empty()) {
+        const result<host_port> parsed = parse_host_port(hint);
+        if (parsed) {
+            return parsed.value();
+        }
+    }
+    return m_options.members[attempt % m_options.members.size()];
+}
+
+net::task<result<wire::key_replyT>> control_client::call_member(host_port member, wire::frameT call,
+                                                                milliseconds timeout)
+{
+    auto opened = co_await m_pool->open_stream(std::move(member), std::min(timeout, connect_timeout));
+    if (!opened) {
+        co_return opened.error();
+    }
+    const std::shared_ptr<net::frame_stream> stream = opened.value();
+    stream->send(call);
+    net::asio::steady_timer timer(co_await net::asio::this_coro::executor);
+    close_after(timer, stream, timeout);
+    const result<net::received_frame> answer = co_await stream->receive();
+    timer.cancel();
+    stream->close(make_error(error_kind::unavailable, "call ended"));
+    if (!answer) {
+        co_return answer.error();
+    }
+    const wire::key_reply* reply = answer.value().frame->message_as_key_reply();
+    if (reply == nullptr) {
+        co_return make_error(error_kind::invalid_frame, "unexpected reply to a key call",
+                             "check the versions");
+    }
+    wire::key_replyT unpacked;
+    reply->UnPackTo(&unpacked);
+    co_return unpacked;
+}
+
+// A key call is idempotent on the leader (same request id and attempt), so it may be sent again after a lost
+// answer.
+net::task<result<wire::key_replyT>> control_client::call_key(wire::frameT call, milliseconds timeout)
+{
+    const time_point end = clock::now() + timeout;
+    std::optional<wire::key_replyT> last;
+    for (std::size_t attempt = 0; clock::now() < end; ++attempt) {
+        const host_port target = next_target(last ? &*last : nullptr, attempt);
+        const auto left = std::chrono::duration_cast<milliseconds>(end - clock::now());
+        const result<wire::key_replyT> reply =
+            co_await call_member(target, call, std::min(left, milliseconds(1'500)));
+        if (reply && reply.value().state != wire::key_state::not_leader) {
+            co_return reply.value();
+        }
+        last = reply ? std::optional<wire::key_replyT>(reply.value()) : std::nullopt;
+        if (!last || last->leader.empty()) {
+            co_await net::sleep_for(key_retry_pause);
+        }
+    }
+    co_return make_error(error_kind::unavailable, "no control leader answered", "retry in a second");
+}
+
+} // namespace verbena::node
--- /dev/null
+++ b/src/node/control_client.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "net/peer_pool.h"
+#include "node/config_view.h"
+#include "node/directory_view.h"
+
+#include <functional>
+#include <memory>
+
+namespace verbena::node {
+
+// Polls every control member, keeps the configuration view fresh and the directory current, and carries key
+// calls to the leader.
+class control_client : public std::enable_shared_from_this<control_client> {
+public:
+    struct options {
+        std::vector<host_port> members;
+        net::peer_info self;
+        milliseconds interval{500};
+        // Time to wait for a member's reply; shorter than the freshness bound, so that a lost reply costs one
+        // poll.
+        milliseconds reply_timeout{1'000};
+    };
+
+    // Fills in the announcement of an agent; null for entries.
+    using announcer = std::function<std::unique_ptr<wire::announcementT>()>;
+
+    control_client(net::asio::io_context& io, options settings, std::shared_ptr<net::peer_pool> pool,
+                   config_view& config, directory_view* directory, announcer announce, metrics& counters);
+
+    void start();
+    void stop() { m_stopping = true; }
+
+    // Sends a key call to the leader, following its hints, and waits for the committed answer. `unavailable`
+    // with sent = false proves that no member took the call.
+    net::task<result<wire::key_replyT>> call_key(wire::frameT call, milliseconds timeout);
+
+private:
+    net::task<void> poll_member(host_port member);
+    net::task<result<void>> poll_once(const host_port& member,
+                                      const std::shared_ptr<net::frame_stream>& stream);
+    net::task<result<wire::key_replyT>> call_member(host_port member, wire::frameT call,
+                                                    milliseconds timeout);
+    void take_reply(const std::string& member, const wire::poll_reply& reply, time_point asked);
+    host_port next_target(const wire::key_replyT* last, std::size_t attempt) const;
+
+    net::asio::io_context& m_io;
+    options m_options;
+    std::shared_ptr<net::peer_pool> m_pool;
+    config_view& m_config;
+    directory_view* m_directory;
+    announcer m_announce;
+    metrics& m_metrics;
+    std::atomic<bool> m_stopping{false};
+    mutable std::mutex m_mutex;
+    std::string m_leader; // frame address of the last known leader
+};
+
+// Closes the stream when the time has passed, so that a pending receive fails. Cancel the timer when done.
+void close_after(net::asio::steady_timer& timer, const std::shared_ptr<net::frame_stream>& stream,
+                 milliseconds timeout);
+
+} // namespace verbena::node
--- /dev/null
+++ b/src/node/process.cpp
@@ -0,0 +1,96 @@
+#include "node/process.h"
+
+#include "base/log.h"
+#include "base/random.h"
+
+namespace verbena::node {
+
+result<std::unique_ptr<process>> process::create(const settings::node_settingsT& settings)
+{
+    auto made = std::make_unique<process>(settings);
+    BOOST_OUTCOME_TRY(made->open_metrics());
+    return made;
+}
+
+process::process(settings::node_settingsT settings)
+    : m_settings(std::move(settings)), m_io(static_cast<int>(m_settings.workers)),
+      m_work(net::asio::make_work_guard(m_io)), m_signals(m_io, SIGTERM, SIGINT),
+      m_incarnation(make_incarnation())
+{
+}
+
+result<void> process::open_metrics()
+{
+    if (m_settings.metrics_listen.empty()) {
+        return success();
+    }
+    BOOST_OUTCOME_TRY(const host_port address, parse_host_port(m_settings.metrics_listen));
+    net::http_limits limits;
+    limits.max_body = 1024;
+    limits.max_connections = 64;
+    BOOST_OUTCOME_TRY(
+        m_server, net::http_server::create(m_io, address, limits, *this, m_metrics, std::string("metrics")));
+    m_server->start();
+    return success();
+}
+
+net::task<void> process::handle(net::http_exchange& exchange)
+{
+    net::http_response response;
+    response.content_type = "text/plain; version=0.0.4";
+    if (exchange.request().target == "/metrics") {
+        response.body = m_metrics.render();
+    } else if (exchange.request().target == "/ready") {
+        response.status = m_ready ? 200 : 503;
+        response.body = m_ready ? "ready\n" : "not ready\n";
+    } else if (exchange.request().target == "/live") {
+        response.body = "live\n";
+    } else {
+        response.status = 404;
+        response.body = "use /metrics, /ready or /live\n";
+    }
+    const result<void> sent = co_await exchange.reply(std::move(response));
+    if (!sent) {
+        m_metrics.add("verbena_metrics_reply_failures_total", {});
+    }
+}
+
+net::task<void> process::wait_for_signals()
+{
+    auto [failure, number] = co_await m_signals.async_wait(net::no_throw);
+    if (failure) {
+        co_return;
+    }
+    log::info("stopping: signal " + std::to_string(number));
+    m_ready = false;
+    m_on_stop();
+    auto [second_failure, second] = co_await m_signals.async_wait(net::no_throw);
+    if (!second_failure) {
+        log::warn("stopping at once: second signal");
+        m_io.stop();
+    }
+}
+
+int process::run(stop_action on_stop)
+{
+    m_on_stop = std::move(on_stop);
+    net::asio::co_spawn(
+        m_io, [this] { return wait_for_signals(); }, net::asio::detached);
+    std::vector<std::thread> workers;
+    for (std::uint32_t i = 1; i < m_settings.workers; ++i) {
+        workers.emplace_back([this] { m_io.run(); });
+    }
+    m_io.run();
+    for (std::thread& worker : workers) {
+        worker.join();
+    }
+    return 0;
+}
+
+void process::finish()
+{
+    m_work.reset();
+    m_io.stop();
+}
+
+} // namespace verbena::node
--- /dev/null
+++ b/src/node/process.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/metrics.h"
+#include "base/settings.h"
+#include "net/http_server.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace verbena::node {
+
+// What every role shares: the worker pool, signals, and the metrics and readiness endpoint.
+class process : private net::http_handler {
+public:
+    // Called once on the first SIGTERM or SIGINT; the process ends when `finish` is called.
+    using stop_action = std::function<void()>;
+
+    static result<std::unique_ptr<process>> create(const settings::node_settingsT& settings);
+
+    net::asio::io_context& io() { return m_io; }
+    metrics& counters() { return m_metrics; }
+    const settings::node_settingsT& settings() const { return m_settings; }
+    incarnation self_incarnation() const { return m_incarnation; }
+
+    // /ready answers 200 while this is true.
+    void set_ready(bool ready) { m_ready = ready; }
+
+    // Runs the workers until finish(); returns the exit code.
+    int run(stop_action on_stop);
+    void finish();
+
+    explicit process(settings::node_settingsT settings);
+
+private:
+    net::task<void> handle(net::http_exchange& exchange) override;
+    net::task<void> wait_for_signals();
+    result<void> open_metrics();
+
+    settings::node_settingsT m_settings;
+    net::asio::io_context m_io;
+    net::asio::executor_work_guard<net::asio::io_context::executor_type> m_work;
+    net::asio::signal_set m_signals;
+    metrics m_metrics;
+    std::shared_ptr<net::http_server> m_server;
+    std::atomic<bool> m_ready{false};
+    incarnation m_incarnation;
+    stop_action m_on_stop;
+};
+
+} // namespace verbena::node
