--- /dev/null
+++ b/src/raft/core.cpp
@@ -0,0 +1,291 @@
+#include "raft/core.h"
+
+#include <algorithm>
+
+namespace verbena::raft {
+
+core::core(start_state start, const options& settings, random_engine random, time_point now)
+    : m_options(settings), m_random(random), m_self(start.self), m_folder(start.folder), m_vote(start.vote),
+      m_snapshot(std::move(start.snapshot)), m_handed_vote(start.vote)
+{
+    m_memberships.push_back({});
+    if (m_snapshot) {
+        m_log.reset(m_snapshot->index, m_snapshot->term);
+        m_memberships.front() = {m_snapshot->index, m_snapshot->membership};
+        m_commit = m_applied = m_snapshot->index;
+    }
+    for (entry& value : start.entries) {
+        append_to_log(std::move(value));
+    }
+    m_saved = m_handed = m_log.last();
+    // The member may have answered a leader just before it restarted, so it holds back its vote as if it had.
+    m_heard_leader_at = now;
+    reset_election_timer(now);
+}
+
+void core::step(const message& input, time_point now)
+{
+    if (m_fault || input.to != m_self || input.from == m_self) {
+        return;
+    }
+    const bool is_pre_vote =
+        input.kind == message_kind::pre_vote_request ||
+        (input.kind == message_kind::pre_vote_reply && !input.reject); // a grant names the term asked for
+    if (input.term > m_vote.term && !is_pre_vote) {
+        const bool from_leader =
+            input.kind == message_kind::append_request || input.kind == message_kind::snapshot_chunk;
+        become_follower(input.term, from_leader ? input.from : 0, now);
+    }
+    if (input.term < m_vote.term) {
+        reject_old_term(input);
+        return;
+    }
+    step_current_term(input, now);
+}
+
+void core::step_current_term(const message& input, time_point now)
+{
+    switch (input.kind) {
+    case message_kind::pre_vote_request:
+    case message_kind::vote_request:
+        return on_vote_request(input, now);
+    case message_kind::pre_vote_reply:
+    case message_kind::vote_reply:
+        return on_vote_reply(input, now);
+    case message_kind::append_request:
+        return on_append_request(input, now);
+    case message_kind::append_reply:
+        return on_append_reply(input, now);
+    case message_kind::snapshot_chunk:
+        return on_snapshot_chunk(input, now);
+    case message_kind::snapshot_reply:
+        return on_snapshot_reply(input, now);
+    case message_kind::transfer:
+        if (can_campaign()) {
+            start_election(now);
+        }
+        return;
+    }
+}
+
+// Tells a leader or candidate of an older term about the current one, so that it steps down.
+void core::reject_old_term(const message& input)
+{
+    message reply{.to = input.from, .term = m_vote.term, .reject = true};
+    switch (input.kind) {
+    case message_kind::pre_vote_request:
+        reply.kind = message_kind::pre_vote_reply;
+        break;
+    case message_kind::vote_request:
+        reply.kind = message_kind::vote_reply;
+        break;
+    case message_kind::append_request:
+    case message_kind::snapshot_chunk:
+        reply.kind = message_kind::append_reply;
+        break;
+    default:
+        return;
+    }
+    send(std::move(reply));
+}
+
+void core::tick(time_point now)
+{
+    if (m_fault) {
+        return;
+    }
+    if (m_role == role::leader) {
+        tick_leader(now);
+        return;
+    }
+    if (now < m_election_at) {
+        return;
+    }
+    if (can_campaign()) {
+        start_pre_vote(now);
+    } else {
+        m_leader = 0;
+        reset_election_timer(now);
+    }
+}
+
+void core::become_follower(term_number term, member_id leader, time_point now)
+{
+    if (m_role == role::leader) {
+        report_unknown();
+        m_peers.clear();
+        m_rounds.clear();
+        m_transfer_to = 0;
+    }
+    if (term > m_vote.term) {
+        m_vote = {term, 0};
+    }
+    m_role = role::follower;
+    m_leader = leader;
+    m_votes.clear();
+    reset_election_timer(now);
+}
+
+void core::reset_election_timer(time_point now)
+{
+    std::uniform_int_distribution<std::int64_t> range(m_options.election_timeout_min.count(),
+                                                      m_options.election_timeout_max.count());
+    m_election_at = now + milliseconds(range(m_random));
+}
+
+// Proposals above the commit index may still be committed by the next leader.
+void core::report_unknown()
+{
+    while (!m_proposals.empty() && m_proposals.back().index > m_commit) {
+        m_outcomes.push_back({m_proposals.back(), proposal_fate::unknown});
+        m_proposals.pop_back();
+    }
+}
+
+void core::send(message output)
+{
+    output.from = m_self;
+    output.folder = m_folder;
+    m_messages.push_back(std::move(output));
+}
+
+void core::fail(std::string what)
+{
+    m_fault = make_error(error_kind::corrupt, std::move(what),
+                         "stop this member, remove it and add it again under a new member id");
+}
+
+void core::track_membership(const entry& value)
+{
+    if (value.kind != entry_kind::membership) {
+        return;
+    }
+    auto decoded = decode_membership(value.data);
+    if (!decoded) {
+        fail("the membership entry at index " + std::to_string(value.index) + " is malformed");
+        return;
+    }
+    m_memberships.push_back({value.index, std::move(decoded.value())});
+    if (m_role == role::leader) {
+        sync_progress();
+    }
+}
+
+void core::append_to_log(entry value)
+{
+    track_membership(value);
+    m_log.append(std::move(value));
+}
+
+void core::commit_to(log_index index)
+{
+    m_commit = std::max(m_commit, std::min(index, m_log.last()));
+}
+
+bool core::has_ready() const
+{
+    return m_vote != m_handed_vote || m_install || m_handed < m_log.last() || !m_messages.empty() ||
+           m_applied < m_commit || !m_outcomes.empty();
+}
+
+ready core::take_ready()
+{
+    ready effects;
+    if (m_role == role::leader && m_handed < m_log.last()) {
+        broadcast(); // here and not at each proposal, so that proposals travel in batches
+    }
+    if (m_vote != m_handed_vote) {
+        effects.vote = m_vote;
+        m_handed_vote = m_vote;
+    }
+    effects.install = std::exchange(m_install, std::nullopt);
+    effects.append = m_log.slice(m_handed + 1, m_log.last(), SIZE_MAX);
+    m_handed = m_log.last();
+    effects.messages = std::exchange(m_messages, {});
+    effects.committed = m_log.slice(m_applied + 1, m_commit, m_options.apply_bytes);
+    if (!effects.committed.empty()) {
+        m_applied = effects.committed.back().index;
+    }
+    effects.outcomes = std::exchange(m_outcomes, {});
+    while (!m_proposals.empty() && m_proposals.front().index <= m_applied) {
+        effects.outcomes.push_back({m_proposals.front(), proposal_fate::committed});
+        m_proposals.pop_front();
+    }
+    return effects;
+}
+
+void core::saved()
+{
+    m_saved = m_handed;
+    if (m_role == role::leader) {
+        advance_commit();
+    }
+}
+
+bool core::snapshot_due(time_point now) const
+{
+    const std::size_t held = m_log.size();
+    const bool long_log = held > m_options.snapshot_after_entries + m_options.kept_entries ||
+                          m_log.byte_size() > m_options.snapshot_after_bytes;
+    if (!long_log || m_applied <= m_log.base() || (m_snapshot && m_snapshot->index >= m_applied)) {
+        return false;
+    }
+    // A newer snapshot restarts transfers that are under way, so they get time until the log is twice as
+    // long.
+    const bool very_long = held > 2 * (m_options.snapshot_after_entries + m_options.kept_entries) ||
+                           m_log.byte_size() > 2 * m_options.snapshot_after_bytes;
+    const bool transferring = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& item) {
+        const progress& peer = item.second;
+        return peer.state == progress::phase::snapshot && peer.heard &&
+               now - peer.heard_at < m_options.election_timeout_min;
+    });
+    return very_long || !transferring;
+}
+
+void core::compact(const snapshot_meta& meta)
+{
+    m_snapshot = meta;
+    const log_index kept = std::min<log_index>(m_options.kept_entries, meta.index);
+    log_index upto = meta.index - kept;
+    // The tail kept for slow followers must not hold the log above half of its bound in bytes.
+    if (m_log.byte_size() > m_options.snapshot_after_bytes / 2) {
+        upto = meta.index;
+    }
+    m_log.compact_to(std::max(upto, m_log.base()));
+    while (m_memberships.size() > 1 && m_memberships[1].index <= m_log.base()) {
+        m_memberships.erase(m_memberships.begin());
+    }
+    for (auto& [id, peer] : m_peers) {
+        if (peer.state == progress::phase::snapshot) {
+            peer.become_snapshot(meta.index);
+            send_chunk(id, peer);
+        }
+    }
+}
+
+const membership& core::membership_at(log_index index) const
+{
+    auto found = std::find_if(m_memberships.rbegin(), m_memberships.rend(),
+                              [index](const membership_point& point) { return point.index <= index; });
+    return found == m_memberships.rend() ? m_memberships.front().value : found->value;
+}
+
+core_status core::status(time_point now) const
+{
+    core_status out{m_role, m_leader, m_vote.term, m_commit, m_log.last(), {}};
+    for (const member& value : membership().members) {
+        member_status line{value, 0, false};
+        if (m_role == role::leader && value.id == m_self) {
+            line.match = m_saved;
+            line.answering = true;
+        } else if (const auto peer = m_peers.find(value.id); peer != m_peers.end()) {
+            line.match = peer->second.match;
+            line.answering =
+                peer->second.heard && now - peer->second.heard_at < m_options.election_timeout_min;
+        }
+        out.members.push_back(std::move(line));
+    }
+    return out;
+}
+
+} // namespace verbena::raft
--- /dev/null
+++ b/src/raft/core.h
@@ -0,0 +1,257 @@
+#pragma once
+
+#include "base/error.h"
+#include "base/random.h"
+#include "raft/membership.h"
+#include "raft/memory_log.h"
+#include "raft/progress.h"
+#include "raft/types.h"
+
+#include <map>
+#include <tuple>
+
+namespace verbena::raft {
+
+// The snapshot a member holds. Its image (membership and state machine bytes) stays in storage.
+struct snapshot_meta {
+    log_index index = 0;
+    term_number term = 0;
+    raft::membership membership;
+    std::uint64_t image_size = 0;
+    std::uint64_t image_hash = 0; // XXH3 of the image
+};
+
+// A snapshot received from a leader: length-prefixed membership record, then the state machine's bytes.
+struct snapshot_image {
+    log_index index = 0;
+    term_number term = 0;
+    bytes image;
+};
+
+// What a member finds in its data folder at start.
+struct start_state {
+    member_id self = 0;
+    folder_id folder = 0;
+    hard_state vote;
+    std::optional<snapshot_meta> snapshot;
+    std::vector<entry> entries; // behind the snapshot
+};
+
+enum class role : std::uint8_t { follower, pre_candidate, candidate, leader };
+
+// Names one proposal of one leader.
+struct proposal_token {
+    term_number term = 0;
+    log_index index = 0;
+
+    bool operator==(const proposal_token&) const = default;
+    bool operator<(const proposal_token& other) const
+    {
+        return std::tie(term, index) < std::tie(other.term, other.index);
+    }
+};
+
+// Fate of an accepted proposal. "unknown" means that leadership ended first: it may still be committed later.
+enum class proposal_fate : std::uint8_t { committed, unknown };
+
+struct proposal_outcome {
+    proposal_token token;
+    proposal_fate fate = proposal_fate::unknown;
+};
+
+// Effects of one or more inputs, in the order in which they have to be carried out: save and sync `vote`,
+// `install` and `append`; then send `messages`; then apply `committed` and report `outcomes`.
+struct ready {
+    std::optional<hard_state> vote;
+    std::optional<snapshot_image> install; // replaces the state machine and the whole log
+    std::vector<entry> append;             // the first one replaces what the log holds from its index on
+    std::vector<message> messages;
+    std::vector<entry> committed;
+    std::vector<proposal_outcome> outcomes;
+};
+
+struct member_status {
+    raft::member member;
+    log_index match = 0;    // known to a leader only
+    bool answering = false; // heard from within one election timeout; known to a leader only
+};
+
+struct core_status {
+    raft::role role = role::follower;
+    member_id leader = 0; // 0 = not known
+    term_number term = 0;
+    log_index commit = 0;
+    log_index last = 0;
+    std::vector<member_status> members;
+};
+
+// Raft consensus without I/O, clock or threads. Inputs are messages, ticks and proposals; effects are
+// collected in `ready`. See docs/design.md, section 4.1.
+class core {
+public:
+    core(start_state start, const options& settings, random_engine random, time_point now);
+
+    void step(const message& input, time_point now);
+
+    // To be called at least every 20 ms; runs heartbeats and elections.
+    void tick(time_point now);
+
+    // Appends a command on the leader. A refusal (not_leader, overloaded, too_large) means "not run"; an
+    // accepted proposal is reported once in ready::outcomes.
+    result<proposal_token> propose(bytes data);
+
+    // Adds a learner or removes a member; one change at a time.
+    result<proposal_token> change_membership(const membership_change& change, time_point now);
+
+    // Hands leadership to the most advanced voter, for a planned stop. Proposals are refused meanwhile; the
+    // attempt ends after one election timeout.
+    result<void> transfer_leadership(time_point now);
+
+    bool has_ready() const;
+
+    // Collects the effects. The caller carries them out and then calls saved().
+    ready take_ready();
+
+    // Everything in the last ready's vote, install and append is durable.
+    void saved();
+
+    // Whether the log is long enough for a snapshot at applied().
+    bool snapshot_due(time_point now) const;
+
+    // A snapshot at applied() or below is durable; truncates the log.
+    void compact(const snapshot_meta& meta);
+
+    // Age of the newest moment at which this leader is known to have been the only one that could commit: the
+    // start of the newest heartbeat round answered by a quorum. Empty on a member that cannot confirm.
+    std::optional<milliseconds> confirm_age(time_point now) const;
+
+    core_status status(time_point now) const;
+    raft::role role() const { return m_role; }
+    member_id leader() const { return m_leader; }
+    term_number term() const { return m_vote.term; }
+    log_index commit_index() const { return m_commit; }
+    log_index applied() const { return m_applied; }
+    term_number term_at_applied() const { return m_log.term_at(m_applied).value_or(0); }
+    const raft::membership& membership() const { return m_memberships.back().value; }
+
+    // Membership as of `index`, for a snapshot.
+    const raft::membership& membership_at(log_index index) const;
+
+    // Set when the core met a state that a correct group cannot reach; the member must stop.
+    const std::optional<error>& fault() const { return m_fault; }
+
+private:
+    struct membership_point {
+        log_index index = 0;
+        raft::membership value;
+    };
+
+    struct incoming_snapshot {
+        member_id from = 0;
+        log_index index = 0;
+        term_number term = 0;
+        bytes image;
+    };
+
+    struct round_start {
+        std::uint64_t round = 0;
+        time_point at;
+    };
+
+    // core.cpp
+    void step_current_term(const message& input, time_point now);
+    void reject_old_term(const message& input);
+    void become_follower(term_number term, member_id leader, time_point now);
+    void reset_election_timer(time_point now);
+    void report_unknown();
+    void send(message output);
+    void fail(std::string what);
+    void track_membership(const entry& value);
+    void append_to_log(entry value);
+    void commit_to(log_index index);
+
+    // core_election.cpp
+    void start_pre_vote(time_point now);
+    void start_election(time_point now);
+    void request_votes(message_kind kind, term_number term);
+    void on_vote_request(const message& input, time_point now);
+    void on_vote_reply(const message& input, time_point now);
+    void become_leader(time_point now);
+    bool may_grant() const;
+    bool hears_leader(time_point now) const;
+    bool log_is_current(const message& input) const;
+    bool can_campaign() const;
+
+    // core_follower.cpp
+    void on_append_request(const message& input, time_point now);
+    void accept_entries(const message& input);
+    void reject_append(const message& input);
+    void reply_match(const message& input, log_index match);
+    void follow(const message& input, time_point now);
+    void on_snapshot_chunk(const message& input, time_point now);
+    void finish_snapshot(const message& input);
+    void install(snapshot_image image, raft::membership members);
+
+    // core_leader.cpp
+    void tick_leader(time_point now);
+    void start_round(time_point now);
+    void broadcast();
+    void send_heartbeat(member_id to, progress& peer);
+    void send_entries(member_id to, progress& peer);
+    void send_append(member_id to, progress& peer);
+    void send_chunk(member_id to, progress& peer);
+    void on_append_reply(const message& input, time_point now);
+    void on_accepted(const message& input, progress& peer);
+    void on_rejected(const message& input, progress& peer);
+    void on_snapshot_reply(const message& input, time_point now);
+    progress* heard_from(const message& input, time_point now);
+    void advance_commit();
+    bool quorum_answers(time_point now) const;
+    bool committed_in_term() const;
+
+    // core_members.cpp
+    proposal_token append_own(entry_kind kind, bytes data);
+    result<void> check_change(const membership_change& change, time_point now) const;
+    void sync_progress();
+    void promote_caught_up(time_point now);
+    void continue_transfer(time_point now);
+
+    options m_options;
+    random_engine m_random;
+    member_id m_self;
+    folder_id m_folder;
+    hard_state m_vote;
+    raft::role m_role = role::follower;
+    member_id m_leader = 0;
+    memory_log m_log;
+    std::vector<membership_point> m_memberships;
+    std::optional<snapshot_meta> m_snapshot;
+    log_index m_commit = 0;
+    log_index m_applied = 0;
+    log_index m_saved = 0;  // last index known to be durable here
+    log_index m_handed = 0; // last index given out in ready::append
+    hard_state m_handed_vote;
+    std::optional<snapshot_image> m_install;
+    std::optional<incoming_snapshot> m_incoming;
+    std::vector<message> m_messages;
+    std::deque<proposal_token> m_proposals;
+    std::vector<proposal_outcome> m_outcomes;
+    std::optional<error> m_fault;
+
+    time_point m_heard_leader_at;
+    time_point m_election_at;
+    std::map<member_id, bool> m_votes;
+
+    std::map<member_id, progress> m_peers;
+    time_point m_heartbeat_at;
+    std::uint64_t m_round = 0;
+    std::deque<round_start> m_rounds;
+    time_point m_leader_since;
+    log_index m_term_start = 0; // index of the first entry of the leader's own term
+    std::size_t m_uncommitted = 0;
+    member_id m_transfer_to = 0;
+    time_point m_transfer_until;
+    bool m_transfer_sent = false;
+};
+
+} // namespace verbena::raft
--- /dev/null
+++ b/src/raft/progress.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "raft/types.h"
+
+#include <deque>
+
+namespace verbena::raft {
+
+// What a leader knows about one follower, and the flow control towards it.
+struct progress {
+    // probe: one message at a time until the logs meet; replicate: a window of messages; snapshot: chunks.
+    enum class phase : std::uint8_t { probe, replicate, snapshot };
+
+    struct inflight {
+        log_index last = 0;
+        std::size_t size = 0;
+        std::uint64_t round = 0; // heartbeat round that was current when it was sent
+    };
+
+    phase state = phase::probe;
+    log_index match = 0;
+    log_index next = 1;
+    bool paused = false; // probe only: a message is on its way
+    folder_id folder = 0;
+    bool heard = false;
+    time_point heard_at;
+    std::uint64_t round = 0; // newest heartbeat round it answered
+    std::deque<inflight> window;
+    std::size_t window_bytes = 0;
+    log_index snapshot_index = 0;
+    std::uint64_t snapshot_offset = 0;
+    std::uint64_t snapshot_round = 0; // round in which the current chunk was sent
+
+    void become_probe()
+    {
+        state = phase::probe;
+        next = match + 1;
+        paused = false;
+        clear_window();
+    }
+
+    void become_replicate()
+    {
+        state = phase::replicate;
+        next = match + 1;
+        paused = false;
+        clear_window();
+    }
+
+    void become_snapshot(log_index index)
+    {
+        state = phase::snapshot;
+        snapshot_index = index;
+        snapshot_offset = 0;
+        clear_window();
+    }
+
+    void sent(log_index last, std::size_t size, std::uint64_t sent_round)
+    {
+        window.push_back({last, size, sent_round});
+        window_bytes += size;
+        next = last + 1;
+    }
+
+    void acknowledge(log_index index)
+    {
+        while (!window.empty() && window.front().last <= index) {
+            window_bytes -= window.front().size;
+            window.pop_front();
+        }
+    }
+
+    void clear_window()
+    {
+        window.clear();
+        window_bytes = 0;
+    }
+};
+
+} // namespace verbena::raft
--- /dev/null
+++ b/test/raft_core_test.cpp
@@ -0,0 +1,167 @@
+#include "raft_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace verbena;
+using namespace verbena::raft;
+using verbena::test::crash_kind;
+using verbena::test::raft_cluster;
+
+namespace {
+
+void require_clean(raft_cluster& cluster)
+{
+    for (const std::string& line : cluster.checker().violations()) {
+        BOOST_ERROR(line);
+    }
+}
+
+member_id elect(raft_cluster& cluster)
+{
+    const auto led = [&] {
+        return cluster.leader() != 0 && cluster.at(cluster.leader())->state().commit_index() > 1;
+    };
+    BOOST_TEST_REQUIRE(cluster.run_until(led, milliseconds(5000)));
+    return cluster.leader();
+}
+
+bool all_applied(raft_cluster& cluster, log_index index)
+{
+    for (const member_id id : cluster.ids()) {
+        if (!cluster.is_up(id) || cluster.at(id)->state().applied() < index) {
+            return false;
+        }
+    }
+    return true;
+}
+
+member_id follower_of(raft_cluster& cluster, member_id leader)
+{
+    for (const member_id id : cluster.ids()) {
+        if (id != leader) {
+            return id;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(raft_core)
+
+BOOST_AUTO_TEST_CASE(a_group_elects_one_leader_and_commits)
+{
+    for (const std::size_t size : {1U, 2U, 3U, 5U}) {
+        raft_cluster cluster(size, size);
+        const member_id leader = elect(cluster);
+        for (int i = 0; i < 50; ++i) {
+            BOOST_TEST(cluster.propose(leader));
+        }
+        const log_index last = cluster.at(leader)->state().status(cluster.now()).last;
+        BOOST_TEST(cluster.run_until([&] { return all_applied(cluster, last); }, milliseconds(2000)));
+        BOOST_TEST(cluster.checker().acknowledged_count() == 50U);
+        for (const member_id id : cluster.ids()) {
+            BOOST_TEST(cluster.machine_of(id).chain() == cluster.machine_of(leader).chain());
+            BOOST_TEST(cluster.at(id)->state().leader() == leader);
+        }
+        require_clean(cluster);
+    }
+}
+
+// Guards against two elections in a row disturbing a healthy group: no term may change while the leader is
+// heard.
+BOOST_AUTO_TEST_CASE(a_healthy_leader_keeps_its_term)
+{
+    raft_cluster cluster(3, 3);
+    const member_id leader = elect(cluster);
+    const term_number term = cluster.at(leader)->state().term();
+    cluster.run(milliseconds(20'000));
+    BOOST_TEST(cluster.leader() == leader);
+    BOOST_TEST(cluster.at(leader)->state().term() == term);
+}
+
+// Guards against a member that returns from a partition and forces an election (pre-vote).
+BOOST_AUTO_TEST_CASE(a_returning_member_does_not_depose_the_leader)
+{
+    raft_cluster cluster(4, 3);
+    const member_id leader = elect(cluster);
+    const term_number term = cluster.at(leader)->state().term();
+    const member_id away = follower_of(cluster, leader);
+    for (const member_id other : cluster.ids()) {
+        cluster.cut(away, other);
+        cluster.cut(other, away);
+    }
+    cluster.run(milliseconds(5000));
+    cluster.heal();
+    cluster.run(milliseconds(3000));
+    BOOST_TEST(cluster.leader() == leader);
+    BOOST_TEST(cluster.at(leader)->state().term() == term);
+    require_clean(cluster);
+}
+
+// Guards against a leader that goes on without a quorum, and against proposers that never hear of their
+// proposal.
+BOOST_AUTO_TEST_CASE(a_leader_without_quorum_steps_down_and_reports_unknown)
+{
+    raft_cluster cluster(5, 3);
+    const member_id leader = elect(cluster);
+    for (const member_id other : cluster.ids()) {
+        cluster.cut(other, leader);
+    }
+    BOOST_TEST(cluster.propose(leader));
+    const auto stepped_down = [&] { return cluster.at(leader)->state().role() != role::leader; };
+    BOOST_TEST(cluster.run_until(stepped_down, milliseconds(700)));
+    BOOST_TEST(cluster.unknown_count() == 1U);
+    BOOST_TEST(!cluster.propose(leader));
+    require_clean(cluster);
+}
+
+BOOST_AUTO_TEST_CASE(confirmations_come_from_a_quorum_and_are_young)
+{
+    raft_cluster cluster(6, 3);
+    const member_id leader = elect(cluster);
+    cluster.run(milliseconds(500));
+    const auto age = cluster.at(leader)->state().confirm_age(cluster.now());
+    BOOST_TEST_REQUIRE(age.has_value());
+    BOOST_TEST(age->count() <= 130);
+    BOOST_TEST(!cluster.at(follower_of(cluster, leader))->state().confirm_age(cluster.now()).has_value());
+    BOOST_TEST(!cluster.at(leader)->state().confirm_age(cluster.now() + milliseconds(401)).has_value());
+    for (const member_id other : cluster.ids()) {
+        cluster.cut(other, leader);
+    }
+    cluster.run(milliseconds(420));
+    BOOST_TEST(!cluster.at(leader)->state().confirm_age(cluster.now()).has_value());
+}
+
+// Guards against one sync per proposal: a batch travels together.
+BOOST_AUTO_TEST_CASE(a_batch_of_proposals_needs_one_sync)
+{
+    raft_cluster cluster(7, 3, options{});
+    const member_id leader = elect(cluster);
+    cluster.run(milliseconds(50));
+    const auto before = cluster.disk_of(leader).sync_count();
+    for (int i = 0; i < 100; ++i) {
+        BOOST_TEST_REQUIRE(cluster.at(leader)->propose(bytes(8, 1), nullptr).has_value());
+    }
+    BOOST_TEST(cluster.at(leader)->flush(cluster.now()).has_value());
+    BOOST_TEST(cluster.disk_of(leader).sync_count() == before + 1);
+    cluster.run(milliseconds(200));
+    BOOST_TEST(cluster.at(leader)->state().applied() >= 100U);
+}
+
+BOOST_AUTO_TEST_CASE(proposals_beyond_the_bounds_are_refused)
+{
+    options settings;
+    settings.uncommitted_bytes = 10'000;
+    raft_cluster cluster(8, 3, settings);
+    const member_id leader = elect(cluster);
+    auto* member = cluster.at(leader);
+    BOOST_TEST(
+        (member->propose(bytes(settings.entry_bytes + 1), nullptr).error().kind == error_kind::too_large));
+    BOOST_TEST(member->propose(bytes(20'000), nullptr).has_value());
+    BOOST_TEST((member->propose(bytes(1), nullptr).error().kind == error_kind::overloaded));
+    const auto refused = cluster.at(follower_of(cluster, leader))->propose(bytes(1), nullptr);
+    BOOST_TEST((refused.error().kind == error_kind::not_leader));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/raft_memory_disk.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/random.h"
+#include "raft/disk.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace verbena::test {
+
+// How a member goes down. A power failure keeps synced bytes and possibly a part of the last unsynced write;
+// a process that dies leaves everything readable, but still not durable.
+enum class crash_kind : std::uint8_t { power, process };
+
+// Files in memory that model what a crash keeps.
+class memory_disk final : public raft::disk {
+public:
+    // Called before each operation; false makes it fail, as if the machine had stopped.
+    std::function<bool()> before_operation;
+
+    // Defect for tests of the checker: sync() reports success and keeps nothing.
+    bool ignores_sync = false;
+
+    void crash(crash_kind kind, random_engine& random);
+
+    // Flips bits of one byte, as a failing medium does.
+    void flip(const std::string& name, std::uint64_t offset);
+
+    std::uint64_t sync_count() const { return m_syncs; }
+
+    result<std::vector<std::string>> list() override;
+    result<raft::bytes> read(const std::string& name) override;
+    result<raft::bytes> read_part(const std::string& name, std::uint64_t offset, std::size_t length) override;
+    result<void> append(const std::string& name, std::span<const std::uint8_t> data) override;
+    result<void> truncate(const std::string& name, std::uint64_t size) override;
+    result<void> sync(const std::string& name) override;
+    result<void> rename(const std::string& from, const std::string& to) override;
+    result<void> remove(const std::string& name) override;
+    result<void> sync_folder() override;
+
+private:
+    struct file {
+        raft::bytes data;
+        std::size_t synced = 0;
+    };
+
+    using folder = std::map<std::string, std::shared_ptr<file>>;
+
+    result<void> begin();
+    result<file*> find(const std::string& name);
+
+    folder m_names;
+    std::vector<folder> m_history{{}}; // durable folder, then one state per change since it was synced
+    std::uint64_t m_syncs = 0;
+};
+
+} // namespace verbena::test
