--- /dev/null
+++ b/src/entry/endpoint_choice.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "base/random.h"
+#include "entry/caller_request.h"
+#include "node/directory_view.h"
+#include "policy/buffer_account.h"
+#include "policy/retry_budget.h"
+#include "policy/router.h"
+#include "policy/team_limits.h"
+
+#include <mutex>
+#include <optional>
+
+namespace verbena::entry {
+
+// An endpoint chosen for one attempt.
+struct chosen_endpoint {
+    std::string name;
+    host_port address;
+    incarnation agent = 0;
+};
+
+// This entry's limits and its view of the endpoints: which one to try, whether a retry is allowed, how much a
+// team may have outstanding. Thread-safe; third in the lock order, after configuration view and directory.
+class endpoint_choice {
+public:
+    endpoint_choice(std::string own_domain, const policy::buffer_caps& buffers, double retry_share);
+
+    // Takes over a configuration: team limits, failure domains and endpoint states. Cheap when nothing
+    // changed.
+    void apply(const std::shared_ptr<const node::config_snapshot>& config, time_point now);
+
+    // Takes over a change of the directory; null removes the endpoint.
+    void on_endpoint(const std::string& name, const wire::announcementT* value);
+
+    std::optional<chosen_endpoint> pick(const caller_request& request, const std::vector<std::string>& tried,
+                                        time_point now);
+    // Address of an endpoint by name, for attempts that were bound to it.
+    std::optional<chosen_endpoint> find(const std::string& name) const;
+
+    void started(const std::string& endpoint, const caller_request& request);
+    void finished(const std::string& endpoint, const caller_request& request, policy::attempt_end end,
+                  time_point now);
+    void report(const std::string& endpoint, const wire::load_summary* load, time_point now);
+
+    void count_request(const caller_request& request, time_point now);
+    bool allow_retry(const caller_request& request, time_point now);
+
+    // Reserves the team's share and the answer buffer, or says why not.
+    std::optional<caller_error> admit(const caller_request& request, time_point now);
+    void release(const caller_request& request, time_point now);
+
+    // Largest prompt + answer in tokens that any endpoint of the service can hold; 0 when none is known.
+    std::uint64_t largest_capacity(const std::string& service) const;
+
+    request_id next_request_id();
+    std::size_t endpoints() const;
+    std::uint64_t reserved_buffer() const;
+
+private:
+    struct known_endpoint {
+        wire::announcementT announcement;
+        chosen_endpoint target;
+    };
+
+    void upsert(const known_endpoint& endpoint);
+    static policy::route_request to_route(const caller_request& request,
+                                          const std::vector<std::string>& tried);
+
+    mutable std::mutex m_mutex;
+    random_engine m_random;
+    policy::router m_router;
+    policy::retry_budget m_retries;
+    policy::team_limits m_teams;
+    policy::buffer_account m_buffers;
+    std::map<std::string, known_endpoint> m_endpoints;
+    std::shared_ptr<const node::config_snapshot> m_config;
+};
+
+} // namespace verbena::entry
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -184,14 +184,21 @@
     co_return written;
 }
 
-task<bool> http_exchange::wait_closed()
+task<bool> http_exchange::wait_closed(std::shared_ptr<bool> ended)
 {
-    auto [failure] = co_await m_stream.socket().async_wait(tcp::socket::wait_read, no_throw);
-    if (failure) {
-        co_return failure != asio::error::operation_aborted;
+    beast::tcp_stream& stream = m_stream;
+    auto [failure] = co_await stream.socket().async_wait(tcp::socket::wait_read, no_throw);
+    if (*ended || failure) {
+        co_return !*ended && failure != asio::error::operation_aborted;
     }
     error_code ignored;
-    co_return m_stream.socket().available(ignored) == 0;
+    co_return stream.socket().available(ignored) == 0;
+}
+
+void http_exchange::cancel_wait()
+{
+    error_code ignored;
+    m_stream.socket().cancel(ignored);
 }
 
 result<std::shared_ptr<http_server>> http_server::create(asio::io_context& io, const host_port& address,
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -83,7 +83,10 @@
 
     // Completes when the caller has closed its side; used to cancel work nobody waits for. Ends early, with
     // false, when the caller sends more data instead.
-    task<bool> wait_closed();
+    // `ended` is set by the caller of this function before the exchange is destroyed; cancel_wait() then ends
+    // the wait.
+    task<bool> wait_closed(std::shared_ptr<bool> ended);
+    void cancel_wait();
 
 private:
     task<result<void>> write_all(std::string_view data);
