--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -278,7 +278,10 @@
     count(kind);
     http_exchange exchange(*this, stream, http_request{}, false);
     http_response response = m_handler.refuse(status, kind, message, remedy);
-    co_await exchange.reply(std::move(response));
+    const result<void> answered = co_await exchange.reply(std::move(response));
+    if (!answered) {
+        count("refusal_not_sent");
+    }
     co_return false;
 }
 
--- /dev/null
+++ b/standin/desk_service.cpp
@@ -0,0 +1,158 @@
+#include "standin/desk_service.h"
+
+#include "standin/tokens.h"
+
+namespace verbena::standin {
+
+namespace json = boost::json;
+
+namespace {
+
+std::optional<std::uint64_t> order_number(const std::string& text)
+{
+    return query_number("n=" + text, "n");
+}
+
+} // namespace
+
+result<std::unique_ptr<desk_service>> desk_service::create(desk_options options, exit_function exit_process)
+{
+    auto service = std::make_unique<desk_service>(std::move(options), std::move(exit_process));
+    BOOST_OUTCOME_TRY(service->m_record.open(service->m_options.record));
+    return service;
+}
+
+desk_service::desk_service(desk_options options, exit_function exit_process)
+    : m_options(std::move(options)), m_exit(std::move(exit_process))
+{
+}
+
+net::task<void> desk_service::handle(net::http_exchange& exchange)
+{
+    if (m_silent) {
+        co_await wait_forever();
+        co_return;
+    }
+    std::optional<net::http_response> response = execute(exchange.request());
+    if (!response) {
+        co_return;
+    }
+    if (m_options.delay.count() > 0) {
+        co_await net::sleep_for(m_options.delay);
+    }
+    co_await send_reply(exchange, std::move(*response));
+}
+
+std::optional<net::http_response> desk_service::execute(const net::http_request& request)
+{
+    const std::vector<std::string> path = split_target(request.target).path;
+    const std::lock_guard lock(m_mutex);
+    if (request.method == "POST" && request.target == "/fault") {
+        return fault(request.body);
+    }
+    if (request.method == "GET" && request.target == "/record") {
+        return counts();
+    }
+    if (request.method == "POST" && path == std::vector<std::string>{"orders"}) {
+        return book(request);
+    }
+    if (request.method == "GET" && path.size() == 2 && path[0] == "stock") {
+        return stock(path[1]);
+    }
+    const auto number = path.size() >= 2 && path[0] == "orders" ? order_number(path[1]) : std::nullopt;
+    if (number && request.method == "GET" && path.size() == 2) {
+        return look_up(*number);
+    }
+    if (number && request.method == "PUT" && path.size() == 2) {
+        return change(request, *number, false);
+    }
+    if (number && request.method == "POST" && path.size() == 3 && path[2] == "cancel") {
+        return change(request, *number, true);
+    }
+    return error_reply(404, "not_found", "no such path");
+}
+
+std::optional<net::http_response> desk_service::book(const net::http_request& request)
+{
+    const std::uint64_t number = ++m_next_order;
+    m_orders[number] = order{std::string(request.header("Idempotency-Key")), request.body, "booked"};
+    note(request, "book", number);
+    if (m_die_after_run) {
+        m_exit();
+        return std::nullopt;
+    }
+    return json_reply(json::object{{"order", number}, {"state", "booked"}}, 201);
+}
+
+net::http_response desk_service::change(const net::http_request& request, std::uint64_t number, bool cancel)
+{
+    const auto place = m_orders.find(number);
+    if (place == m_orders.end()) {
+        return error_reply(404, "not_found", "no such order");
+    }
+    if (cancel) {
+        place->second.state = "cancelled";
+    } else {
+        place->second.body = request.body;
+    }
+    note(request, cancel ? "cancel" : "amend", number);
+    return json_reply(json::object{{"order", number}, {"state", place->second.state}});
+}
+
+net::http_response desk_service::look_up(std::uint64_t number)
+{
+    const auto place = m_orders.find(number);
+    if (place == m_orders.end()) {
+        return error_reply(404, "not_found", "no such order");
+    }
+    return json_reply(json::object{{"order", number},
+                                   {"state", place->second.state},
+                                   {"key", place->second.key},
+                                   {"body", place->second.body}});
+}
+
+net::http_response desk_service::stock(const std::string& item) const
+{
+    return json_reply(json::object{{"item", item}, {"pieces", hash_prompt(item) % 1'000}});
+}
+
+net::http_response desk_service::counts() const
+{
+    json::object keys;
+    for (const auto& [key, count] : m_runs) {
+        keys[key] = count;
+    }
+    return json_reply(json::object{{"orders", m_orders.size()}, {"runs", keys}});
+}
+
+net::http_response desk_service::fault(const std::string& text)
+{
+    const auto body = parse_object(text);
+    const std::string kind = body ? text_member(*body, "kind") : "";
+    m_record.write(clock::now(), {{"fact", "fault"}, {"kind", kind}});
+    if (kind == "die") {
+        m_exit();
+    } else if (kind == "hang") {
+        m_silent = true;
+    } else if (kind == "die_after_run") {
+        m_die_after_run = true;
+    } else {
+        return error_reply(400, "invalid_request", "unknown fault");
+    }
+    return json_reply(json::object{{"fault", kind}});
+}
+
+void desk_service::note(const net::http_request& request, const char* call, std::uint64_t number)
+{
+    const std::string key(request.header("Idempotency-Key"));
+    ++m_runs[key];
+    m_record.write(clock::now(), {{"fact", call}, {"key", key}, {"order", number}});
+}
+
+std::map<std::string, std::uint64_t> desk_service::runs() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runs;
+}
+
+} // namespace verbena::standin
