Fix two faults of the HTTP server: idle time-out and empty chunk

Cause: the wait for the next request ran on the plain socket, which the time-out of beast::tcp_stream does not cover, so a connection that sent nothing stayed open until the peer closed it. write("") sent a chunk of length 0, which is the last chunk: a stream that then broke off looked whole to the client.

Ruled out: a fault of the client; the test of the unfinished stream passes against a server whose write("") does nothing.

Change: the first bytes of a request are read through the stream under idle_timeout; an empty write sends nothing. A request that arrives on an open connection while the server stops is now answered (with Connection: close) instead of being dropped, since a planned stop interrupts no request.

The answer while stopping has no test yet.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -23,6 +23,9 @@
 // A body below the lowest rate is refused only after this time, so that a pause at the start does no harm.
 constexpr milliseconds body_rate_grace{5'000};
 
+// Bytes read at first for a request; the parser reads on from there.
+constexpr std::size_t first_read_size = 4'096;
+
 using body_parser = http::request_parser<http::string_body>;
 
 // Adds to a counter for the life of the object.
@@ -169,6 +172,10 @@
 
 task<result<void>> http_exchange::write(std::string_view data)
 {
+    if (data.empty()) {
+        // A chunk of length 0 would be the last chunk and make a part look whole.
+        co_return success();
+    }
     char size[20];
     const int length = std::snprintf(size, sizeof size, "%zx\r\n", data.size());
     std::string text;
@@ -290,12 +297,15 @@
     body_parser parser;
     parser.header_limit(m_limits.max_header);
     parser.body_limit(m_limits.max_body);
-    stream.expires_after(m_limits.idle_timeout);
     if (buffer.size() == 0) {
-        auto [failure] = co_await stream.socket().async_wait(tcp::socket::wait_read, no_throw);
-        if (failure || m_stopping) {
+        // Read through the stream, because its timeout does not cover waits on the plain socket. A request
+        // that arrives while the server stops is still answered.
+        stream.expires_after(m_limits.idle_timeout);
+        auto [failure, size] = co_await stream.async_read_some(buffer.prepare(first_read_size), no_throw);
+        if (failure) {
             co_return false;
         }
+        buffer.commit(size);
     }
     stream.expires_after(m_limits.header_timeout);
     auto [header_failure, header_size] = co_await http::async_read_header(stream, buffer, parser, no_throw);
