--- a/src/agent/engine_client.cpp
+++ b/src/agent/engine_client.cpp
@@ -157,7 +157,7 @@
                 co_return bad_answer("the list of requests");
             }
             requests.push_back(
-                {std::string(id->get_string()), number_or_zero<std::uint64_t>(item.get_object(), "tokens")});
+                {std::string(id->get_string()), number_or_zero<std::uint64_t>(item.get_object(), "kv_tokens")});
         }
         co_return requests;
     }
