--- /dev/null
+++ b/src/entry/answer_writer.cpp
@@ -0,0 +1,93 @@
+#include "entry/answer_writer.h"
+
+namespace verbena::entry {
+
+namespace {
+
+constexpr std::string_view done_event = "data: [DONE]\n\n";
+constexpr std::string_view event_stream = "text/event-stream";
+
+} // namespace
+
+stream_writer::stream_writer(net::http_exchange& exchange, time_point arrived,
+                             std::function<void(clock::duration)> first_byte)
+    : m_exchange(exchange), m_arrived(arrived), m_first_byte(std::move(first_byte))
+{
+}
+
+void stream_writer::head(unsigned status, std::string content_type)
+{
+    m_status = status;
+    m_content_type = std::move(content_type);
+}
+
+net::task<result<void>> stream_writer::start()
+{
+    m_first_byte(clock::now() - m_arrived);
+    net::http_header_list headers;
+    headers.emplace_back("Cache-Control", "no-store");
+    co_return co_await m_exchange.start_stream(m_status, m_content_type, std::move(headers));
+}
+
+net::task<result<void>> stream_writer::data(std::string bytes)
+{
+    if (!m_exchange.started()) {
+        const result<void> begun = co_await start();
+        if (!begun) {
+            co_return begun;
+        }
+    }
+    co_return co_await m_exchange.write(bytes);
+}
+
+net::task<result<void>> stream_writer::finish()
+{
+    if (!m_exchange.started()) {
+        const result<void> begun = co_await start();
+        if (!begun) {
+            co_return begun;
+        }
+    }
+    if (m_content_type.starts_with(event_stream)) {
+        const result<void> written = co_await m_exchange.write(done_event);
+        if (!written) {
+            co_return written;
+        }
+    }
+    co_return co_await m_exchange.finish();
+}
+
+net::task<void> stream_writer::fail(const caller_error& failure)
+{
+    const std::string event = to_event(failure);
+    (void)co_await m_exchange.write(event);
+}
+
+void buffered_answer::head(unsigned status, std::string content_type)
+{
+    m_status = status;
+    m_content_type = std::move(content_type);
+}
+
+net::task<result<void>> buffered_answer::data(std::string bytes)
+{
+    if (m_body.size() + bytes.size() > m_limit) {
+        co_return make_error(error_kind::too_large, "the answer is too large for a plain reply",
+                             "use stream: true");
+    }
+    m_body += bytes;
+    co_return success();
+}
+
+void buffered_answer::reset()
+{
+    m_body.clear();
+    m_status = 200;
+}
+
+net::http_response buffered_answer::to_response() const
+{
+    return net::http_response{m_status, m_content_type, m_body, {}};
+}
+
+} // namespace verbena::entry
--- /dev/null
+++ b/src/entry/answer_writer.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "entry/attempt_client.h"
+
+namespace verbena::entry {
+
+// Writes a streamed answer to the caller as it arrives. The stream starts with the first byte of the answer,
+// so that an attempt that fails before can be retried; it ends with [DONE] and the last chunk only after the
+// answer was checked.
+class stream_writer : public answer_sink {
+public:
+    stream_writer(net::http_exchange& exchange, time_point arrived,
+                  std::function<void(clock::duration)> first_byte);
+
+    void head(unsigned status, std::string content_type) override;
+    net::task<result<void>> data(std::string bytes) override;
+    bool started() const override { return m_exchange.started(); }
+
+    // Ends a whole answer.
+    net::task<result<void>> finish();
+
+    // Tells the caller that the answer broke off; the connection is then closed without the last chunk.
+    net::task<void> fail(const caller_error& failure);
+
+private:
+    net::task<result<void>> start();
+
+    net::http_exchange& m_exchange;
+    time_point m_arrived;
+    std::function<void(clock::duration)> m_first_byte;
+    unsigned m_status = 200;
+    std::string m_content_type;
+};
+
+// Collects a plain answer; it is sent as a whole once it was checked.
+class buffered_answer : public answer_sink {
+public:
+    explicit buffered_answer(std::size_t limit) : m_limit(limit) {}
+
+    void head(unsigned status, std::string content_type) override;
+    net::task<result<void>> data(std::string bytes) override;
+    bool started() const override { return false; }
+
+    // Forgets what a failed attempt has left.
+    void reset();
+
+    unsigned status() const { return m_status; }
+    const std::string& content_type() const { return m_content_type; }
+    const std::string& body() const { return m_body; }
+    net::http_response to_response() const;
+
+private:
+    std::size_t m_limit;
+    unsigned m_status = 200;
+    std::string m_content_type;
+    std::string m_body;
+};
+
+} // namespace verbena::entry
