Add the control process, the roles of the binary, ctl and demo

Cause: the whole path needs the replicated state behind it and one program that starts each role. Ruled out: serving operator calls from followers by forwarding; a 307 to the leader keeps one code path. Change: raft_host (member, timer, messages on one strand), control_service (polls, keys, operator calls, relayed confirmations), main with subcommands, settings checks, ctl over HTTP, demo script.

--- /dev/null
+++ b/src/control/control_service.cpp
@@ -0,0 +1,315 @@
+#include "control/control_service.h"
+
+#include "base/log.h"
+#include "node/control_client.h"
+
+#include <boost/asio/experimental/concurrent_channel.hpp>
+
+namespace verbena::control {
+
+namespace {
+
+// A follower asks its leader this often; the age it passes on is at most this plus the leader's own.
+constexpr milliseconds relay_interval{200};
+constexpr milliseconds relay_timeout{500};
+constexpr milliseconds expiry_interval{250};
+
+// Longest wait for a planned hand-over of leadership.
+constexpr milliseconds hand_over_limit{3'000};
+
+constexpr std::string_view call_prefix = "/operator/v1/";
+
+wall_time wall_now()
+{
+    return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
+}
+
+} // namespace
+
+result<std::shared_ptr<control_service>>
+control_service::create(node::process& process, const settings::control_settingsT& settings, bool initialise)
+{
+    if (settings.member_id == 0) {
+        return make_error(error_kind::invalid_settings, "[control] member_id is missing",
+                          "set it to a number from 1");
+    }
+    auto service = std::make_shared<control_service>(process, settings);
+    BOOST_OUTCOME_TRY(service->open(initialise));
+    return service;
+}
+
+control_service::control_service(node::process& process, const settings::control_settingsT& settings)
+    : m_process(process), m_settings(settings), m_directory(process.self_incarnation())
+{
+}
+
+result<void> control_service::open(bool initialise)
+{
+    BOOST_OUTCOME_TRY(const host_port frames, parse_host_port(m_settings.listen));
+    BOOST_OUTCOME_TRY(const host_port calls, parse_host_port(m_settings.operator_listen));
+    net::connection_options connections;
+    connections.self = net::peer_info{wire::role::control, m_process.settings().name,
+                                      m_process.settings().cluster, m_process.self_incarnation()};
+    connections.counters = &m_process.counters();
+    // Elections take 0.5 to 1 s, so a silent connection between members is given up sooner than others.
+    net::connection_options member_connections = connections;
+    member_connections.ping_after = milliseconds(300);
+    member_connections.silent_after = milliseconds(1'000);
+    m_pool = std::make_shared<net::peer_pool>(m_process.io(), member_connections, nullptr);
+    raft_host::options options;
+    options.cluster = m_process.settings().cluster;
+    options.member_id = m_settings.member_id;
+    options.data_folder = m_settings.data;
+    options.peers = m_settings.peers;
+    options.initialise = initialise;
+    BOOST_OUTCOME_TRY(
+        m_raft, raft_host::create(m_process.io(), options, m_machine, m_pool, [this](const error& cause) {
+            log::failure("the member stops: " + describe(cause));
+            m_process.finish(1);
+        }));
+    m_operator = std::make_unique<operator_service>(*m_raft, m_machine, m_directory, m_polls);
+    BOOST_OUTCOME_TRY(m_frames, net::frame_server::create(m_process.io(), frames, connections, *this));
+    net::http_limits limits;
+    limits.max_body = max_operator_body;
+    limits.max_connections = 256;
+    BOOST_OUTCOME_TRY(m_http, net::http_server::create(m_process.io(), calls, limits, *this,
+                                                       m_process.counters(), std::string("operators")));
+    return success();
+}
+
+void control_service::start()
+{
+    auto self = shared_from_this();
+    m_raft->start();
+    m_frames->start();
+    m_http->start();
+    net::asio::co_spawn(
+        m_raft->strand(), [self] { return self->follow_leader(); }, net::asio::detached);
+    net::asio::co_spawn(
+        m_raft->strand(), [self] { return self->expire_directory(); }, net::asio::detached);
+    m_process.set_ready(true);
+}
+
+void control_service::stop()
+{
+    net::asio::co_spawn(
+        m_raft->strand(), [self = shared_from_this()] { return self->hand_over(); }, net::asio::detached);
+}
+
+net::task<void> control_service::hand_over()
+{
+    if (m_raft->is_leader()) {
+        m_raft->transfer_leadership();
+        const time_point limit = clock::now() + hand_over_limit;
+        while (m_raft->is_leader() && clock::now() < limit) {
+            co_await net::sleep_for(milliseconds(20));
+        }
+    }
+    m_http->stop_accepting();
+    while (m_http->active() != 0) {
+        co_await net::sleep_for(milliseconds(20));
+    }
+    log::info("stopped");
+    m_process.finish();
+}
+
+std::optional<milliseconds> control_service::confirmed_age(time_point now) const
+{
+    if (m_raft->is_leader()) {
+        return m_raft->confirm_age(now);
+    }
+    // The relayed word covers this member's state only when the state holds everything that the leader
+    // confirmed.
+    if (m_machine.config().current_revision() < m_relayed.held()) {
+        return std::nullopt;
+    }
+    return m_relayed.age(now);
+}
+
+member_view control_service::view(time_point now) const
+{
+    member_view self;
+    self.confirmed_age = confirmed_age(now);
+    self.is_leader = m_raft->is_leader();
+    self.leader = m_raft->leader_address();
+    return self;
+}
+
+net::task<void> control_service::expire_directory()
+{
+    while (true) {
+        m_directory.expire(clock::now());
+        co_await net::sleep_for(expiry_interval);
+    }
+}
+
+net::task<void> control_service::follow_leader()
+{
+    while (true) {
+        if (!m_raft->is_leader()) {
+            const result<host_port> leader = parse_host_port(m_raft->leader_address());
+            if (leader) {
+                co_await ask_leader(leader.value());
+            }
+        }
+        co_await net::sleep_for(relay_interval);
+    }
+}
+
+net::task<void> control_service::ask_leader(host_port leader)
+{
+    auto opened = co_await m_pool->open_stream(std::move(leader), relay_timeout);
+    if (!opened) {
+        co_return;
+    }
+    const std::shared_ptr<net::frame_stream> stream = opened.value();
+    const net::stream_guard guard(stream);
+    const time_point asked = clock::now();
+    wire::freshness_queryT query;
+    query.revision = m_relayed.held();
+    stream->send(net::make_frame(std::move(query)));
+    net::asio::steady_timer timer(m_raft->strand());
+    node::close_after(timer, stream, relay_timeout);
+    const result<net::received_frame> answer = co_await stream->receive();
+    timer.cancel();
+    if (!answer) {
+        co_return;
+    }
+    const wire::freshness_reply* reply = answer.value().frame->message_as_freshness_reply();
+    if (reply == nullptr || !reply->confirmed()) {
+        co_return;
+    }
+    if (reply->config() != nullptr) {
+        m_relayed.update({reply->config()->data(), reply->config()->size()});
+    }
+    m_relayed.confirm(reply->revision(), asked - milliseconds(reply->age_ms()));
+    if (reply->operator_address() != nullptr) {
+        m_raft->set_leader_operator_address(reply->operator_address()->str());
+    }
+}
+
+void control_service::on_stream(const std::shared_ptr<net::frame_stream>& stream, net::received_frame first)
+{
+    net::asio::co_spawn(
+        m_raft->strand(),
+        [self = shared_from_this(), stream, message = std::move(first)]() mutable {
+            return self->serve_stream(stream, std::move(message));
+        },
+        net::asio::detached);
+}
+
+net::task<void> control_service::serve_stream(std::shared_ptr<net::frame_stream> stream,
+                                              net::received_frame first)
+{
+    const net::stream_guard guard(stream);
+    take_message(stream, *first.frame);
+    while (true) {
+        const result<net::received_frame> next = co_await stream->receive();
+        if (!next) {
+            co_return;
+        }
+        take_message(stream, *next.value().frame);
+    }
+}
+
+void control_service::take_message(const std::shared_ptr<net::frame_stream>& stream, const wire::frame& frame)
+{
+    if (const wire::raft_message* message = frame.message_as_raft_message()) {
+        m_raft->step(*message);
+    } else if (const wire::poll* poll = frame.message_as_poll()) {
+        answer_poll(stream, *poll);
+    } else if (const wire::freshness_query* query = frame.message_as_freshness_query()) {
+        answer_freshness(stream, *query);
+    } else if (const wire::key_bind* bind = frame.message_as_key_bind()) {
+        wire::key_bindT request;
+        bind->UnPackTo(&request);
+        propose_key(stream, make_command(request, wall_now()));
+    } else if (const wire::key_finish* finish = frame.message_as_key_finish()) {
+        wire::key_finishT request;
+        finish->UnPackTo(&request);
+        propose_key(stream, make_command(request, wall_now()));
+    }
+}
+
+void control_service::answer_poll(const std::shared_ptr<net::frame_stream>& stream, const wire::poll& poll)
+{
+    wire::pollT request;
+    poll.UnPackTo(&request);
+    const time_point now = clock::now();
+    wire::poll_replyT reply = m_polls.handle(request, view(now), m_machine.config(), m_directory, now);
+    stream->send(net::make_frame(std::move(reply)));
+    m_process.counters().add("verbena_control_polls_total", {});
+}
+
+void control_service::answer_freshness(const std::shared_ptr<net::frame_stream>& stream,
+                                       const wire::freshness_query& query)
+{
+    const freshness found = make_freshness(confirmed_age(clock::now()), m_machine.config(), query.revision());
+    wire::freshness_replyT reply;
+    reply.nonce = query.nonce();
+    reply.confirmed = found.confirmed;
+    reply.age_ms = static_cast<std::uint32_t>(found.age.count());
+    reply.revision = found.number;
+    reply.config = found.config;
+    reply.operator_address = m_settings.operator_listen;
+    stream->send(net::make_frame(std::move(reply)));
+}
+
+void control_service::propose_key(const std::shared_ptr<net::frame_stream>& stream,
+                                  std::vector<std::uint8_t> command)
+{
+    const std::string leader = m_raft->leader_address();
+    m_raft->propose(std::move(command), [stream, leader](result<std::vector<std::uint8_t>> outcome) {
+        wire::key_replyT reply;
+        reply.state = wire::key_state::unavailable;
+        if (outcome) {
+            const result<wire::key_replyT> parsed = parse_key_reply(outcome.value());
+            if (parsed) {
+                reply = parsed.value();
+            }
+        } else {
+            // Also after a change of leadership: the call is idempotent, so the entry sends it to the next
+            // leader.
+            reply.state = wire::key_state::not_leader;
+            reply.leader = leader;
+        }
+        stream->send(net::make_frame(std::move(reply)));
+    });
+}
+
+net::task<operator_reply> control_service::run_call(std::string call, std::string body)
+{
+    using channel = net::asio::experimental::concurrent_channel<void(net::error_code, operator_reply)>;
+    auto answers = std::make_shared<channel>(co_await net::asio::this_coro::executor, 1);
+    net::asio::post(m_raft->strand(), [self = shared_from_this(), answers, call, body] {
+        self->m_operator->handle(call, body, wall_now(), clock::now(), [answers](operator_reply reply) {
+            answers->try_send(net::error_code(), std::move(reply));
+        });
+    });
+    auto [failure, reply] = co_await answers->async_receive(net::no_throw);
+    co_return std::move(reply);
+}
+
+net::task<void> control_service::handle(net::http_exchange& exchange)
+{
+    net::http_response response;
+    const std::string& target = exchange.request().target;
+    if (exchange.request().method != "POST" || !target.starts_with(call_prefix)) {
+        response = refuse(404, "not_found", "there is no such call",
+                          "POST /operator/v1/<call>, see docs/operators.md");
+    } else {
+        operator_reply reply =
+            co_await run_call(target.substr(call_prefix.size()), std::move(exchange.request().body));
+        response.status = static_cast<unsigned>(reply.status);
+        response.body = std::move(reply.body);
+        if (!reply.location.empty()) {
+            response.headers.emplace_back("Location", reply.location);
+        }
+    }
+    const result<void> sent = co_await exchange.reply(std::move(response));
+    if (!sent) {
+        m_process.counters().add("verbena_control_reply_failures_total", {});
+    }
+}
+
+} // namespace verbena::control
--- /dev/null
+++ b/src/control/control_service.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "control/raft_host.h"
+#include "node/config_view.h"
+#include "node/process.h"
+
+namespace verbena::control {
+
+// The process on a VM with a disk: answers polls, records keys, takes operator calls, and replicates all of
+// it.
+class control_service : public net::connection_handler,
+                        public net::http_handler,
+                        public std::enable_shared_from_this<control_service> {
+public:
+    static result<std::shared_ptr<control_service>>
+    create(node::process& process, const settings::control_settingsT& settings, bool initialise);
+
+    control_service(node::process& process, const settings::control_settingsT& settings);
+
+    void start();
+
+    // Hands leadership over, then ends the process.
+    void stop();
+
+    void on_stream(const std::shared_ptr<net::frame_stream>& stream, net::received_frame first) override;
+    net::task<void> handle(net::http_exchange& exchange) override;
+
+private:
+    result<void> open(bool initialise);
+    net::task<void> serve_stream(std::shared_ptr<net::frame_stream> stream, net::received_frame first);
+    void take_message(const std::shared_ptr<net::frame_stream>& stream, const wire::frame& frame);
+    void answer_poll(const std::shared_ptr<net::frame_stream>& stream, const wire::poll& poll);
+    void answer_freshness(const std::shared_ptr<net::frame_stream>& stream,
+                          const wire::freshness_query& query);
+    void propose_key(const std::shared_ptr<net::frame_stream>& stream, std::vector<std::uint8_t> command);
+    member_view view(time_point now) const;
+    std::optional<milliseconds> confirmed_age(time_point now) const;
+    net::task<void> follow_leader();
+    net::task<void> ask_leader(host_port leader);
+    net::task<void> expire_directory();
+    net::task<void> hand_over();
+    net::task<operator_reply> run_call(std::string call, std::string body);
+
+    node::process& m_process;
+    settings::control_settingsT m_settings;
+    control::state_machine m_machine;
+    directory m_directory;
+    poll_service m_polls;
+    std::shared_ptr<net::peer_pool> m_pool;
+    std::shared_ptr<raft_host> m_raft;
+    std::unique_ptr<operator_service> m_operator;
+    std::shared_ptr<net::frame_server> m_frames;
+    std::shared_ptr<net::http_server> m_http;
+    // What the leader confirmed to this follower, with ages counted on this process's clock.
+    node::config_view m_relayed;
+};
+
+} // namespace verbena::control
--- /dev/null
+++ b/src/control/raft_host.cpp
@@ -0,0 +1,248 @@
+#include "control/raft_host.h"
+
+#include "base/log.h"
+#include "base/random.h"
+#include "raft/wire_message.h"
+
+#include <charconv>
+
+namespace verbena::control {
+
+namespace {
+
+constexpr milliseconds tick_interval{20};
+constexpr milliseconds connect_timeout{500};
+
+// Pause before the next try to connect to a member.
+constexpr milliseconds reconnect_pause{200};
+
+result<std::vector<raft::member>> parse_peers(const std::string& text)
+{
+    std::vector<raft::member> members;
+    for (const std::string& item : split_list(text)) {
+        const auto equal = item.find('=');
+        std::uint64_t id = 0;
+        const auto scanned = std::from_chars(item.data(), item.data() + std::min(equal, item.size()), id);
+        if (equal == std::string::npos || scanned.ec != std::errc() || id == 0) {
+            return make_error(error_kind::invalid_settings, "[control] peers: '" + item + "' is not valid",
+                              "write id=host:port, separated by commas");
+        }
+        const std::string address = item.substr(equal + 1);
+        BOOST_OUTCOME_TRY(parse_host_port(address));
+        members.push_back({id, 0, true, address});
+    }
+    return members;
+}
+
+} // namespace
+
+result<std::shared_ptr<raft_host>> raft_host::create(net::asio::io_context& io, const options& settings,
+                                                     control::state_machine& machine,
+                                                     std::shared_ptr<net::peer_pool> pool,
+                                                     std::function<void(const error&)> on_fault)
+{
+    auto host = std::make_shared<raft_host>(io, settings, machine, std::move(pool), std::move(on_fault));
+    BOOST_OUTCOME_TRY(host->open(settings));
+    return host;
+}
+
+raft_host::raft_host(net::asio::io_context& io, const options& settings, control::state_machine& machine,
+                     std::shared_ptr<net::peer_pool> pool, std::function<void(const error&)> on_fault)
+    : m_io(io), m_strand(net::asio::make_strand(io)), m_options(settings), m_machine(machine),
+      m_pool(std::move(pool)), m_on_fault(std::move(on_fault))
+{
+}
+
+result<void> raft_host::prepare_folder(const options& settings)
+{
+    BOOST_OUTCOME_TRY(const bool empty, raft::storage::is_empty(*m_disk));
+    if (!empty) {
+        return success();
+    }
+    if (!settings.initialise) {
+        log::warn("the data folder is empty: this member waits until an operator adds it");
+        return raft::storage::join(*m_disk, settings.cluster, settings.member_id, make_incarnation());
+    }
+    BOOST_OUTCOME_TRY(std::vector<raft::member> members, parse_peers(settings.peers));
+    const raft::membership group = raft::make_initial_membership(std::move(members));
+    if (group.find(settings.member_id) == nullptr) {
+        return make_error(error_kind::invalid_settings, "[control] peers does not list this member",
+                          "add member_id with its address to peers");
+    }
+    return raft::storage::initialise(*m_disk, settings.cluster, settings.member_id, group);
+}
+
+result<void> raft_host::open(const options& settings)
+{
+    BOOST_OUTCOME_TRY(m_disk, raft::posix_disk::open(settings.data_folder));
+    BOOST_OUTCOME_TRY(prepare_folder(settings));
+    BOOST_OUTCOME_TRY(auto files, raft::storage::open(*m_disk, settings.cluster, settings.member_id));
+    BOOST_OUTCOME_TRY(m_replica, raft::replica::open(std::move(files), m_machine, *this, raft::options{},
+                                                     random_engine(make_incarnation()), clock::now()));
+    return success();
+}
+
+void raft_host::start()
+{
+    net::asio::co_spawn(
+        m_strand, [self = shared_from_this()] { return self->run_timer(); }, net::asio::detached);
+}
+
+net::task<void> raft_host::run_timer()
+{
+    bool led = false;
+    while (!m_faulted) {
+        check(m_replica->tick(clock::now()));
+        if (is_leader() != led) {
+            led = is_leader();
+            const std::string term = std::to_string(m_replica->state().term());
+            log::info(led ? "leading in term " + term : "no longer leading, term " + term);
+        }
+        co_await net::sleep_for(tick_interval);
+    }
+}
+
+void raft_host::check(const result<void>& outcome)
+{
+    if (!outcome && !m_faulted) {
+        m_faulted = true;
+        m_on_fault(outcome.error());
+    }
+}
+
+void raft_host::step(const wire::raft_message& message)
+{
+    const result<raft::message> input = raft::from_wire(message);
+    if (input && !m_faulted) {
+        check(m_replica->step(input.value(), clock::now()));
+    }
+}
+
+std::string raft_host::address_of(raft::member_id id) const
+{
+    const raft::member* found = m_replica->state().membership().find(id);
+    return found == nullptr ? std::string() : found->address;
+}
+
+std::string raft_host::leader_address() const
+{
+    return address_of(m_replica->state().leader());
+}
+
+void raft_host::send(raft::message output)
+{
+    const raft::member_id to = output.to;
+    link& peer = m_links[to];
+    if (peer.stream) {
+        peer.stream->send(net::make_frame(raft::to_wire(std::move(output))));
+        if (peer.stream->parent()->is_open()) {
+            return;
+        }
+        peer.stream = nullptr;
+    }
+    const result<host_port> address = parse_host_port(address_of(to));
+    if (peer.connecting || !address || clock::now() < peer.not_before) {
+        return;
+    }
+    peer.connecting = true;
+    net::asio::co_spawn(
+        m_strand,
+        [self = shared_from_this(), to, target = address.value()] { return self->connect(to, target); },
+        net::asio::detached);
+}
+
+net::task<void> raft_host::connect(raft::member_id id, host_port address)
+{
+    auto opened = co_await m_pool->open_stream(std::move(address), connect_timeout);
+    link& peer = m_links[id];
+    peer.connecting = false;
+    peer.not_before = clock::now() + reconnect_pause;
+    peer.stream = opened ? opened.value() : nullptr;
+}
+
+void raft_host::schedule_flush()
+{
+    if (m_flush_scheduled) {
+        return;
+    }
+    m_flush_scheduled = true;
+    // Proposals that arrive before the flush share its sync.
+    net::asio::post(m_strand, [self = shared_from_this()] {
+        self->m_flush_scheduled = false;
+        self->check(self->m_replica->flush(clock::now()));
+    });
+}
+
+void raft_host::propose(std::vector<std::uint8_t> command, proposal_handler handler)
+{
+    const auto done = [handler](const raft::proposal_result& outcome) {
+        if (outcome.fate == raft::proposal_fate::committed) {
+            handler(outcome.reply);
+        } else {
+            handler(make_error(error_kind::unavailable, "leadership changed before the outcome was known",
+                               "send the call again with the same request id"));
+        }
+    };
+    const auto accepted = m_replica->propose(std::move(command), done);
+    if (!accepted) {
+        handler(accepted.error());
+        return;
+    }
+    schedule_flush();
+}
+
+void raft_host::change_membership(const raft::membership_change& change, member_handler handler)
+{
+    const auto done = [handler](const raft::proposal_result& outcome) {
+        if (outcome.fate == raft::proposal_fate::committed) {
+            handler(success());
+        } else {
+            handler(make_error(error_kind::unavailable, "leadership changed before the outcome was known",
+                               "read the status before sending the call again"));
+        }
+    };
+    const auto accepted = m_replica->change_membership(change, clock::now(), done);
+    if (!accepted) {
+        handler(accepted.error());
+        return;
+    }
+    schedule_flush();
+}
+
+void raft_host::add_member(std::uint64_t id, const std::string& address, member_handler handler)
+{
+    change_membership({raft::membership_change::kind::add, id, address}, std::move(handler));
+}
+
+void raft_host::remove_member(std::uint64_t id, member_handler handler)
+{
+    change_membership({raft::membership_change::kind::remove, id, {}}, std::move(handler));
+}
+
+void raft_host::transfer_leadership()
+{
+    const result<void> begun = m_replica->transfer_leadership(clock::now());
+    if (!begun) {
+        log::warn("leadership is not handed over: " + describe(begun.error()));
+    }
+}
+
+op::status_replyT raft_host::status() const
+{
+    const raft::core_status state = m_replica->state().status(clock::now());
+    op::status_replyT reply;
+    reply.leader = state.leader;
+    reply.term = state.term;
+    reply.commit_index = state.commit;
+    for (const raft::member_status& item : state.members) {
+        auto member = std::make_unique<op::member_statusT>();
+        member->id = item.member.id;
+        member->address = item.member.address;
+        member->learner = !item.member.voter;
+        member->match_index = item.match;
+        reply.members.push_back(std::move(member));
+    }
+    return reply;
+}
+
+} // namespace verbena::control
--- /dev/null
+++ b/src/control/raft_host.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "base/settings.h"
+#include "control/operator_service.h"
+#include "control/state_machine.h"
+#include "net/peer_pool.h"
+#include "raft/posix_disk.h"
+#include "raft/replica.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace verbena::control {
+
+using control_strand = net::asio::strand<net::asio::io_context::executor_type>;
+
+// Runs the Raft member of this process: its files, its timer and its messages to the other members.
+// Everything runs on one strand, which serialises the member with the users of its state.
+class raft_host : public replicated_log,
+                  public raft::transport,
+                  public std::enable_shared_from_this<raft_host> {
+public:
+    struct options {
+        std::string cluster;
+        std::uint64_t member_id = 0;
+        std::string data_folder;
+        // First members of a new group as id=host:port; read only when `initialise` is set and the folder is
+        // empty.
+        std::string peers;
+        bool initialise = false;
+    };
+
+    // Opens the data folder. `on_fault` is called once when the member has to stop.
+    static result<std::shared_ptr<raft_host>> create(net::asio::io_context& io, const options& settings,
+                                                     control::state_machine& machine,
+                                                     std::shared_ptr<net::peer_pool> pool,
+                                                     std::function<void(const error&)> on_fault);
+
+    raft_host(net::asio::io_context& io, const options& settings, control::state_machine& machine,
+              std::shared_ptr<net::peer_pool> pool, std::function<void(const error&)> on_fault);
+
+    void start();
+    control_strand& strand() { return m_strand; }
+
+    // All of the following run on the strand.
+    void step(const wire::raft_message& message);
+    std::optional<milliseconds> confirm_age(time_point now) const
+    {
+        return m_replica->state().confirm_age(now);
+    }
+    // Frame address of the leader; empty when it is not known or this member is the leader.
+    std::string leader_address() const;
+    bool knows_leader() const { return m_replica->state().leader() != 0; }
+    void set_leader_operator_address(std::string address) { m_leader_operator = std::move(address); }
+    void transfer_leadership();
+
+    bool is_leader() const override { return m_replica->state().role() == raft::role::leader; }
+    std::string leader_operator_address() const override { return is_leader() ? "" : m_leader_operator; }
+    void propose(std::vector<std::uint8_t> command, proposal_handler handler) override;
+    void add_member(std::uint64_t id, const std::string& address, member_handler handler) override;
+    void remove_member(std::uint64_t id, member_handler handler) override;
+    op::status_replyT status() const override;
+
+    void send(raft::message output) override;
+
+private:
+    class machine_adapter : public raft::state_machine {
+    public:
+        explicit machine_adapter(control::state_machine& machine) : m_machine(machine) {}
+
+        raft::bytes apply(raft::log_index index, std::span<const std::uint8_t> command) override
+        {
+            return m_machine.apply(index, command);
+        }
+        raft::bytes snapshot() const override { return m_machine.snapshot(); }
+        result<void> restore(std::span<const std::uint8_t> state) override
+        {
+            return m_machine.restore(state);
+        }
+
+    private:
+        control::state_machine& m_machine;
+    };
+
+    // Stream to another member; messages are dropped while there is none, which Raft tolerates.
+    struct link {
+        std::shared_ptr<net::frame_stream> stream;
+        bool connecting = false;
+        time_point not_before;
+    };
+
+    result<void> open(const options& settings);
+    result<void> prepare_folder(const options& settings);
+    net::task<void> run_timer();
+    net::task<void> connect(raft::member_id id, host_port address);
+    void change_membership(const raft::membership_change& change, member_handler handler);
+    void schedule_flush();
+    void check(const result<void>& outcome);
+    std::string address_of(raft::member_id id) const;
+
+    net::asio::io_context& m_io;
+    control_strand m_strand;
+    options m_options;
+    machine_adapter m_machine;
+    std::shared_ptr<net::peer_pool> m_pool;
+    std::function<void(const error&)> m_on_fault;
+    std::unique_ptr<raft::posix_disk> m_disk;
+    std::unique_ptr<raft::replica> m_replica;
+    std::map<raft::member_id, link> m_links;
+    std::string m_leader_operator;
+    bool m_flush_scheduled = false;
+    bool m_faulted = false;
+};
+
+} // namespace verbena::control
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -1,7 +1,62 @@
-#include <cstdio>
+#include "main/roles.h"
 
-int main()
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_string(config, "", "settings file of a server role");
+DEFINE_bool(check, false, "check the settings file and exit");
+DEFINE_bool(init, false, "control: create a new group from [control] peers in an empty data folder");
+DEFINE_string(members, "127.0.0.1:7201,127.0.0.1:7202,127.0.0.1:7203",
+              "ctl: operator addresses of the control members");
+DEFINE_string(folder, "demo", "demo: folder of the deployment");
+DEFINE_string(binaries, "build", "demo: folder of the two programs");
+
+namespace {
+
+constexpr const char* usage =
+    "serves language-model requests between callers and engines\n"
+    "  verbenaproxy entry   --config FILE [--check]\n"
+    "  verbenaproxy agent   --config FILE [--check]\n"
+    "  verbenaproxy control --config FILE [--check] [--init]\n"
+    "  verbenaproxy ctl [--members HOST:PORT,...] <call> [field=value ... | JSON | @file]\n"
+    "  verbenaproxy ctl help [call]\n"
+    "  verbenaproxy demo [--folder DIR] [--binaries DIR]   prints a script, starts nothing";
+
+int wrong_use()
+{
+    std::cerr << "verbenaproxy: " << usage << '\n';
+    return 2;
+}
+
+int run(const std::vector<std::string>& arguments)
+{
+    if (arguments.empty()) {
+        return wrong_use();
+    }
+    const std::string& role = arguments.front();
+    if (role == "ctl") {
+        return verbena::run_ctl({arguments.begin() + 1, arguments.end()}, FLAGS_members);
+    }
+    if (role == "demo") {
+        return verbena::print_demo(FLAGS_folder, FLAGS_binaries);
+    }
+    if (role != "entry" && role != "agent" && role != "control") {
+        return wrong_use();
+    }
+    if (FLAGS_config.empty()) {
+        std::cerr << "verbenaproxy: " << role << " needs --config FILE\n";
+        return 2;
+    }
+    return verbena::run_role(role, FLAGS_config, FLAGS_check, FLAGS_init);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
 {
-    std::puts("verbenaproxy " VERBENA_VERSION);
-    return 0;
+    gflags::SetUsageMessage(usage);
+    gflags::SetVersionString(VERBENA_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return run({argv + 1, argv + argc});
 }
--- /dev/null
+++ b/src/main/roles.cpp
@@ -0,0 +1,115 @@
+#include "main/roles.h"
+
+#include "agent/agent_service.h"
+#include "base/log.h"
+#include "control/control_service.h"
+#include "entry/entry_service.h"
+#include "node/process.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace verbena {
+
+namespace {
+
+constexpr int exit_failure = 1;
+constexpr int exit_settings = 2;
+
+int fail(const error& cause, int code)
+{
+    std::cerr << "verbenaproxy: " << describe(cause) << '\n';
+    return code;
+}
+
+error missing_section(const std::string& file, const std::string& role)
+{
+    return make_error(error_kind::invalid_settings, file + ": section [" + role + "] is missing", "add it");
+}
+
+result<void> check_common(const settings_root& root)
+{
+    BOOST_OUTCOME_TRY(const auto members, parse_host_ports(root.node->control));
+    if (members.empty() && !root.control) {
+        return make_error(error_kind::invalid_settings, "[node] control is empty",
+                          "list the frame addresses of the control members");
+    }
+    return success();
+}
+
+template <typename Service>
+int run_service(node::process& process, result<std::shared_ptr<Service>> made)
+{
+    if (!made) {
+        return fail(made.error(),
+                    made.error().kind == error_kind::invalid_settings ? exit_settings : exit_failure);
+    }
+    const std::shared_ptr<Service> service = made.value();
+    service->start();
+    return process.run([service] { service->stop(); });
+}
+
+// Checks what the schema cannot: addresses, and sections that the role needs.
+result<void> check_role(const settings_root& root, const std::string& role, const std::string& file)
+{
+    BOOST_OUTCOME_TRY(check_common(root));
+    if (role == "entry") {
+        if (!root.entry) {
+            return missing_section(file, role);
+        }
+        BOOST_OUTCOME_TRY(parse_host_port(root.entry->listen));
+    } else if (role == "agent") {
+        if (!root.agent) {
+            return missing_section(file, role);
+        }
+        BOOST_OUTCOME_TRY(parse_host_port(root.agent->listen));
+        BOOST_OUTCOME_TRY(parse_host_port(root.agent->engine));
+    } else {
+        if (!root.control) {
+            return missing_section(file, role);
+        }
+        BOOST_OUTCOME_TRY(parse_host_port(root.control->listen));
+        BOOST_OUTCOME_TRY(parse_host_port(root.control->operator_listen));
+    }
+    return success();
+}
+
+} // namespace
+
+int run_role(const std::string& role, const std::string& settings_file, bool check_only, bool initialise)
+{
+    const auto loaded = load_settings(settings_file);
+    if (!loaded) {
+        return fail(loaded.error(), exit_settings);
+    }
+    const settings_root& root = *loaded.value();
+    const result<void> valid = check_role(root, role, settings_file);
+    if (!valid) {
+        return fail(valid.error(), exit_settings);
+    }
+    if (check_only) {
+        std::cout << settings_file << ": valid for " << role << '\n';
+        return 0;
+    }
+    const result<void> logging =
+        log::configure(root.log ? root.log->level : std::string(), root.log ? root.log->file : std::string());
+    if (!logging) {
+        return fail(logging.error(), exit_settings);
+    }
+    // A peer that closes its connection is an error of that connection, not of the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    auto process = node::process::create(*root.node);
+    if (!process) {
+        return fail(process.error(), exit_failure);
+    }
+    node::process& running = *process.value();
+    if (role == "entry") {
+        return run_service(running, entry::entry_service::create(running, *root.entry));
+    }
+    if (role == "agent") {
+        return run_service(running, agent::agent_service::create(running, *root.agent));
+    }
+    return run_service(running, control::control_service::create(running, *root.control, initialise));
+}
+
+} // namespace verbena
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -84,11 +84,12 @@
     for (std::thread& worker : workers) {
         worker.join();
     }
-    return 0;
+    return m_exit_code;
 }
 
-void process::finish()
+void process::finish(int exit_code)
 {
+    m_exit_code = exit_code;
     m_work.reset();
     m_io.stop();
 }
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -33,7 +33,7 @@
 
     // Runs the workers until finish(); returns the exit code.
     int run(stop_action on_stop);
-    void finish();
+    void finish(int exit_code = 0);
 
     explicit process(settings::node_settingsT settings);
 
@@ -50,6 +50,7 @@
     std::shared_ptr<net::http_server> m_server;
     std::atomic<bool> m_ready{false};
     incarnation m_incarnation;
+    std::atomic<int> m_exit_code{0};
     stop_action m_on_stop;
 };
 
