--- a/src/control/validation.cpp
+++ b/src/control/validation.cpp
@@ -145,7 +145,7 @@
     for (const std::string& name : names) {
         BOOST_OUTCOME_TRY(check_model(where, name));
         if (!seen.insert(name).second) {
-            return invalid(where + " names '" + name + "' twice", "remove one of the two");
+            return invalid(where + quoted(" names", name) + " twice", "remove one of the two");
         }
     }
     return success();
@@ -226,7 +226,7 @@
     BOOST_OUTCOME_TRY(check_unique_models(where, endpoint.desired_models));
     for (const std::string& model : endpoint.desired_models) {
         if (offered.count(model) == 0) {
-            return invalid(where + " should load '" + model + "', which no service offers",
+            return invalid(where + quoted(" should load", model) + ", which no service offers",
                            "add the model to a service first, or change the endpoint's desired_models first");
         }
     }
