Add directory, poll service, operator calls and the ctl client library

Cause: entries and agents need freshness, configuration and the directory from polls, and operators need their calls (docs/design.md, 4.3 to 4.5 and 4.8). Ruled out: a configuration or leader from a member that is not confirmed, because a process that has just started has nothing to compare it with; configuration and directory in one reply, and whole lists in one part, because they may exceed a frame of 256 KiB; scanning all leases with each poll (2,800 polls/s at the two-year size); proposing a change above 250 KiB, which would not fit a frame between members. Change: src/control/directory, poll_service, operator_json, operator_service; src/ctl; docs/operators.md, whose examples are checked by a test; tests for leases, parts under churn, isolation, permits, malformed bodies, redirects and lost replies. Conclusion: the process needs only a replicated_log, a transport and the member's confirmation to serve these calls.

--- /dev/null
+++ b/src/control/poll_service.cpp
@@ -0,0 +1,183 @@
+#include "control/poll_service.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace verbena::control {
+
+namespace {
+
+constexpr std::uint32_t unknown_age = std::numeric_limits<std::uint32_t>::max();
+
+constexpr std::size_t max_process_name = 64;
+
+void add_directory(const directory_delta& delta, wire::poll_replyT& reply)
+{
+    reply.directory_epoch = delta.epoch;
+    reply.directory_version = delta.version;
+    reply.directory_whole = delta.whole;
+    reply.gone = delta.gone;
+    reply.changed.reserve(delta.changed.size());
+    for (const wire::announcementT* announcement : delta.changed) {
+        reply.changed.push_back(std::make_unique<wire::announcementT>(*announcement));
+    }
+}
+
+} // namespace
+
+load_bucket::load_bucket(std::uint64_t bytes_per_s, std::uint64_t burst_bytes)
+    : m_rate(static_cast<double>(bytes_per_s)), m_burst(static_cast<double>(burst_bytes))
+{
+}
+
+void load_bucket::restart(time_point now)
+{
+    m_tokens = 0;
+    m_filled = now;
+}
+
+bool load_bucket::take(std::uint64_t bytes, time_point now)
+{
+    const std::chrono::duration<double> passed = std::max(now - m_filled, clock::duration::zero());
+    m_tokens = std::min(m_burst, m_tokens + passed.count() * m_rate);
+    m_filled = std::max(m_filled, now);
+    if (m_tokens < std::min(static_cast<double>(bytes), m_burst)) {
+        return false;
+    }
+    m_tokens -= static_cast<double>(bytes);
+    return true;
+}
+
+freshness make_freshness(std::optional<milliseconds> age, const configuration& config, revision held)
+{
+    freshness out;
+    if (!age || *age > max_confirmation_age) {
+        return out;
+    }
+    out.confirmed = true;
+    out.age = std::max(*age, milliseconds::zero());
+    out.number = config.current_revision();
+    if (held < out.number) {
+        out.config = *config.packed();
+    }
+    return out;
+}
+
+poll_service::poll_service(const poll_limits& limits)
+    : m_limits(limits), m_bucket(limits.load_bytes_per_s, limits.load_burst_bytes)
+{
+}
+
+wire::poll_replyT poll_service::handle(const wire::pollT& poll, const member_view& member,
+                                       const configuration& config, directory& endpoints, time_point now)
+{
+    follow_leadership(member.is_leader, now);
+    process_record* process = note(poll, now);
+    if (poll.announce) {
+        endpoints.announce(*poll.announce, now);
+    }
+    wire::poll_replyT reply;
+    reply.nonce = poll.nonce;
+    freshness fresh = make_freshness(member.confirmed_age, config, poll.revision);
+    reply.confirmed = fresh.confirmed;
+    reply.age_ms = fresh.confirmed ? static_cast<std::uint32_t>(fresh.age.count()) : unknown_age;
+    reply.revision = fresh.number;
+    reply.config = std::move(fresh.config);
+    if (fresh.confirmed) {
+        reply.leader = member.leader;
+        reply.load_permit = member.is_leader && permit(poll, process, now);
+    }
+    endpoints.expire(now);
+    // A configuration and a directory part may not fit one frame together, so the directory waits.
+    if (poll.role == wire::role::entry && reply.config.empty()) {
+        add_directory(endpoints.delta(poll.directory_epoch, poll.directory_version), reply);
+    } else {
+        reply.directory_epoch = poll.directory_epoch;
+        reply.directory_version = poll.directory_version;
+    }
+    return reply;
+}
+
+std::vector<std::unique_ptr<op::process_statusT>> poll_service::processes(time_point now) const
+{
+    std::vector<std::unique_ptr<op::process_statusT>> items;
+    for (const auto& [key, process] : m_processes) {
+        const milliseconds age = std::chrono::duration_cast<milliseconds>(now - process.heard);
+        if (age > m_limits.forget_after) {
+            continue;
+        }
+        auto item = std::make_unique<op::process_statusT>();
+        item->name = key.second;
+        item->role = wire::EnumNamerole(key.first);
+        item->revision = process.confirmed;
+        item->age_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0));
+        items.push_back(std::move(item));
+    }
+    return items;
+}
+
+process_record* poll_service::note(const wire::pollT& poll, time_point now)
+{
+    if (poll.name.empty() || poll.name.size() > max_process_name || poll.role > wire::role::MAX) {
+        return nullptr;
+    }
+    const process_key key(poll.role, poll.name);
+    auto position = m_processes.find(key);
+    if (position == m_processes.end()) {
+        if (m_processes.size() >= m_limits.processes) {
+            forget(now);
+        }
+        if (m_processes.size() >= m_limits.processes) {
+            return nullptr;
+        }
+        position = m_processes.emplace(key, process_record{}).first;
+    }
+    process_record& process = position->second;
+    if (process.process != poll.incarnation) {
+        process.granted_bytes = 0;
+    }
+    process.role = poll.role;
+    process.process = poll.incarnation;
+    process.confirmed = poll.revision;
+    process.heard = now;
+    return &process;
+}
+
+void poll_service::forget(time_point now)
+{
+    std::erase_if(m_processes,
+                  [&](const auto& item) { return now - item.second.heard > m_limits.forget_after; });
+}
+
+bool poll_service::permit(const wire::pollT& poll, process_record* process, time_point now)
+{
+    if (process == nullptr) {
+        return false;
+    }
+    if (poll.wants_load_bytes == 0) {
+        process->granted_bytes = 0;
+        return false;
+    }
+    if (process->granted_bytes == poll.wants_load_bytes) {
+        return true;
+    }
+    if (!m_bucket.take(poll.wants_load_bytes, now)) {
+        return false;
+    }
+    process->granted_bytes = poll.wants_load_bytes;
+    return true;
+}
+
+// Grants of an earlier term are void, so that the limit holds across leaders.
+void poll_service::follow_leadership(bool is_leader, time_point now)
+{
+    if (is_leader && !m_was_leader) {
+        m_bucket.restart(now);
+        for (auto& [key, process] : m_processes) {
+            process.granted_bytes = 0;
+        }
+    }
+    m_was_leader = is_leader;
+}
+
+} // namespace verbena::control
--- /dev/null
+++ b/src/ctl/body.cpp
@@ -0,0 +1,242 @@
+#include "control/operator_json.h"
+#include "ctl/client.h"
+#include "schema_text.h"
+
+#include <boost/json.hpp>
+#include <flatbuffers/idl.h>
+
+#include <memory>
+#include <string_view>
+
+namespace verbena::ctl {
+
+namespace {
+
+namespace json = boost::json;
+
+std::unique_ptr<flatbuffers::Parser> make_parser()
+{
+    auto parser = std::make_unique<flatbuffers::Parser>();
+    parser->Parse(operator_schema_text);
+    return parser;
+}
+
+const flatbuffers::StructDef* request_of(const flatbuffers::Parser& parser, const std::string& call)
+{
+    const auto* service = parser.services_.Lookup("verbena.op.operator_calls");
+    const auto* found = service == nullptr ? nullptr : service->calls.Lookup(call);
+    return found == nullptr ? nullptr : found->request;
+}
+
+error unknown_call(const std::string& call)
+{
+    return make_error(error_kind::not_found, "there is no operator call '" + call + "'",
+                      "run 'verbenaproxy ctl help' for the list");
+}
+
+error bad_value(const std::string& field, const std::string& wanted)
+{
+    return make_error(error_kind::invalid_request, "the value of '" + field + "' is not " + wanted,
+                      "run 'verbenaproxy ctl help' for the fields and an example");
+}
+
+bool is_enum(const flatbuffers::Type& type)
+{
+    return type.enum_def != nullptr;
+}
+
+json::array split(const std::string& text)
+{
+    json::array items;
+    std::size_t begin = 0;
+    while (begin <= text.size() && !text.empty()) {
+        const std::size_t end = std::min(text.find(',', begin), text.size());
+        items.emplace_back(text.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    return items;
+}
+
+result<json::value> parse_json(const std::string& field, const std::string& text)
+{
+    boost::system::error_code failed;
+    json::value value = json::parse(text, failed);
+    if (failed) {
+        return bad_value(field, "valid JSON");
+    }
+    return value;
+}
+
+// Text becomes a JSON string, number, boolean or list by the type that the schema gives to the field.
+result<json::value> convert(const flatbuffers::FieldDef& field, const std::string& text)
+{
+    const flatbuffers::Type& type = field.value.type;
+    if (flatbuffers::IsString(type) || is_enum(type)) {
+        return json::value(text);
+    }
+    const bool string_list = flatbuffers::IsVector(type) && flatbuffers::IsString(type.VectorType());
+    if (string_list && (text.empty() || text.front() != '[')) {
+        return json::value(split(text));
+    }
+    return parse_json(field.name, text);
+}
+
+struct target {
+    const flatbuffers::FieldDef* field = nullptr;
+    json::object* parent = nullptr;
+};
+
+// Follows put_team.weight from the request table, creating the objects on the way.
+result<target> resolve(const flatbuffers::StructDef* table, json::object& body, const std::string& path)
+{
+    json::object* parent = &body;
+    std::size_t begin = 0;
+    while (true) {
+        const std::size_t end = std::min(path.find('.', begin), path.size());
+        const std::string name = path.substr(begin, end - begin);
+        const flatbuffers::FieldDef* field = table->fields.Lookup(name);
+        if (field == nullptr) {
+            return make_error(error_kind::invalid_request, "unknown field '" + path + "'",
+                              "run 'verbenaproxy ctl help' for the fields and an example");
+        }
+        if (end == path.size()) {
+            return target{field, parent};
+        }
+        if (field->value.type.base_type != flatbuffers::BASE_TYPE_STRUCT) {
+            return bad_value(path, "inside a table");
+        }
+        json::value& inner = (*parent)[name];
+        if (!inner.is_object()) {
+            inner = json::object();
+        }
+        parent = &inner.as_object();
+        table = field->value.type.struct_def;
+        begin = end + 1;
+    }
+}
+
+result<void> add_pair(const flatbuffers::StructDef* table, json::object& body, const std::string& argument)
+{
+    const std::size_t equals = argument.find('=');
+    if (equals == std::string::npos || equals == 0) {
+        return make_error(error_kind::invalid_request, "'" + argument + "' is not field=value",
+                          "write field=value, one JSON object, or @file");
+    }
+    BOOST_OUTCOME_TRY(const target place, resolve(table, body, argument.substr(0, equals)));
+    if (place.parent->contains(place.field->name)) {
+        return make_error(error_kind::invalid_request, "'" + argument.substr(0, equals) + "' is given twice",
+                          "remove one of the two");
+    }
+    BOOST_OUTCOME_TRY(json::value value, convert(*place.field, argument.substr(equals + 1)));
+    (*place.parent)[place.field->name] = std::move(value);
+    return success();
+}
+
+std::string type_name(const flatbuffers::Type& type)
+{
+    if (flatbuffers::IsVector(type)) {
+        return "list of " + type_name(type.VectorType());
+    }
+    if (type.struct_def != nullptr) {
+        return type.struct_def->name;
+    }
+    if (type.enum_def != nullptr) {
+        std::string names;
+        for (const flatbuffers::EnumVal* value : type.enum_def->Vals()) {
+            names.append(names.empty() ? "" : "|").append(value->name);
+        }
+        return names;
+    }
+    return flatbuffers::IsString(type) ? "string" : flatbuffers::kTypeNames[type.base_type];
+}
+
+const flatbuffers::StructDef* inner_table(const flatbuffers::Type& type)
+{
+    return type.struct_def;
+}
+
+void append_fields(const flatbuffers::StructDef& table, const std::string& indent, std::string& text)
+{
+    for (const flatbuffers::FieldDef* field : table.fields.vec) {
+        text.append(indent).append(field->name).append(": ").append(type_name(field->value.type));
+        const bool has_default = flatbuffers::IsScalar(field->value.type.base_type) &&
+                                 !is_enum(field->value.type) && field->value.constant != "0";
+        text.append(has_default ? " = " + field->value.constant : "").append("\n");
+        if (const flatbuffers::StructDef* inner = inner_table(field->value.type)) {
+            append_fields(*inner, indent + "  ", text);
+        }
+    }
+}
+
+// Arguments of the example that `help` shows for a call.
+std::string example_arguments(const std::string& call)
+{
+    if (call == "change") {
+        return " request_id=2026-07-1 expected_revision=4 put_team.name=clerks put_team.keys=clerks-key-1 "
+               "put_team.weight=200";
+    }
+    if (call == "get_config") {
+        return " revision=4";
+    }
+    if (call == "history") {
+        return " from_revision=1 limit=20";
+    }
+    if (call == "diff") {
+        return " from_revision=3 to_revision=4";
+    }
+    if (call == "add_member") {
+        return " id=4 address=127.0.0.1:7104";
+    }
+    if (call == "remove_member") {
+        return " id=2";
+    }
+    return {};
+}
+
+std::string help_for(const flatbuffers::Parser& parser, const std::string& call)
+{
+    std::string text = call + "\n";
+    append_fields(*request_of(parser, call), "    ", text);
+    return text + "  example: verbenaproxy ctl " + call + example_arguments(call) + "\n";
+}
+
+} // namespace
+
+result<std::string> build_body(const std::string& call, const std::vector<std::string>& arguments,
+                               const file_reader& read_file)
+{
+    const auto parser = make_parser();
+    const flatbuffers::StructDef* table = request_of(*parser, call);
+    if (table == nullptr) {
+        return unknown_call(call);
+    }
+    if (arguments.size() == 1 && !arguments.front().empty()) {
+        if (arguments.front().front() == '{') {
+            return arguments.front();
+        }
+        if (arguments.front().front() == '@') {
+            return read_file(arguments.front().substr(1));
+        }
+    }
+    json::object body;
+    for (const std::string& argument : arguments) {
+        BOOST_OUTCOME_TRY(add_pair(table, body, argument));
+    }
+    return json::serialize(body);
+}
+
+std::string help_text(const std::string& call)
+{
+    const auto parser = make_parser();
+    if (!call.empty()) {
+        return request_of(*parser, call) == nullptr ? describe(unknown_call(call)) + "\n"
+                                                    : help_for(*parser, call);
+    }
+    std::string text = "verbenaproxy ctl <call> [json | @file | field=value ...]\n";
+    for (const std::string& name : control::operator_calls()) {
+        text.append("\n").append(help_for(*parser, name));
+    }
+    return text;
+}
+
+} // namespace verbena::ctl
--- /dev/null
+++ b/test/control_directory_test.cpp
@@ -0,0 +1,170 @@
+#include "control/directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace verbena;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start = time_point{} + 1h;
+
+wire::announcementT make_announcement(const std::string& name, incarnation process = 1)
+{
+    wire::announcementT item;
+    item.endpoint = name;
+    item.address = "127.0.0.1:7000";
+    item.incarnation = process;
+    item.failure_domain = "dc1";
+    item.service = "chat";
+    return item;
+}
+
+std::vector<std::string> names_of(const control::directory_delta& delta)
+{
+    std::vector<std::string> names;
+    for (const wire::announcementT* item : delta.changed) {
+        names.push_back(item->endpoint);
+    }
+    return names;
+}
+
+// What an entry holds from one member, updated by deltas as an entry does.
+struct asker {
+    std::uint64_t epoch = 0;
+    std::uint64_t version = 0;
+    std::set<std::string> held;
+
+    void update(const control::directory& endpoints)
+    {
+        const auto delta = endpoints.delta(epoch, version);
+        if (delta.whole) {
+            held.clear();
+        }
+        for (const wire::announcementT* item : delta.changed) {
+            held.insert(item->endpoint);
+        }
+        for (const std::string& name : delta.gone) {
+            held.erase(name);
+        }
+        epoch = delta.epoch;
+        version = delta.version;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(control_directory)
+
+BOOST_AUTO_TEST_CASE(deltas_hold_only_what_changed)
+{
+    control::directory endpoints(7);
+    endpoints.announce(make_announcement("a"), start);
+    const auto first = endpoints.delta(0, 0);
+    BOOST_TEST(first.whole);
+    BOOST_TEST(first.epoch == 7U);
+    BOOST_TEST(names_of(first) == std::vector<std::string>{"a"});
+    endpoints.announce(make_announcement("a"), start + 500ms);
+    const auto second = endpoints.delta(7, first.version);
+    BOOST_TEST(!second.whole);
+    BOOST_TEST(second.changed.empty());
+    endpoints.announce(make_announcement("b"), start + 1s);
+    auto cold = make_announcement("a");
+    cold.cold = true;
+    endpoints.announce(cold, start + 1s);
+    BOOST_TEST(names_of(endpoints.delta(7, second.version)) == (std::vector<std::string>{"b", "a"}));
+}
+
+// Guards against sending work to an endpoint that has died.
+BOOST_AUTO_TEST_CASE(endpoint_without_announcement_is_gone_after_the_lease)
+{
+    control::directory endpoints(7);
+    endpoints.announce(make_announcement("a"), start);
+    endpoints.announce(make_announcement("b"), start);
+    const auto before = endpoints.version();
+    endpoints.announce(make_announcement("b"), start + 2s);
+    endpoints.expire(start + 2'999ms);
+    BOOST_TEST(endpoints.size() == 2U);
+    endpoints.expire(start + 3s);
+    const auto delta = endpoints.delta(7, before);
+    BOOST_TEST(delta.gone == std::vector<std::string>{"a"});
+    BOOST_TEST(delta.changed.empty());
+    endpoints.announce(make_announcement("a"), start + 4s);
+    const auto back = endpoints.delta(7, before);
+    BOOST_TEST(back.gone.empty());
+    BOOST_TEST(names_of(back) == std::vector<std::string>{"a"});
+}
+
+// Guards against deltas applied to the list of another member or of an earlier process.
+BOOST_AUTO_TEST_CASE(unknown_epoch_or_version_gets_the_whole_list)
+{
+    control::directory endpoints(7);
+    endpoints.announce(make_announcement("a"), start);
+    BOOST_TEST(!endpoints.delta(7, endpoints.version()).whole);
+    BOOST_TEST(endpoints.delta(8, endpoints.version()).whole);
+    BOOST_TEST(endpoints.delta(7, endpoints.version() + 1).whole);
+    BOOST_TEST(endpoints.delta(7, 0).whole);
+}
+
+// Guards against a late announcement of a process that was restarted.
+BOOST_AUTO_TEST_CASE(late_announcement_of_a_replaced_process_is_ignored)
+{
+    control::directory endpoints(7);
+    endpoints.announce(make_announcement("a", 1), start);
+    BOOST_TEST(endpoints.announce(make_announcement("a", 2), start + 1s));
+    BOOST_TEST(!endpoints.announce(make_announcement("a", 1), start + 1s));
+    BOOST_TEST(endpoints.list(start + 1s).at(0).announcement->incarnation == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(endpoints_are_bounded)
+{
+    control::directory_limits limits;
+    limits.endpoints = 1;
+    control::directory endpoints(7, limits);
+    BOOST_TEST(endpoints.announce(make_announcement("a"), start));
+    BOOST_TEST(!endpoints.announce(make_announcement("b"), start));
+    BOOST_TEST(!endpoints.announce(make_announcement(""), start));
+    auto large = make_announcement("a");
+    large.models.assign(1'000, "model");
+    BOOST_TEST(!endpoints.announce(large, start));
+    BOOST_TEST(endpoints.size() == 1U);
+}
+
+// Guards against an asker that never completes a list that needs several parts, also while old removals are
+// forgotten, and against an asker that keeps an endpoint that is gone.
+BOOST_AUTO_TEST_CASE(askers_converge_under_churn_with_small_parts)
+{
+    control::directory_limits limits;
+    limits.delta_bytes = 1'000;
+    limits.removals = 20;
+    control::directory endpoints(7, limits);
+    std::vector<asker> askers(5);
+    time_point now = start;
+    for (int round = 0; round < 400; ++round) {
+        now += 100ms;
+        for (int i = 0; i < 60; ++i) {
+            const bool steady = i < 30;
+            if (steady || (round / 40 + i) % 3 == 0) {
+                endpoints.announce(make_announcement("endpoint-" + std::to_string(i)), now);
+            }
+        }
+        endpoints.expire(now);
+        askers[static_cast<std::size_t>(round) % askers.size()].update(endpoints);
+    }
+    std::set<std::string> expected;
+    for (const auto& item : endpoints.list(now)) {
+        expected.insert(item.announcement->endpoint);
+    }
+    for (asker& item : askers) {
+        for (int i = 0; i < 30; ++i) {
+            item.update(endpoints);
+        }
+        BOOST_TEST((item.held == expected));
+    }
+    BOOST_TEST(expected.size() >= 30U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
