--- /dev/null
+++ b/setup.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Installs the packages that build and tests need and builds both programs. Run as root on Debian 12.
+set -euo pipefail
+cd "$(dirname "$0")"
+export DEBIAN_FRONTEND=noninteractive
+missing=""
+while read -r package; do
+    dpkg -s "$package" >/dev/null 2>&1 || missing="$missing $package"
+done < packages.txt
+if [ -n "$missing" ]; then
+    apt-get update -qq
+    # shellcheck disable=SC2086
+    apt-get install -y -qq --no-install-recommends $missing >/dev/null
+fi
+cmake -S . -B build -G Ninja >/dev/null
+cmake --build build | tail -1
--- a/src/agent/admission.cpp
+++ b/src/agent/admission.cpp
@@ -27,6 +27,8 @@
     : m_options(options), m_memory(options.plain ? plain_capacity : options.memory_tokens),
       m_cold(policy::cold_limit_options{options.plain ? options.warm_limit : options.cold_limit,
                                         options.warm_limit}),
+      m_estimator(policy::estimator_options{.prefill_tokens_per_second =
+                                                static_cast<double>(options.prefill_tokens_per_s)}),
       m_queue(options.queue_limit, policy::make_class_shares())
 {
 }
--- a/src/agent/admission.h
+++ b/src/agent/admission.h
@@ -28,6 +28,7 @@
 struct admission_options {
     bool plain = false;
     std::uint64_t memory_tokens = 400'000;
+    std::uint32_t prefill_tokens_per_s = 8'000;
     std::uint32_t cold_limit = 1;
     std::uint32_t warm_limit = 64;
     std::size_t queue_limit = 256;
--- a/src/agent/agent_service.cpp
+++ b/src/agent/agent_service.cpp
@@ -19,6 +19,7 @@
     admission_options options;
     options.plain = settings.kind == "plain";
     options.memory_tokens = settings.memory_tokens;
+    options.prefill_tokens_per_s = settings.prefill_tokens_per_s;
     options.cold_limit = settings.cold_limit;
     options.warm_limit = settings.warm_limit;
     options.queue_limit = settings.queue_limit;
--- a/src/agent/engine_client.cpp
+++ b/src/agent/engine_client.cpp
@@ -156,8 +156,8 @@
             if (id == nullptr || !id->is_string()) {
                 co_return bad_answer("the list of requests");
             }
-            requests.push_back(
-                {std::string(id->get_string()), number_or_zero<std::uint64_t>(item.get_object(), "kv_tokens")});
+            requests.push_back({std::string(id->get_string()),
+                                number_or_zero<std::uint64_t>(item.get_object(), "kv_tokens")});
         }
         co_return requests;
     }
--- a/src/main/demo.cpp
+++ b/src/main/demo.cpp
@@ -75,11 +75,13 @@
         const std::string engine = address(7500 + i);
         print_start(out, "engine-" + number,
                     "\"$bin/verbenaproxy-standin\" engine --listen " + engine +
-                        " --capacity_tokens 1200000 --prefill_rate 400000 --chunk_tokens 8192 --decode_ms 10"
+                        " --capacity_tokens 1600000 --prefill_rate 400000 --chunk_tokens 8192 --decode_ms 10"
                         " --cold_requests 1 --cold_ms 1000 --record \"$folder/engine-" +
                         number + ".record\"");
         print_agent(out, "model-" + number, domains[(i - 1) % 3], 7600 + i,
-                    "engine = " + engine + "\nservice = chat\nmodels = standin\nmemory_tokens = 1200000\n");
+                    "engine = " + engine +
+                        "\nservice = chat\nmodels = standin\nmemory_tokens = 1600000\nprefill_tokens_per_s = "
+                        "400000\n");
     }
     const std::string desk = address(7510);
     print_start(out, "desk",
--- a/src/main/roles.cpp
+++ b/src/main/roles.cpp
@@ -7,6 +7,7 @@
 #include "node/process.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace verbena {
@@ -46,7 +47,11 @@
     }
     const std::shared_ptr<Service> service = made.value();
     service->start();
-    return process.run([service] { service->stop(); });
+    const int code = process.run([service] { service->stop(); });
+    // Suspended coroutines still refer to each other and to the io_context. Nothing durable is pending, so
+    // the process ends without running their destructors.
+    std::cout.flush();
+    std::quick_exit(code);
 }
 
 // Checks what the schema cannot: addresses, and sections that the role needs.
