--- a/src/raft/core.cpp
+++ b/src/raft/core.cpp
@@ -119,6 +119,7 @@
     }
     if (term > m_vote.term) {
         m_vote = {term, 0};
+        m_incoming.reset();
     }
     m_role = role::follower;
     m_leader = leader;
@@ -180,6 +181,9 @@
 void core::commit_to(log_index index)
 {
     m_commit = std::max(m_commit, std::min(index, m_log.last()));
+    if (m_incoming && m_incoming->index <= m_commit) {
+        m_incoming.reset();
+    }
 }
 
 bool core::has_ready() const
--- a/src/raft/core.h
+++ b/src/raft/core.h
@@ -132,6 +132,9 @@
     log_index commit_index() const { return m_commit; }
     log_index applied() const { return m_applied; }
     term_number term_at_applied() const { return m_log.term_at(m_applied).value_or(0); }
+    // Entries held in memory.
+    std::size_t held_entries() const { return m_log.size(); }
+
     const raft::membership& membership() const { return m_memberships.back().value; }
 
     // Membership as of `index`, for a snapshot.
--- a/src/raft/core_election.cpp
+++ b/src/raft/core_election.cpp
@@ -126,6 +126,9 @@
     m_rounds.clear();
     m_transfer_to = 0;
     m_uncommitted = 0;
+    for (log_index i = m_commit + 1; i <= m_log.last(); ++i) {
+        m_uncommitted += cost(m_log.at(i));
+    }
     sync_progress();
     m_term_start = m_log.last() + 1;
     // An entry of the own term lets the entries of earlier terms commit.
--- a/src/raft/record.cpp
+++ b/src/raft/record.cpp
@@ -21,6 +21,14 @@
     return static_cast<std::uint32_t>(XXH3_64bits(header.data(), checked_header_size));
 }
 
+// What a bad checksum means: `size` is the part of the record whose length is certain.
+record_state judge(std::span<const std::uint8_t> data, std::uint64_t offset, std::size_t size)
+{
+    const std::uint64_t block = (offset + size - 1) / disk_block_size * disk_block_size;
+    const bool unwritten = block >= offset && all_zero(data.subspan(block - offset));
+    return unwritten ? record_state::torn : record_state::damaged;
+}
+
 } // namespace
 
 void write_record(bytes& out, record_type type, log_index index, term_number term,
@@ -37,7 +45,7 @@
     writer.number(static_cast<std::uint64_t>(XXH3_64bits(out.data() + start, out.size() - start)));
 }
 
-read_record_result read_record(std::span<const std::uint8_t> data)
+read_record_result read_record(std::span<const std::uint8_t> data, std::uint64_t offset)
 {
     if (data.size() < record_header_size || all_zero(data)) {
         return {record_state::torn, {}, 0};
@@ -49,7 +57,7 @@
         static_cast<record_type>(type), reader.number<log_index>(), reader.number<term_number>(), {}};
     if (reader.number<std::uint32_t>() != header_checksum(data) || length > record_payload_max ||
         type > static_cast<std::uint8_t>(record_type::reset)) {
-        return {record_state::damaged, {}, 0};
+        return {judge(data, offset, record_header_size), {}, 0};
     }
     const std::size_t size = record_header_size + length + record_trailer_size;
     if (data.size() < size) {
@@ -58,9 +66,7 @@
     const auto payload = reader.raw(length);
     const auto checksum = reader.number<std::uint64_t>();
     if (checksum != XXH3_64bits(data.data(), record_header_size + length)) {
-        // A file can grow before its data arrives; the part that did not arrive reads as zeros.
-        const bool unwritten_tail = checksum == 0 && all_zero(data.subspan(size));
-        return {unwritten_tail ? record_state::torn : record_state::damaged, {}, 0};
+        return {judge(data, offset, size), {}, 0};
     }
     value.payload.assign(payload.begin(), payload.end());
     return {record_state::whole, std::move(value), size};
--- a/src/raft/record.h
+++ b/src/raft/record.h
@@ -29,8 +29,11 @@
 void write_record(bytes& out, record_type type, log_index index, term_number term,
                   std::span<const std::uint8_t> payload);
 
-// torn: cut short by a crash, or a tail of zeros that was never written; damaged: a checksum that does not
-// match.
+// A file can grow before its data arrives; blocks that did not arrive read as zeros. This is the smallest
+// block.
+inline constexpr std::uint64_t disk_block_size = 512;
+
+// torn: cut short by a crash, or blocks at the end that were never written; damaged: any other bad checksum.
 enum class record_state : std::uint8_t { whole, torn, damaged };
 
 struct read_record_result {
@@ -39,7 +42,8 @@
     std::size_t size = 0; // bytes the record occupies
 };
 
-// Reads the record at the start of `data`, which runs to the end of its file and is not empty.
-read_record_result read_record(std::span<const std::uint8_t> data);
+// Reads the record at the start of `data`, which lies at `offset` of its file, runs to the file's end and is
+// not empty.
+read_record_result read_record(std::span<const std::uint8_t> data, std::uint64_t offset);
 
 } // namespace verbena::raft::detail
--- a/src/raft/storage.cpp
+++ b/src/raft/storage.cpp
@@ -157,7 +157,7 @@
     }
     std::uint64_t offset = header.size();
     while (offset < file.size()) {
-        auto read = detail::read_record(std::span(file).subspan(offset));
+        auto read = detail::read_record(std::span(file).subspan(offset), offset);
         if (read.state == detail::record_state::torn && newest) {
             BOOST_OUTCOME_TRYV2(auto&&, m_disk.truncate(name, offset));
             break;
--- a/test/raft_cluster.cpp
+++ b/test/raft_cluster.cpp
@@ -97,10 +97,10 @@
     for (member_id id = 1; id <= size; ++id) {
         members.push_back({id, 0, true, "member-" + std::to_string(id)});
     }
-    const auto listed = raft::make_initial_membership(members);
+    m_initial = raft::make_initial_membership(members);
     for (member_id id = 1; id <= size; ++id) {
         node& member = add_node(id);
-        if (!raft::storage::initialise(*member.files, cluster_name, id, listed) || !open(id, member)) {
+        if (!raft::storage::initialise(*member.files, cluster_name, id, m_initial) || !open(id, member)) {
             m_checker.violation("start", "member " + std::to_string(id));
         }
     }
@@ -125,11 +125,13 @@
     member.files->before_operation = [this, id] { return operation(m_nodes.at(id)); };
     auto files = raft::storage::open(*member.files, cluster_name, id);
     if (!files) {
+        m_open_error = describe(files.error());
         return false;
     }
     auto opened = raft::replica::open(std::move(files.value()), *member.machine, *member.network, m_settings,
                                       random_engine(m_random()), m_now);
     if (!opened) {
+        m_open_error = describe(opened.error());
         return false;
     }
     member.replica = std::move(opened.value());
@@ -333,7 +335,7 @@
 {
     node& member = m_nodes.at(id);
     member.operations_left = 0;
-    if (member.replica) {
+    if (member.replica && !forgets_proposals) {
         member.replica->close();
     }
     member.replica.reset();
@@ -378,12 +380,14 @@
     }
 }
 
-void raft_cluster::lose_disk(member_id id)
+void raft_cluster::lose_disk(member_id id, bool reinitialise)
 {
     node& member = m_nodes.at(id);
     member.files = std::make_unique<memory_disk>();
     member.replaced = true;
-    if (!raft::storage::join(*member.files, cluster_name, id, m_random() | 1U)) {
+    const auto made = reinitialise ? raft::storage::initialise(*member.files, cluster_name, id, m_initial)
+                                   : raft::storage::join(*member.files, cluster_name, id, m_random() | 1U);
+    if (!made) {
         m_checker.violation("start", "member " + std::to_string(id));
     }
 }
--- a/test/raft_cluster.h
+++ b/test/raft_cluster.h
@@ -58,9 +58,14 @@
     void crash(raft::member_id id, crash_kind kind);
     void crash_after(raft::member_id id, unsigned operations, crash_kind kind);
 
+    void cancel_crash(raft::member_id id) { m_nodes.at(id).operations_left.reset(); }
+
     // Opens the folder again. Returns false (and leaves the member down) if storage reports damage.
     bool restart(raft::member_id id);
 
+    // Why the last restart failed.
+    const std::string& open_error() const { return m_open_error; }
+
     // A frozen member handles nothing; its messages wait for it.
     void freeze(raft::member_id id);
     void thaw(raft::member_id id);
@@ -68,8 +73,9 @@
     void cut(raft::member_id from, raft::member_id to) { m_cuts.insert({from, to}); }
     void heal() { m_cuts.clear(); }
 
-    // Replaces the disk of a stopped member by an empty one that joins under the same id.
-    void lose_disk(raft::member_id id);
+    // Replaces the disk of a stopped member by an empty one that joins under the same id. `reinitialise` is a
+    // mistake of the operator: the folder is made that of a first member again.
+    void lose_disk(raft::member_id id, bool reinitialise = false);
 
     // Starts a new member that waits to be added.
     void start_joiner(raft::member_id id);
@@ -92,6 +98,9 @@
 
     std::function<void(const raft::message&)> on_send;
 
+    // Defect for tests of the checker: a stopping member drops its open proposals without a report.
+    bool forgets_proposals = false;
+
 private:
     struct node {
         std::unique_ptr<memory_disk> files;
@@ -131,6 +140,7 @@
     void observe(raft::member_id id, node& member);
 
     raft::options m_settings;
+    raft::membership m_initial;
     random_engine m_random;
     raft_checker m_checker;
     std::map<raft::member_id, node> m_nodes;
@@ -143,6 +153,7 @@
     std::size_t m_unknown = 0;
     std::size_t m_accepted = 0;
     std::size_t m_reported = 0;
+    std::string m_open_error;
 };
 
 } // namespace verbena::test
--- a/test/raft_memory_disk.cpp
+++ b/test/raft_memory_disk.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::size_t block_size = 512;
+
 std::size_t pick(random_engine& random, std::size_t count)
 {
     return static_cast<std::size_t>(random() % count);
@@ -18,6 +20,10 @@
     if (kind == crash_kind::process) {
         return;
     }
+    if (ignores_sync) {
+        lose_cache();
+        return;
+    }
     // A file system makes changes of names durable in order, at the latest when the folder is synced.
     m_names = m_history[pick(random, m_history.size())];
     m_history = {m_names};
@@ -25,18 +31,38 @@
         const std::size_t unsynced = content->data.size() - content->synced;
         const std::size_t kept = pick(random, unsynced + 1);
         content->data.resize(content->synced + kept);
-        // The file can have grown before its data arrived.
-        if (kept > 0 && pick(random, 4) == 0) {
-            const std::size_t zeros = pick(random, kept + 1);
-            std::fill(content->data.end() - static_cast<std::ptrdiff_t>(zeros), content->data.end(), 0);
+        // The file can have grown before its last blocks arrived.
+        const std::size_t block = content->data.size() / block_size * block_size;
+        if (block >= content->synced && pick(random, 2) == 0) {
+            std::fill(content->data.begin() + static_cast<std::ptrdiff_t>(block), content->data.end(), 0);
         }
         content->synced = content->data.size();
     }
 }
 
+void memory_disk::write_out()
+{
+    m_written_out.clear();
+    for (const auto& [name, content] : m_names) {
+        m_written_out[name] = content->data;
+    }
+}
+
+void memory_disk::lose_cache()
+{
+    if (m_written_out.empty()) {
+        write_out();
+    }
+    m_names.clear();
+    for (const auto& [name, data] : m_written_out) {
+        m_names[name] = std::make_shared<file>(file{data, data.size()});
+    }
+    m_history = {m_names};
+}
+
 void memory_disk::flip(const std::string& name, std::uint64_t offset)
 {
-    m_names.at(name)->data.at(offset) ^= 0x41U;
+    m_names.at(name)->data.at(offset) ^= hides_flips ? 0U : 0x41U;
 }
 
 result<void> memory_disk::begin()
@@ -105,8 +131,9 @@
     BOOST_OUTCOME_TRYV2(auto&&, begin());
     BOOST_OUTCOME_TRY(file * content, find(name));
     ++m_syncs;
-    if (!ignores_sync) {
-        content->synced = content->data.size();
+    content->synced = content->data.size();
+    if (ignores_sync && (m_written_out.empty() || m_syncs % 8 == 0)) {
+        write_out();
     }
     return success();
 }
--- a/test/raft_memory_disk.h
+++ b/test/raft_memory_disk.h
@@ -19,9 +19,13 @@
     // Called before each operation; false makes it fail, as if the machine had stopped.
     std::function<bool()> before_operation;
 
-    // Defect for tests of the checker: sync() reports success and keeps nothing.
+    // Defect for tests of the checker: sync() reports success, but only every eighth call writes the cache
+    // out.
     bool ignores_sync = false;
 
+    // Defect for tests of the checker: flip() changes nothing, as if damage were hidden.
+    bool hides_flips = false;
+
     void crash(crash_kind kind, random_engine& random);
 
     // Flips bits of one byte, as a failing medium does.
@@ -48,11 +52,14 @@
     using folder = std::map<std::string, std::shared_ptr<file>>;
 
     result<void> begin();
+    void write_out();
+    void lose_cache();
     result<file*> find(const std::string& name);
 
     folder m_names;
     std::vector<folder> m_history{{}}; // durable folder, then one state per change since it was synced
     std::uint64_t m_syncs = 0;
+    std::map<std::string, raft::bytes> m_written_out; // of a disk that ignores sync
 };
 
 } // namespace verbena::test
--- /dev/null
+++ b/test/raft_replica_test.cpp
@@ -0,0 +1,217 @@
+#include "raft_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace verbena;
+using namespace verbena::raft;
+using verbena::test::chain_machine;
+using verbena::test::crash_kind;
+using verbena::test::memory_disk;
+using verbena::test::raft_cluster;
+
+namespace {
+
+class recording_transport final : public transport {
+public:
+    std::function<void(const message&)> on_send;
+    std::vector<message> sent;
+
+    void send(message output) override
+    {
+        if (on_send) {
+            on_send(output);
+        }
+        sent.push_back(std::move(output));
+    }
+};
+
+// One member of three, driven by hand-made messages.
+struct single_member {
+    memory_disk files;
+    chain_machine machine;
+    recording_transport network;
+    std::unique_ptr<replica> member;
+    time_point now{std::chrono::seconds(100)};
+
+    single_member()
+    {
+        const auto members =
+            make_initial_membership({{1, 0, true, "a"}, {2, 0, true, "b"}, {3, 0, true, "c"}});
+        BOOST_TEST_REQUIRE(storage::initialise(files, "group", 1, members).has_value());
+        open();
+    }
+
+    void open()
+    {
+        auto opened = storage::open(files, "group", 1);
+        BOOST_TEST_REQUIRE(opened.has_value());
+        auto created =
+            replica::open(std::move(opened.value()), machine, network, options{}, random_engine(1), now);
+        BOOST_TEST_REQUIRE(created.has_value());
+        member = std::move(created.value());
+    }
+
+    void step(message input)
+    {
+        input.to = 1;
+        BOOST_TEST_REQUIRE(member->step(input, now).has_value());
+    }
+};
+
+message vote_request(member_id from, term_number term)
+{
+    message value;
+    value.kind = message_kind::vote_request;
+    value.from = from;
+    value.term = term;
+    value.index = 1;
+    value.log_term = 1;
+    return value;
+}
+
+message append_request(term_number term, log_index previous, std::vector<entry> entries)
+{
+    message value;
+    value.kind = message_kind::append_request;
+    value.from = 2;
+    value.term = term;
+    value.index = previous;
+    value.log_term = 1;
+    value.entries = std::move(entries);
+    return value;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(raft_replica)
+
+// Guards against two leaders in one term: a vote is durable before the candidate hears of it.
+BOOST_AUTO_TEST_CASE(a_vote_is_kept_through_a_power_failure)
+{
+    random_engine random(1);
+    single_member node;
+    node.network.on_send = [&](const message&) { node.files.before_operation = [] { return false; }; };
+    node.step(vote_request(2, 5));
+    BOOST_TEST_REQUIRE(node.network.sent.size() == 1U);
+    BOOST_TEST(!node.network.sent[0].reject);
+    node.files.before_operation = nullptr;
+    node.network.on_send = nullptr;
+    node.files.crash(crash_kind::power, random);
+    node.open();
+    node.step(vote_request(3, 5));
+    BOOST_TEST(node.network.sent[1].reject);
+    node.step(vote_request(2, 5));
+    BOOST_TEST(!node.network.sent[2].reject);
+}
+
+// Guards against an acknowledgement of entries that a power failure takes away.
+BOOST_AUTO_TEST_CASE(entries_are_durable_before_they_are_acknowledged)
+{
+    random_engine random(2);
+    single_member node;
+    node.step(append_request(2, 1, {{2, 2, entry_kind::no_op, {}}, {3, 2, entry_kind::command, bytes(8)}}));
+    BOOST_TEST_REQUIRE(node.network.sent.size() == 1U);
+    BOOST_TEST(node.network.sent[0].index == 3U);
+    node.files.crash(crash_kind::power, random);
+    BOOST_TEST(storage::open(node.files, "group", 1).value()->take_start_state().entries.size() == 3U);
+}
+
+// Guards against an answer of a member whose disk failed.
+BOOST_AUTO_TEST_CASE(nothing_is_sent_after_a_storage_error)
+{
+    single_member node;
+    node.files.before_operation = [] { return false; };
+    message request = vote_request(2, 5);
+    request.to = 1;
+    BOOST_TEST(!node.member->step(request, node.now).has_value());
+    BOOST_TEST(node.network.sent.empty());
+    node.files.before_operation = nullptr;
+    BOOST_TEST(!node.member->tick(node.now + milliseconds(2000)).has_value());
+    BOOST_TEST(node.network.sent.empty());
+}
+
+// Guards against a pre-vote that deposes a leader which this member hears.
+BOOST_AUTO_TEST_CASE(pre_votes_are_refused_while_a_leader_is_heard)
+{
+    single_member node;
+    message request = vote_request(3, 3);
+    request.kind = message_kind::pre_vote_request;
+    node.step(request);
+    BOOST_TEST(node.network.sent.back().reject); // a leader may have been heard just before the restart
+    node.now += milliseconds(600);
+    node.step(append_request(2, 1, {}));
+    node.now += milliseconds(499);
+    node.step(request);
+    BOOST_TEST(node.network.sent.back().reject);
+    node.now += milliseconds(1);
+    node.step(request);
+    BOOST_TEST(!node.network.sent.back().reject);
+    BOOST_TEST(node.member->state().term() == 2U);
+}
+
+// Guards against a leader that overwrites committed entries: the member stops instead of following.
+BOOST_AUTO_TEST_CASE(a_member_stops_when_committed_entries_would_change)
+{
+    single_member node;
+    message first = append_request(2, 1, {{2, 2, entry_kind::no_op, {}}});
+    first.commit = 2;
+    node.step(first);
+    message second = append_request(3, 1, {{2, 3, entry_kind::no_op, {}}});
+    second.to = 1;
+    const auto stopped = node.member->step(second, node.now);
+    BOOST_TEST_REQUIRE(!stopped.has_value());
+    BOOST_TEST((stopped.error().kind == error_kind::corrupt));
+}
+
+// Guards against a leader that crashes between any two of its steps: the proposal is lost or kept everywhere,
+// and an acknowledged one is kept.
+BOOST_AUTO_TEST_CASE(a_leader_may_crash_at_every_step_of_a_proposal)
+{
+    for (unsigned operations = 0; operations < 40; ++operations) {
+        for (const auto kind : {crash_kind::power, crash_kind::process}) {
+            raft_cluster cluster(operations + 1, 3);
+            const auto led = [&] { return cluster.leader() != 0; };
+            BOOST_TEST_REQUIRE(cluster.run_until(led, milliseconds(5000)));
+            cluster.run(milliseconds(300));
+            const member_id leader = cluster.leader();
+            cluster.crash_after(leader, operations, kind);
+            for (int i = 0; i < 3; ++i) {
+                cluster.propose(leader);
+            }
+            cluster.run(milliseconds(1500));
+            cluster.cancel_crash(leader);
+            BOOST_TEST_REQUIRE(cluster.restart(leader));
+            BOOST_TEST_REQUIRE(cluster.run_until([&] { return led() && cluster.propose(cluster.leader()); },
+                                                 milliseconds(5000)));
+            cluster.run(milliseconds(500));
+            for (const member_id id : cluster.ids()) {
+                BOOST_TEST(cluster.machine_of(id).chain() == cluster.machine_of(cluster.leader()).chain());
+                cluster.checker().check_survival(id, cluster.at(id)->state().applied());
+            }
+            BOOST_TEST(cluster.accepted_count() == cluster.reported_count());
+            BOOST_TEST(cluster.checker().violations().empty());
+        }
+    }
+}
+
+// Guards against a leader that was frozen, was replaced meanwhile and confirms its old state when it thaws.
+BOOST_AUTO_TEST_CASE(a_thawed_leader_confirms_nothing)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        raft_cluster cluster(seed, 3);
+        BOOST_TEST_REQUIRE(cluster.run_until([&] { return cluster.leader() != 0; }, milliseconds(5000)));
+        cluster.run(milliseconds(300));
+        const member_id old = cluster.leader();
+        cluster.freeze(old);
+        const auto replaced = [&] { return cluster.leader() != 0 && cluster.leader() != old; };
+        BOOST_TEST_REQUIRE(cluster.run_until(replaced, milliseconds(5000)));
+        BOOST_TEST(cluster.propose(cluster.leader()));
+        cluster.run(milliseconds(100));
+        BOOST_TEST(!cluster.at(old)->state().confirm_age(cluster.now()).has_value());
+        cluster.thaw(old);
+        cluster.run(milliseconds(1000));
+        BOOST_TEST(cluster.checker().violations().empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
