Add tests and the bench of the policy modules, and a dispatch window

Cause: the policy modules had no tests and no comparison with the baselines.

Ruled out: estimates that contain the wait behind other prompts (they counted the queue twice and refused a quarter of the short requests at 1.5 times capacity); promotion of long work to the engine priority of short work (one promoted prompt delays short ones by seconds).

Change: a test suite per module with seeded random runs; bench/policy_bench with simulated engines and nine scenarios; the admission queue bounds the unprocessed prompts per length class, so that work waits where the policy decides.

--- /dev/null
+++ b/bench/policy_entry.cpp
@@ -0,0 +1,257 @@
+#include "bench/policy_cluster.h"
+
+#include <algorithm>
+
+namespace verbena::bench {
+
+namespace {
+
+constexpr std::size_t attempts_after_refusal = 3;
+constexpr auto network_delay = std::chrono::microseconds(500);
+constexpr auto wait_for_eligible = milliseconds(200);
+
+policy::router_options router_of(const std::string& domain)
+{
+    policy::router_options options;
+    options.own_failure_domain = domain;
+    return options;
+}
+
+} // namespace
+
+model_entry::model_entry(cluster& owner, std::uint32_t number, const std::string& domain)
+    : m_owner(owner), m_number(number), m_router(router_of(domain), owner.chosen().rule),
+      m_buffers(owner.options().buffers)
+{
+}
+
+policy::route_request model_entry::route_of(const open_job& open) const
+{
+    const job_spec& job = *open.job;
+    return {.service = job.order ? "orders" : "model",
+            .prompt_tokens = job.prompt_tokens,
+            .max_tokens = job.max_tokens,
+            .prefix_hash = job.prefix_hash,
+            .tried = open.tried};
+}
+
+bool model_entry::too_large(const job_spec& job) const
+{
+    const policy::memory_account largest(engine_options{}.capacity_tokens);
+    return !largest.can_ever_fit(std::uint64_t{job.prompt_tokens} + job.max_tokens, job.length);
+}
+
+void model_entry::arrive(const job_spec& job)
+{
+    const time_point now = m_owner.events().now();
+    job_result& result = m_owner.result(job.number);
+    if (too_large(job)) {
+        result.outcome = job_outcome::too_large;
+        result.ended = now;
+        return;
+    }
+    const request_id stream{m_number, job.number};
+    if (m_buffers.reserve(stream, team_name(job.team), job.max_tokens) != policy::buffer_verdict::reserved) {
+        result.outcome = job_outcome::refused;
+        result.ended = now;
+        return;
+    }
+    m_owner.note_buffers();
+    m_open[job.number] = {&job, now, now + job.time_limit, 0, {}, {}};
+    m_budget.record_request(team_name(job.team), job.order ? "orders" : "model", now);
+    const std::uint64_t number = job.number;
+    m_owner.events().after(job.time_limit, [this, number] { expire(number); });
+    send(number);
+}
+
+void model_entry::send(std::uint64_t number)
+{
+    const auto found = m_open.find(number);
+    if (found == m_open.end()) {
+        return;
+    }
+    open_job& open = found->second;
+    const auto request = route_of(open);
+    const auto endpoint = m_router.pick(request, m_owner.events().now(), m_owner.random());
+    if (!endpoint) {
+        none_eligible(number);
+        return;
+    }
+    ++open.attempt;
+    ++m_owner.result(number).attempts;
+    open.endpoint = *endpoint;
+    m_router.started(*endpoint, request);
+    const attempt_id attempt{request_id{m_number, number}, open.attempt};
+    const job_spec* job = open.job;
+    const time_point deadline = open.deadline;
+    m_owner.events().after(network_delay, [this, job, attempt, deadline, name = *endpoint] {
+        model_agent* agent = m_owner.agent(name);
+        if (agent->submit(*job, attempt, deadline)) {
+            admitted(attempt);
+        } else {
+            refused(attempt, name, agent->report());
+        }
+    });
+}
+
+void model_entry::none_eligible(std::uint64_t number)
+{
+    open_job& open = m_open.at(number);
+    if (!m_owner.result(number).admitted) {
+        close(number, job_outcome::refused);
+        return;
+    }
+    // Admitted work was handed back: it waits for an endpoint until its deadline.
+    open.tried.clear();
+    m_owner.events().after(wait_for_eligible, [this, number] { send(number); });
+}
+
+void model_entry::admitted(const attempt_id& attempt)
+{
+    m_owner.result(attempt.request.low).admitted = true;
+}
+
+bool model_entry::end_attempt(const attempt_id& attempt, const std::string& endpoint, policy::attempt_end end)
+{
+    const auto found = m_open.find(attempt.request.low);
+    if (found == m_open.end() || found->second.attempt != attempt.number ||
+        found->second.endpoint != endpoint) {
+        return false;
+    }
+    open_job& open = found->second;
+    m_router.finished(endpoint, route_of(open), end, m_owner.events().now());
+    open.endpoint.clear();
+    open.tried.push_back(endpoint);
+    return true;
+}
+
+void model_entry::take_report(const std::string& endpoint, const policy::load_report& load)
+{
+    const bool lost = static_cast<double>(m_owner.random()() % 1'000) < m_owner.options().report_loss * 1'000;
+    if (lost) {
+        return;
+    }
+    const time_point measured = m_owner.events().now();
+    m_owner.events().after(m_owner.options().report_delay,
+                           [this, endpoint, load, measured] { m_router.report(endpoint, load, measured); });
+}
+
+void model_entry::retry_or(std::uint64_t number, job_outcome otherwise)
+{
+    const open_job& open = m_open.at(number);
+    const std::string team = team_name(open.job->team);
+    const char* service = open.job->order ? "orders" : "model";
+    if (m_budget.try_retry(team, service, m_owner.events().now())) {
+        send(number);
+    } else {
+        close(number, otherwise);
+    }
+}
+
+void model_entry::refused(const attempt_id& attempt, const std::string& endpoint,
+                          const policy::load_report& load)
+{
+    take_report(endpoint, load);
+    if (!end_attempt(attempt, endpoint, policy::attempt_end::refused)) {
+        return;
+    }
+    const std::uint64_t number = attempt.request.low;
+    if (m_owner.result(number).admitted) {
+        m_owner.events().after(wait_for_eligible, [this, number] { send(number); });
+        return;
+    }
+    if (m_open.at(number).tried.size() >= attempts_after_refusal) {
+        close(number, job_outcome::refused);
+        return;
+    }
+    retry_or(number, job_outcome::refused);
+}
+
+void model_entry::handed_back(const attempt_id& attempt, const std::string& endpoint)
+{
+    if (end_attempt(attempt, endpoint, policy::attempt_end::refused)) {
+        send(attempt.request.low);
+    }
+}
+
+void model_entry::first_token(const attempt_id& attempt)
+{
+    const auto found = m_open.find(attempt.request.low);
+    if (found != m_open.end() && found->second.attempt == attempt.number) {
+        auto& first = m_owner.result(attempt.request.low).first_token;
+        first = first.value_or(m_owner.events().now() + network_delay);
+    }
+}
+
+void model_entry::finished(const attempt_id& attempt, const std::string& endpoint,
+                           const policy::load_report& load)
+{
+    take_report(endpoint, load);
+    if (end_attempt(attempt, endpoint, policy::attempt_end::success)) {
+        close(attempt.request.low, job_outcome::done);
+    }
+}
+
+void model_entry::failed(const attempt_id& attempt, const std::string& endpoint)
+{
+    if (!end_attempt(attempt, endpoint, policy::attempt_end::failure)) {
+        return;
+    }
+    const std::uint64_t number = attempt.request.low;
+    if (m_open.at(number).job->order) {
+        close(number, job_outcome::unknown);
+    } else if (m_owner.result(number).first_token) {
+        close(number, job_outcome::failed);
+    } else {
+        retry_or(number, job_outcome::failed);
+    }
+}
+
+void model_entry::expire(std::uint64_t number)
+{
+    const auto found = m_open.find(number);
+    if (found == m_open.end()) {
+        return;
+    }
+    const std::string endpoint = found->second.endpoint;
+    const attempt_id attempt{request_id{m_number, number}, found->second.attempt};
+    if (!endpoint.empty()) {
+        end_attempt(attempt, endpoint, policy::attempt_end::refused);
+    }
+    close(number, job_outcome::expired);
+    if (!endpoint.empty()) {
+        m_owner.agent(endpoint)->cancel(attempt);
+    }
+}
+
+void model_entry::close(std::uint64_t number, job_outcome outcome)
+{
+    const auto found = m_open.find(number);
+    job_result& result = m_owner.result(number);
+    result.outcome = outcome;
+    result.ended = m_owner.events().now();
+    const open_job open = found->second;
+    m_open.erase(found);
+    if (outcome == job_outcome::done) {
+        release_buffer(*open.job, open.arrival);
+    } else {
+        m_buffers.release({m_number, number});
+    }
+}
+
+// A slow reader has read the whole answer later than the engine produced it.
+void model_entry::release_buffer(const job_spec& job, time_point arrival)
+{
+    const request_id stream{m_number, job.number};
+    if (job.reader_bytes_per_second <= 0) {
+        m_buffers.release(stream);
+        return;
+    }
+    const double seconds =
+        job.output_tokens * policy::buffer_account::bytes_per_token / job.reader_bytes_per_second;
+    const auto read = std::chrono::duration_cast<clock::duration>(std::chrono::duration<double>(seconds));
+    m_owner.events().at(std::min(m_owner.events().now() + read, arrival + job.time_limit),
+                        [this, stream] { m_buffers.release(stream); });
+}
+
+} // namespace verbena::bench
--- /dev/null
+++ b/bench/policy_scenarios.cpp
@@ -0,0 +1,437 @@
+#include "bench/policy_scenarios.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace verbena::bench {
+
+namespace {
+
+using std::chrono::seconds;
+using target = figure::target;
+using job_filter = std::function<bool(const job_spec&)>;
+
+// Time after the last arrival in which open requests may end; longer than their deadlines, except for long
+// ones.
+constexpr auto rest = seconds(120);
+
+struct run_result {
+    std::unique_ptr<cluster> state;
+    std::vector<job_spec> jobs;
+    clock::duration length{};
+};
+
+using preparation = std::function<void(cluster&)>;
+
+cluster_options options_for(const scenario_size& size)
+{
+    cluster_options options;
+    options.seed = size.seed;
+    options.endpoints = size.endpoints;
+    return options;
+}
+
+workload_options load_for(const scenario_size& size, double load)
+{
+    return mixed_load(size.seed, size.length, load * mixed_capacity(size.endpoints));
+}
+
+run_result run_jobs(const setup& chosen, const cluster_options& options, std::vector<job_spec> jobs,
+                    clock::duration length, const preparation& prepare = {})
+{
+    run_result result;
+    result.state = std::make_unique<cluster>(options, chosen);
+    result.jobs = std::move(jobs);
+    result.length = length;
+    if (prepare) {
+        prepare(*result.state);
+    }
+    result.state->run(result.jobs, length, rest);
+    return result;
+}
+
+double seconds_of(clock::duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+double percentile(std::vector<double> values, double share)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    const auto index = static_cast<std::size_t>(std::ceil(share * static_cast<double>(values.size())));
+    return values[std::max<std::size_t>(index, 1) - 1];
+}
+
+bool is_short(const job_spec& job)
+{
+    return !job.order && job.length == length_class::short_prompt;
+}
+
+std::vector<double> first_token_times(const run_result& run, const job_filter& filter)
+{
+    std::vector<double> values;
+    for (const job_spec& job : run.jobs) {
+        const job_result& result = run.state->results()[job.number];
+        if (!job.order && result.first_token && filter(job)) {
+            values.push_back(seconds_of(*result.first_token - run.state->start() - job.arrival));
+        }
+    }
+    return values;
+}
+
+std::vector<double> response_times(const run_result& run, const job_filter& filter)
+{
+    std::vector<double> values;
+    for (const job_spec& job : run.jobs) {
+        const job_result& result = run.state->results()[job.number];
+        if (result.outcome == job_outcome::done && filter(job)) {
+            values.push_back(seconds_of(result.ended - run.state->start() - job.arrival));
+        }
+    }
+    return values;
+}
+
+double ratio(double value, double reference)
+{
+    return reference > 0 ? value / reference : 0;
+}
+
+double percentile_ratio(const std::vector<double>& values, const std::vector<double>& reference, double share)
+{
+    return ratio(percentile(values, share), percentile(reference, share));
+}
+
+double count_outcomes(const run_result& run, const std::vector<job_outcome>& outcomes)
+{
+    double count = 0;
+    for (const job_result& result : run.state->results()) {
+        const bool counts = std::find(outcomes.begin(), outcomes.end(), result.outcome) != outcomes.end();
+        count += result.admitted && counts ? 1 : 0;
+    }
+    return count;
+}
+
+double done_share(const run_result& run, const job_filter& filter)
+{
+    double done = 0;
+    double all = 0;
+    for (const job_spec& job : run.jobs) {
+        const job_outcome outcome = run.state->results()[job.number].outcome;
+        if (filter(job) && outcome != job_outcome::too_large) {
+            all += 1;
+            done += outcome == job_outcome::done ? 1 : 0;
+        }
+    }
+    return ratio(done, all);
+}
+
+// Tokens of the requests that were answered in a part of the run.
+double goodput(const run_result& run, clock::duration from, clock::duration to)
+{
+    double tokens = 0;
+    for (const job_spec& job : run.jobs) {
+        const job_result& result = run.state->results()[job.number];
+        const auto ended = result.ended - run.state->start();
+        if (result.outcome == job_outcome::done && ended >= from && ended < to) {
+            tokens += job.prompt_tokens + job.output_tokens;
+        }
+    }
+    return tokens;
+}
+
+double long_tokens(const run_result& run)
+{
+    double tokens = 0;
+    for (const job_spec& job : run.jobs) {
+        const job_result& result = run.state->results()[job.number];
+        const bool counts = job.length == length_class::long_prompt && result.outcome == job_outcome::done;
+        if (counts && result.ended - run.state->start() <= run.length) {
+            tokens += job.prompt_tokens + job.output_tokens;
+        }
+    }
+    return tokens;
+}
+
+double engine_overloads(const run_result& run)
+{
+    double failures = 0;
+    for (const auto& agent : run.state->agents()) {
+        failures += agent->engine().memory_failures() + agent->engine().cold_failures();
+    }
+    return failures;
+}
+
+double answered_late(const run_result& run)
+{
+    double late = 0;
+    const time_point end = run.state->events().now();
+    for (const job_spec& job : run.jobs) {
+        const job_result& result = run.state->results()[job.number];
+        const time_point deadline = run.state->start() + job.arrival + job.time_limit;
+        const bool open = result.outcome == job_outcome::open && deadline < end;
+        const bool late_end =
+            result.outcome != job_outcome::open && result.ended > deadline + milliseconds(1);
+        late += result.admitted && (open || late_end) ? 1 : 0;
+    }
+    return late;
+}
+
+double repeated_orders(const run_result& run)
+{
+    return static_cast<double>(std::count_if(run.jobs.begin(), run.jobs.end(), [&run](const job_spec& job) {
+        return job.order && run.state->results()[job.number].runs > 1;
+    }));
+}
+
+// Figures that each scenario has to keep.
+void append_safety(std::vector<figure>& figures, const run_result& run)
+{
+    figures.push_back({"overloads of an endpoint", engine_overloads(run), target::at_most, 0});
+    figures.push_back({"admitted, past deadline without answer", answered_late(run), target::at_most, 0});
+    figures.push_back({"orders run twice", repeated_orders(run), target::at_most, 0});
+    figures.push_back({"admitted, 504 at the deadline", count_outcomes(run, {job_outcome::expired})});
+    figures.push_back(
+        {"admitted, failed or unknown", count_outcomes(run, {job_outcome::failed, job_outcome::unknown})});
+}
+
+void append_first_tokens(std::vector<figure>& figures, const run_result& run)
+{
+    struct bucket {
+        const char* name;
+        std::uint32_t low;
+        std::uint32_t high;
+    };
+    for (const bucket& part :
+         {bucket{"1k-8k", 1, 8'000}, bucket{"8k-32k", 8'001, 32'000}, bucket{"32k-100k", 32'001, 100'000},
+          bucket{"100k-280k", 100'001, 1'000'000}}) {
+        const auto values = first_token_times(run, [&part](const job_spec& job) {
+            return job.prompt_tokens >= part.low && job.prompt_tokens <= part.high;
+        });
+        figures.push_back({std::string("first token p50 s, ") + part.name, percentile(values, 0.50)});
+        figures.push_back({std::string("first token p95 s, ") + part.name, percentile(values, 0.95)});
+    }
+}
+
+} // namespace
+
+bool figure::met() const
+{
+    switch (kind) {
+    case target::none:
+        return true;
+    case target::at_most:
+        return value <= bound;
+    case target::at_least:
+        return value >= bound;
+    }
+    return false;
+}
+
+std::vector<figure> plain_load(const setup& chosen, const scenario_size& size)
+{
+    const auto run = run_jobs(chosen, options_for(size), make_workload(load_for(size, 0.7)), size.length);
+    std::vector<figure> figures;
+    append_first_tokens(figures, run);
+    figures.push_back({"share of requests done", done_share(run, [](const job_spec&) { return true; })});
+    append_safety(figures, run);
+    return figures;
+}
+
+std::vector<figure> short_beside_long(const setup& chosen, const scenario_size& size)
+{
+    const auto mixed = load_for(size, 0.7);
+    auto alone = mixed;
+    alone.medium_rate = 0;
+    alone.long_rate = 0;
+    const auto beside = run_jobs(chosen, options_for(size), make_workload(mixed), size.length);
+    const auto reference = run_jobs(chosen, options_for(size), make_workload(alone), size.length);
+    const auto first = first_token_times(beside, is_short);
+    const auto first_alone = first_token_times(reference, is_short);
+    const auto whole = response_times(beside, is_short);
+    const auto whole_alone = response_times(reference, is_short);
+    return {
+        {"short first token, slowdown p95", percentile_ratio(first, first_alone, 0.95), target::at_most, 1.2},
+        {"short first token, slowdown p99", percentile_ratio(first, first_alone, 0.99), target::at_most, 1.5},
+        {"short answer, slowdown p95", percentile_ratio(whole, whole_alone, 0.95), target::at_most, 1.2},
+        {"short answer, slowdown p99", percentile_ratio(whole, whole_alone, 0.99), target::at_most, 1.5},
+    };
+}
+
+std::vector<figure> long_beside_short(const setup& chosen, const scenario_size& size)
+{
+    const auto mixed = load_for(size, 0.7);
+    auto alone = mixed;
+    alone.short_rate = 0;
+    alone.medium_rate = 0;
+    const auto beside = run_jobs(chosen, options_for(size), make_workload(mixed), size.length);
+    const auto reference = run_jobs(chosen, options_for(size), make_workload(alone), size.length);
+    const double value = ratio(long_tokens(beside), long_tokens(reference));
+    return {{"long throughput beside short work", value, target::at_least, 0.9}};
+}
+
+std::vector<figure> overload(const setup& chosen, const scenario_size& size)
+{
+    const auto run = run_jobs(chosen, options_for(size), make_workload(load_for(size, 1.5)), size.length);
+    std::vector<figure> figures;
+    append_first_tokens(figures, run);
+    figures.push_back({"share of short requests done", done_share(run, is_short)});
+    const double capacity = endpoint_tokens_per_second * size.endpoints * seconds_of(size.length);
+    figures.push_back({"goodput against prefill capacity", goodput(run, {}, size.length) / capacity});
+    append_safety(figures, run);
+    return figures;
+}
+
+std::vector<figure> domain_out(const setup& chosen, const scenario_size& size)
+{
+    const auto jobs = make_workload(load_for(size, 0.8));
+    const auto out = size.length / 3;
+    const auto back = 2 * size.length / 3;
+    const auto run = run_jobs(chosen, options_for(size), jobs, size.length, [out, back](cluster& state) {
+        state.set_domain("domain1", false, out);
+        state.set_domain("domain1", true, back);
+    });
+    const auto rest_alone = run_jobs(chosen, options_for(size), jobs, size.length, [](cluster& state) {
+        state.set_domain("domain1", false, clock::duration::zero());
+    });
+    const double carried = goodput(rest_alone, out, back);
+    const auto last = run.state->last_work_after_out("domain1");
+    std::vector<figure> figures{
+        {"goodput while out, against the rest", ratio(goodput(run, out, back), carried), target::at_least,
+         0.95},
+        {"admitted requests lost", count_outcomes(run, {job_outcome::failed, job_outcome::unknown}),
+         target::at_most, 0},
+        {"last new work after leaving, s", last ? seconds_of(*last) : 0, target::at_most, 3},
+        {"goodput after return, against load",
+         ratio(goodput(run, back, size.length), goodput(rest_alone, back, size.length))},
+    };
+    append_safety(figures, run);
+    return figures;
+}
+
+std::vector<figure> turning_cold(const setup& chosen, const scenario_size& size)
+{
+    const auto jobs = make_workload(load_for(size, 0.6));
+    const auto run = run_jobs(chosen, options_for(size), jobs, size.length, [&size](cluster& state) {
+        for (std::uint32_t i = 0; i < 6; ++i) {
+            state.turn_cold((i * 7) % size.endpoints, size.length * (i + 1) / 8);
+        }
+    });
+    std::vector<figure> figures;
+    figures.push_back({"short first token p95 s", percentile(first_token_times(run, is_short), 0.95)});
+    figures.push_back({"share of requests done", done_share(run, [](const job_spec&) { return true; })});
+    append_safety(figures, run);
+    return figures;
+}
+
+std::vector<figure> lagging_reports(const setup& chosen, const scenario_size& size)
+{
+    auto options = options_for(size);
+    options.report_delay = seconds(2);
+    options.report_loss = 0.5;
+    const auto run = run_jobs(chosen, options, make_workload(load_for(size, 0.7)), size.length);
+    std::vector<figure> figures;
+    figures.push_back({"short first token p95 s", percentile(first_token_times(run, is_short), 0.95)});
+    figures.push_back({"share of requests done", done_share(run, [](const job_spec&) { return true; })});
+    append_safety(figures, run);
+    return figures;
+}
+
+std::vector<figure> slow_readers(const setup& chosen, const scenario_size& size)
+{
+    auto options = options_for(size);
+    const double scale = static_cast<double>(size.endpoints) / 20;
+    options.buffers = {.stream = 4'000,
+                       .team = static_cast<std::uint64_t>(48'000 * scale),
+                       .total = static_cast<std::uint64_t>(192'000 * scale)};
+    const auto fast = make_workload(load_for(size, 0.7));
+    auto slow = fast;
+    for (job_spec& job : slow) {
+        job.reader_bytes_per_second = job.team == 0 ? 20 : 0;
+    }
+    const auto run = run_jobs(chosen, options, slow, size.length);
+    const auto reference = run_jobs(chosen, options, fast, size.length);
+    const auto others = [](const job_spec& job) { return !job.order && job.team != 0; };
+    const double peak = static_cast<double>(run.state->buffer_peak());
+    std::vector<figure> figures{
+        {"peak of reserved buffers against the cap", peak / static_cast<double>(options.buffers.total),
+         target::at_most, 1},
+        {"p99 of other teams, against fast readers",
+         percentile_ratio(response_times(run, others), response_times(reference, others), 0.99),
+         target::at_most, 1.1},
+        {"share of other teams' requests done", done_share(run, others)},
+    };
+    append_safety(figures, run);
+    return figures;
+}
+
+std::vector<figure> team_over_share(const setup& chosen, const scenario_size& size)
+{
+    auto load = load_for(size, 1.0);
+    load.team_factors.assign(team_count, 0.9);
+    load.team_factors[0] = 0;
+    const auto reference = run_jobs(chosen, options_for(size), make_workload(load), size.length);
+    load.team_factors[0] = 2;
+    const auto run = run_jobs(chosen, options_for(size), make_workload(load), size.length);
+    const auto within = [](const job_spec& job) { return !job.order && job.team != 0; };
+    const auto within_short = [](const job_spec& job) { return is_short(job) && job.team != 0; };
+    std::vector<figure> figures{
+        {"p95 answer of teams within share",
+         percentile_ratio(response_times(run, within), response_times(reference, within), 0.95),
+         target::at_most, 1.2},
+        {"p95 first token of teams within share",
+         percentile_ratio(first_token_times(run, within_short), first_token_times(reference, within_short),
+                          0.95),
+         target::at_most, 1.2},
+        {"share of their requests done", done_share(run, within)},
+    };
+    append_safety(figures, run);
+    return figures;
+}
+
+std::vector<scenario> all_scenarios()
+{
+    return {
+        {"plain load 0.7", plain_load},
+        {"short beside long", short_beside_long},
+        {"long beside short", long_beside_short},
+        {"overload 1.5", overload},
+        {"failure domain out and back", domain_out},
+        {"endpoints turning cold", turning_cold},
+        {"lagging and missing reports", lagging_reports},
+        {"slow readers", slow_readers},
+        {"team at twice its share", team_over_share},
+    };
+}
+
+setup design_setup()
+{
+    return {.name = "class_shares+window", .window = policy::dispatch_window{}};
+}
+
+std::vector<setup> all_setups()
+{
+    using policy::choice_rule;
+    return {
+        {.name = "round_robin",
+         .rule = choice_rule::round_robin,
+         .order = scheduling::first_come,
+         .limits = false,
+         .priorities = false,
+         .window = {}},
+        {.name = "least_outst",
+         .rule = choice_rule::least_outstanding,
+         .order = scheduling::first_come,
+         .limits = true,
+         .priorities = false,
+         .window = {}},
+        {.name = "class_shares", .window = {}},
+        design_setup(),
+        {.name = "shortest+window", .order = scheduling::shortest_work, .window = policy::dispatch_window{}},
+    };
+}
+
+} // namespace verbena::bench
--- /dev/null
+++ b/bench/policy_workload.cpp
@@ -0,0 +1,137 @@
+#include "bench/policy_workload.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace verbena::bench {
+
+namespace {
+
+constexpr double short_share = 0.80;
+constexpr double medium_share = 0.18;
+constexpr double long_share = 0.02;
+
+// Largest long prompt that an endpoint of 400,000 tokens takes; larger ones are refused as too large.
+constexpr double largest_long = 279'000;
+
+double log_uniform_mean(double low, double high)
+{
+    return (high - low) / std::log(high / low);
+}
+
+struct kind {
+    double rate = 0;
+    double low = 0;
+    double high = 0;
+    double output_low = 0;
+    double output_high = 0;
+    clock::duration time_limit{};
+    bool order = false;
+};
+
+double uniform(random_engine& random)
+{
+    return static_cast<double>(random() >> 11U) * 0x1.0p-53;
+}
+
+double log_uniform(random_engine& random, double low, double high)
+{
+    return low * std::pow(high / low, uniform(random));
+}
+
+job_spec draw_job(random_engine& random, const kind& of, std::uint32_t team)
+{
+    job_spec job;
+    job.team = team;
+    job.order = of.order;
+    if (!of.order) {
+        job.prompt_tokens = static_cast<std::uint32_t>(log_uniform(random, of.low, of.high));
+        job.output_tokens = static_cast<std::uint32_t>(log_uniform(random, of.output_low, of.output_high));
+        job.max_tokens = job.output_tokens + job.output_tokens / 2;
+        // A third of the requests share one of 50 prompt prefixes.
+        job.prefix_hash = uniform(random) < 0.33 ? 1 + random() % 50 : 0;
+    }
+    job.length = classify(job.prompt_tokens);
+    job.time_limit = of.time_limit;
+    return job;
+}
+
+// Poisson arrivals of one kind for one team, from a generator of their own.
+void append_stream(std::vector<job_spec>& jobs, const workload_options& options, const kind& of,
+                   std::uint32_t team, std::uint64_t stream)
+{
+    double weights = 0;
+    for (std::uint32_t i = 0; i < team_count; ++i) {
+        weights += team_weight(i);
+    }
+    const double rate = of.rate * options.team_factors[team] * team_weight(team) / weights;
+    if (rate <= 0) {
+        return;
+    }
+    random_engine random(options.seed * 1'000 + stream * team_count + team);
+    const double end = std::chrono::duration<double>(options.length).count();
+    double now = 0;
+    while (true) {
+        now -= std::log(1.0 - uniform(random)) / rate;
+        if (now >= end) {
+            return;
+        }
+        job_spec job = draw_job(random, of, team);
+        job.arrival = std::chrono::duration_cast<clock::duration>(std::chrono::duration<double>(now));
+        jobs.push_back(job);
+    }
+}
+
+} // namespace
+
+std::string team_name(std::uint32_t team)
+{
+    return "team" + std::to_string(team);
+}
+
+std::vector<job_spec> make_workload(const workload_options& options)
+{
+    using std::chrono::seconds;
+    const std::vector<kind> kinds{
+        {options.short_rate, 1'000, 8'000, 50, 400, seconds(30), false},
+        {options.medium_rate, 8'001, 100'000, 100, 600, seconds(60), false},
+        {options.long_rate, 100'001, 1'000'000, 200, 800, seconds(600), false},
+        {options.order_rate, 0, 0, 0, 0, seconds(10), true},
+    };
+    std::vector<job_spec> jobs;
+    for (std::size_t i = 0; i < kinds.size(); ++i) {
+        for (std::uint32_t team = 0; team < team_count; ++team) {
+            append_stream(jobs, options, kinds[i], team, i);
+        }
+    }
+    std::stable_sort(jobs.begin(), jobs.end(), [](const job_spec& left, const job_spec& right) {
+        return left.arrival < right.arrival;
+    });
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        jobs[i].number = i + 1;
+    }
+    return jobs;
+}
+
+workload_options mixed_load(std::uint64_t seed, clock::duration length, double rate)
+{
+    workload_options options;
+    options.seed = seed;
+    options.length = length;
+    options.short_rate = rate * short_share;
+    options.medium_rate = rate * medium_share;
+    options.long_rate = rate * long_share;
+    options.order_rate = 4;
+    return options;
+}
+
+double mixed_capacity(double endpoints)
+{
+    const double long_fits = std::log(largest_long / 100'000) / std::log(10.0);
+    const double mean = short_share * log_uniform_mean(1'000, 8'000) +
+                        medium_share * log_uniform_mean(8'000, 100'000) +
+                        long_share * long_fits * log_uniform_mean(100'000, largest_long);
+    return endpoints * endpoint_tokens_per_second / mean;
+}
+
+} // namespace verbena::bench
--- a/src/policy/admission_queue.cpp
+++ b/src/policy/admission_queue.cpp
@@ -18,6 +18,19 @@
     }
 };
 
+// The engine keeps the priority of dispatch, so aging of dispatched work holds new work back instead: medium
+// work while older long work has aged, short work in one second of four while other work has waited half of
+// its time.
+bool yields_to(const queued_request& dispatched, length_class length, time_point now)
+{
+    const std::uint32_t quarters = quarters_waited(dispatched, now);
+    if (length != length_class::short_prompt) {
+        return quarters > 0;
+    }
+    const auto second = std::chrono::floor<std::chrono::seconds>(now.time_since_epoch()).count();
+    return quarters >= 2 && second % 4 == 0;
+}
+
 } // namespace
 
 const char* to_string(push_verdict verdict)
@@ -96,31 +109,58 @@
     return candidates;
 }
 
+bool admission_queue::window_allows(const queued_request& request, time_point now) const
+{
+    if (!m_window) {
+        return true;
+    }
+    const auto length = request.length();
+    const std::uint32_t level = engine_level(request, now);
+    std::uint64_t sum = 0;
+    for (const pending& other : m_pending) {
+        if (other.request.length() == length) {
+            sum += other.request.prompt_tokens;
+        } else if (other.level > level && yields_to(other.request, length, now)) {
+            return false;
+        }
+    }
+    return sum == 0 || sum + request.prompt_tokens <= m_window->tokens[static_cast<std::size_t>(length)];
+}
+
+void admission_queue::hold_for(const queued_request& request, const memory_account& memory,
+                               constraints& limits) const
+{
+    const bool is_long = request.length() == length_class::long_prompt;
+    if (is_long) {
+        limits.blocked[static_cast<std::size_t>(length_class::long_prompt)] = true;
+    }
+    // A long request that waits for other long work needs no free memory yet, but none may pass it.
+    if (!is_long || memory.used_by_long() + request.tokens() <= memory.long_capacity()) {
+        limits.held = request.tokens();
+    }
+}
+
 std::optional<std::size_t> admission_queue::choose(const memory_account& memory, time_point now) const
 {
     auto candidates = ordered(now);
-    std::uint64_t held = 0;
-    bool long_blocked = false;
+    constraints limits;
     for (auto end = candidates.end(); end != candidates.begin(); --end) {
         std::pop_heap(candidates.begin(), end, later{});
         const std::size_t index = std::prev(end)->index;
         const queue_entry& entry = m_entries[index];
         const auto length = entry.request.length();
-        const bool is_long = length == length_class::long_prompt;
-        if (!(is_long && long_blocked) && memory.fits(entry.request.tokens(), length, held)) {
+        bool& blocked = limits.blocked[static_cast<std::size_t>(length)];
+        // The window keeps the order inside a class: a smaller request does not pass a larger one.
+        blocked = blocked || !window_allows(entry.request, now);
+        if (!blocked && memory.fits(entry.request.tokens(), length, limits.held)) {
             return index;
         }
         if (!m_policy->may_pass(entry, now)) {
             return std::nullopt;
         }
-        if (held > 0 || !m_policy->holds_memory(entry, now)) {
-            continue;
+        if (!blocked && limits.held == 0 && m_policy->holds_memory(entry, now)) {
+            hold_for(entry.request, memory, limits);
         }
-        // A long request that waits for other long work needs no free memory yet, but none may pass it.
-        const bool share_open =
-            !is_long || memory.used_by_long() + entry.request.tokens() <= memory.long_capacity();
-        long_blocked = long_blocked || is_long;
-        held = share_open ? entry.request.tokens() : 0;
     }
     return std::nullopt;
 }
@@ -149,6 +189,8 @@
     if (m_entries.empty() || !limit.allows(memory.size())) {
         return std::nullopt;
     }
+    std::erase_if(m_pending,
+                  [&memory](const pending& other) { return !memory.contains(other.request.attempt); });
     const auto index = choose(memory, now);
     if (!index) {
         return std::nullopt;
@@ -159,7 +201,34 @@
         return std::nullopt;
     }
     m_policy->dispatched(entry, now);
-    return take(*index);
+    const std::uint32_t level = engine_level(request, now);
+    queued_request taken = take(*index);
+    m_pending.push_back({taken, level, now});
+    return taken;
+}
+
+std::optional<clock::duration> admission_queue::prefilled(const attempt_id& attempt, time_point now)
+{
+    const auto found = std::find_if(m_pending.begin(), m_pending.end(), [&attempt](const pending& other) {
+        return other.request.attempt == attempt;
+    });
+    if (found == m_pending.end()) {
+        return std::nullopt;
+    }
+    time_point& last = m_last_prefilled[static_cast<std::size_t>(found->request.length())];
+    const auto spent = now - std::max(last, found->dispatched);
+    last = now;
+    m_pending.erase(found);
+    return spent;
+}
+
+std::uint64_t admission_queue::pending_prefill(std::uint32_t level) const
+{
+    std::uint64_t sum = 0;
+    for (const pending& other : m_pending) {
+        sum += other.level <= level ? other.request.prompt_tokens : 0;
+    }
+    return sum;
 }
 
 std::optional<queued_request> admission_queue::remove(const attempt_id& attempt)
@@ -212,8 +281,10 @@
     const queue_entry entry{request, m_sequence, m_policy->start_of(request)};
     const dispatch_order own = m_policy->order(entry, now);
     backlog ahead;
+    const std::uint32_t level = engine_level(request, now);
+    ahead.prefill_tokens = pending_prefill(level);
     for (const queue_entry& other : m_entries) {
-        if (m_policy->order(other, now) < own) {
+        if (engine_level(other.request, now) <= level && m_policy->order(other, now) < own) {
             ahead.prefill_tokens += other.request.prompt_tokens;
             ++ahead.waiting;
         }
--- a/src/policy/admission_queue.h
+++ b/src/policy/admission_queue.h
@@ -15,12 +15,22 @@
 
 const char* to_string(push_verdict verdict);
 
+// Bounds the prompt tokens of each length class that are dispatched and not yet processed, so that work waits
+// here, where the scheduling policy decides, and not in the engine. One request of a class may always be
+// dispatched.
+struct dispatch_window {
+    std::array<std::uint64_t, length_class_count> tokens{8'000, 16'000, 0};
+};
+
 // Requests that wait at one endpoint. Bounded; a team that holds more than its share of the queue is refused
 // before the queue is full, so that it cannot keep other teams out.
 class admission_queue {
 public:
     admission_queue(std::size_t limit, std::unique_ptr<scheduling_policy> policy);
 
+    // Without a window the memory account and the cold limit alone bound dispatch.
+    void set_window(const std::optional<dispatch_window>& window) { m_window = window; }
+
     // Weight of a team's share; 1 for teams that were not set.
     void set_weight(std::string_view team, double weight);
 
@@ -32,6 +42,14 @@
     // returns nothing after each push, release, removal and rise of the limit, and once a second for aging.
     std::optional<queued_request> pop(memory_account& memory, const cold_limit& limit, time_point now);
 
+    // Reports the first token of a dispatched request and returns the time that the engine spent on its
+    // prompt: since its dispatch or the previous first token of its class, whichever is later. Empty for
+    // unknown attempts. A request whose memory is released counts as processed too.
+    std::optional<clock::duration> prefilled(const attempt_id& attempt, time_point now);
+
+    // Prompt tokens that are dispatched and not yet processed and go before a request of this engine level.
+    std::uint64_t pending_prefill(std::uint32_t level) const;
+
     // Removes a cancelled request that still waits, which proves that it did not run.
     std::optional<queued_request> remove(const attempt_id& attempt);
 
@@ -44,7 +62,7 @@
     // Earliest deadline of a waiting request, for the caller's timer.
     std::optional<time_point> next_deadline() const;
 
-    // Waiting work that would go before this request.
+    // Work that goes before this request: waiting, or dispatched and not yet processed.
     backlog ahead_of(const queued_request& request, time_point now) const;
 
     bool contains(const attempt_id& attempt) const;
@@ -59,16 +77,34 @@
         std::size_t index = 0;
     };
 
+    // A dispatched request whose prompt the engine has not finished.
+    struct pending {
+        queued_request request;
+        std::uint32_t level = 0; // engine level at dispatch
+        time_point dispatched{};
+    };
+
+    // Conditions that earlier entries of one dispatch decision put on later ones.
+    struct constraints {
+        std::uint64_t held = 0; // tokens kept free
+        std::array<bool, length_class_count> blocked{};
+    };
+
     double weight_of(std::string_view team) const;
     bool over_share(std::string_view team) const;
     std::vector<candidate> ordered(time_point now) const;
     std::optional<std::size_t> choose(const memory_account& memory, time_point now) const;
+    bool window_allows(const queued_request& request, time_point now) const;
+    void hold_for(const queued_request& request, const memory_account& memory, constraints& limits) const;
     queued_request take(std::size_t index);
 
     std::size_t m_limit;
     std::unique_ptr<scheduling_policy> m_policy;
     std::uint64_t m_sequence = 0;
     std::vector<queue_entry> m_entries;
+    std::optional<dispatch_window> m_window;
+    std::vector<pending> m_pending;
+    std::array<time_point, length_class_count> m_last_prefilled{};
     std::array<std::size_t, length_class_count> m_by_length{};
     name_map<double> m_weights;
     name_map<std::size_t> m_by_team;
--- a/src/policy/estimate.h
+++ b/src/policy/estimate.h
@@ -10,7 +10,8 @@
 // the service times of prompts of very different length comparable.
 double work_units(std::uint32_t prompt_tokens, std::uint32_t output_tokens);
 
-// What one finished request taught: prefill and decode are the times the endpoint spent on it.
+// What one finished request taught. The prefill time must not contain the wait behind other prompts of its
+// class; admission_queue::prefilled() returns it.
 struct service_sample {
     std::uint32_t prompt_tokens = 0;
     std::uint32_t output_tokens = 0;
--- a/src/policy/scheduling.cpp
+++ b/src/policy/scheduling.cpp
@@ -76,17 +76,21 @@
     void dispatched(const queue_entry& entry, time_point now) override
     {
         fair_policy::dispatched(entry, now);
-        m_promoted_next = !promoted(entry, now);
+        const double work = work_of(entry.request);
+        double& debt = m_debt[level_of(entry, now)];
+        debt += promoted(entry, now) ? work * native_per_promoted : -work;
+        debt = std::clamp(debt, -debt_bound, debt_bound);
     }
 
     dispatch_order order(const queue_entry& entry, time_point now) const override
     {
         const auto waited = quarters_waited(entry.request, now);
-        const auto length = static_cast<std::uint32_t>(entry.request.length());
+        const std::uint32_t level = level_of(entry, now);
+        const bool promoted_next = m_debt[level] <= 0;
         const auto request = static_cast<std::uint32_t>(entry.request.request);
         dispatch_order order;
-        order.level = length - std::min(length, waited);
-        order.turn = promoted(entry, now) == m_promoted_next ? 0 : 1;
+        order.level = level;
+        order.turn = promoted(entry, now) == promoted_next ? 0 : 1;
         order.rank = request - std::min(request, waited);
         order.start = entry.start;
         order.sequence = entry.sequence;
@@ -94,13 +98,24 @@
     }
 
 private:
+    // Work of the level itself for each unit of promoted work, while both wait.
+    static constexpr double native_per_promoted = 3;
+    // Bounds how long past dispatches count; about the work of one long prompt.
+    static constexpr double debt_bound = 4'000;
+
+    static std::uint32_t level_of(const queue_entry& entry, time_point now)
+    {
+        return promoted_level(entry.request.length(), quarters_waited(entry.request, now));
+    }
+
     static bool promoted(const queue_entry& entry, time_point now)
     {
         return entry.request.length() != length_class::short_prompt &&
                quarters_waited(entry.request, now) > 0;
     }
 
-    bool m_promoted_next = true;
+    // Per level: promoted work that work of the level itself has not made up for yet.
+    std::array<double, length_class_count> m_debt{};
 };
 
 class shortest_work final : public fair_policy {
@@ -133,9 +148,21 @@
     return static_cast<std::uint32_t>(std::min<std::int64_t>(4, (now - request.arrival) / (total / 4)));
 }
 
-std::uint32_t engine_priority(length_class length)
+std::uint32_t promoted_level(length_class length, std::uint32_t quarters)
+{
+    const auto level = static_cast<std::uint32_t>(length);
+    return level - std::min(level, quarters);
+}
+
+std::uint32_t engine_level(const queued_request& request, time_point now)
+{
+    const auto level = static_cast<std::uint32_t>(request.length());
+    return level == 0 ? 0 : std::max(1U, promoted_level(request.length(), quarters_waited(request, now)));
+}
+
+std::uint32_t engine_priority(const queued_request& request, time_point now)
 {
-    return static_cast<std::uint32_t>(length_class_count) - 1 - static_cast<std::uint32_t>(length);
+    return static_cast<std::uint32_t>(length_class_count) - 1 - engine_level(request, now);
 }
 
 double fair_queue_clock::start_of(std::string_view team) const
--- a/src/policy/scheduling.h
+++ b/src/policy/scheduling.h
@@ -51,8 +51,15 @@
 // Number of quarters of its time to the deadline that a request has waited, 0 to 4.
 std::uint32_t quarters_waited(const queued_request& request, time_point now);
 
-// Priority that an engine gives to work of this length; larger goes first.
-std::uint32_t engine_priority(length_class length);
+// Level of a request after promotion by one class for each quarter waited; 0 goes first.
+std::uint32_t promoted_level(length_class length, std::uint32_t quarters);
+
+// Level at which a request competes inside the engine; 0 goes first. Aging lifts long work beside medium
+// work, but nothing beside short work: one promoted prompt would delay short prompts by seconds.
+std::uint32_t engine_level(const queued_request& request, time_point now);
+
+// Priority that the engine gets for a request dispatched now; larger goes first.
+std::uint32_t engine_priority(const queued_request& request, time_point now);
 
 // Start-time fair queueing between teams: a team with twice the weight gets twice the work when all teams
 // wait.
@@ -109,7 +116,8 @@
 std::unique_ptr<scheduling_policy> make_first_come_first_served();
 
 // Short before medium before long, teams by weight inside a class, promotion by one class for each quarter of
-// the time to the deadline. Promoted and other work of one level take turns.
+// the time to the deadline. Promoted work gets a quarter of the work of its level while other work waits
+// there.
 std::unique_ptr<scheduling_policy> make_class_shares();
 
 // Least estimated work first; the work counts for less with each quarter of the time to the deadline.
--- /dev/null
+++ b/test/policy_retry_budget_test.cpp
@@ -0,0 +1,85 @@
+#include "policy/retry_budget.h"
+#include "policy_helpers.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <deque>
+
+using namespace verbena;
+using namespace verbena::test;
+using std::chrono::seconds;
+
+BOOST_AUTO_TEST_SUITE(policy_retry_budget)
+
+// Guards against a small team that can never retry.
+BOOST_AUTO_TEST_CASE(three_retries_are_allowed_without_traffic)
+{
+    policy::retry_budget budget;
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(budget.try_retry("a", "m", at(seconds(1))));
+    }
+    BOOST_TEST(!budget.try_retry("a", "m", at(seconds(1))));
+    BOOST_TEST(budget.try_retry("a", "m", at(seconds(11))));
+}
+
+// Guards against retries that multiply an overload of a service.
+BOOST_AUTO_TEST_CASE(a_tenth_of_the_requests_may_be_retried)
+{
+    policy::retry_budget budget;
+    for (int i = 0; i < 200; ++i) {
+        budget.record_request("a", "m", at(seconds(1)));
+    }
+    int allowed = 0;
+    for (int i = 0; i < 200; ++i) {
+        allowed += budget.try_retry("a", "m", at(seconds(2))) ? 1 : 0;
+    }
+    BOOST_TEST(allowed == 20);
+}
+
+// Guards against one team that spends the budget of the service through many services, and the reverse.
+BOOST_AUTO_TEST_CASE(team_and_service_budgets_both_apply)
+{
+    policy::retry_budget budget;
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(budget.try_retry("a", "m" + std::to_string(i), at(seconds(1))));
+    }
+    BOOST_TEST(!budget.try_retry("a", "other", at(seconds(1))));
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(budget.try_retry("b" + std::to_string(i), "n", at(seconds(1))));
+    }
+    BOOST_TEST(!budget.try_retry("c", "n", at(seconds(1))));
+}
+
+// Guards against a budget above 10% and 3 in any 10 s, and against state that grows with the names seen.
+BOOST_AUTO_TEST_CASE(random_steps_keep_the_bound_in_each_window)
+{
+    random_engine random(14);
+    policy::retry_budget budget;
+    std::deque<std::pair<std::int64_t, bool>> events; // second, retry
+    std::int64_t now = 0;
+    for (int i = 0; i < 30'000; ++i) {
+        now += static_cast<std::int64_t>(below(random, 60));
+        const auto second = now / 1'000;
+        const auto name = "t" + std::to_string(i);
+        while (!events.empty() && events.front().first <= second - 10) {
+            events.pop_front();
+        }
+        const auto retries =
+            std::count_if(events.begin(), events.end(), [](const auto& e) { return e.second; });
+        const auto requests = static_cast<std::int64_t>(events.size()) - retries;
+        const bool is_retry = below(random, 4) == 0;
+        if (!is_retry) {
+            budget.record_request(name, "m", at(milliseconds(now)));
+        }
+        const bool granted = is_retry && budget.try_retry(name, "m", at(milliseconds(now)));
+        const bool within = retries < std::max<std::int64_t>(3, requests / 10);
+        BOOST_TEST_REQUIRE((!is_retry || granted == within));
+        if (!is_retry || granted) {
+            events.emplace_back(second, is_retry);
+        }
+    }
+    BOOST_TEST(budget.tracked() < 1'500U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
