Remember unrepeatable attempts longer than their keys; confirm the bind before "not run"

Cause: a randomized model of entries, agents and the key table ran a key twice: agents forgot an attempt after 15 min, while its key could be used for 60; and "not run" could be told after another entry had rebound and run the key. Ruled out: treating a refusal for a wrong incarnation as unknown; the entry sends each attempt once, so the refusal is proof.

--- a/src/agent/admission.cpp
+++ b/src/agent/admission.cpp
@@ -31,6 +31,9 @@
                                                 static_cast<double>(options.prefill_tokens_per_s)}),
       m_queue(options.queue_limit, policy::make_class_shares())
 {
+    if (!options.plain) {
+        m_queue.set_window(policy::dispatch_window{});
+    }
 }
 
 std::optional<refusal> admission::check_state(const serving_state& state) const
@@ -216,6 +219,12 @@
     return taken;
 }
 
+void admission::first_token(const std::shared_ptr<attempt>& value, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    value->prefill = m_queue.prefilled(value->id, now);
+}
+
 void admission::released(const std::shared_ptr<attempt>& value)
 {
     const std::lock_guard lock(m_mutex);
@@ -230,6 +239,8 @@
     value->ended = now;
     value->body.clear();
     if (sample) {
+        // Time behind other prompts in the engine is not this prompt's cost.
+        sample->prefill = value->prefill.value_or(sample->prefill);
         m_estimator.record(*sample);
         m_cold.record_success(sample->prefill + sample->decode,
                               policy::work_units(sample->prompt_tokens, sample->output_tokens));
@@ -406,6 +417,11 @@
     return answer_bytes();
 }
 
+std::uint32_t admission::engine_level(const std::shared_ptr<attempt>& value, time_point now) const
+{
+    return policy::engine_level(to_queued(value->submit, value->id, value->arrived), now);
+}
+
 void admission::set_weight(const std::string& team, double weight)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/agent/admission.h
+++ b/src/agent/admission.h
@@ -65,6 +65,9 @@
     // What may be dispatched now, with its memory reserved, and what has to leave the queue unrun.
     work take_work(const serving_state& state, time_point now);
 
+    // The engine gave the first token: its prompt no longer counts against the dispatch window.
+    void first_token(const std::shared_ptr<attempt>& value, time_point now);
+
     // The endpoint has nothing of the attempt any more: frees its memory.
     void released(const std::shared_ptr<attempt>& value);
 
@@ -108,6 +111,8 @@
     // Attempts that are queued or running.
     std::size_t open_attempts() const;
     std::uint64_t held_answer_bytes() const;
+    // Level at which the attempt competes inside the engine; 0 goes first.
+    std::uint32_t engine_level(const std::shared_ptr<attempt>& value, time_point now) const;
     void set_weight(const std::string& team, double weight);
 
 private:
--- a/src/agent/attempt.h
+++ b/src/agent/attempt.h
@@ -38,6 +38,8 @@
     std::optional<time_point> owner_lost;
     std::optional<time_point> ended;
     time_point dispatched;
+    // Time that the engine spent on the prompt; known after the first token.
+    std::optional<clock::duration> prefill;
     // Counts deliveries; a resume takes over from an older one.
     std::uint64_t delivery = 0;
     // True once the entry has the whole answer.
--- a/src/agent/attempt_table.h
+++ b/src/agent/attempt_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/attempt.h"
+#include "control/key_table.h"
 
 #include <map>
 #include <unordered_map>
@@ -8,10 +9,10 @@
 
 namespace verbena::agent {
 
-// How long a closed attempt is refused, and how long an ended attempt that may not be repeated is remembered.
-// Longer than the 10 min that such a request may take and the 10 s of the dispatch window, so that a late
-// copy is always recognised.
-inline constexpr std::chrono::minutes attempt_memory{15};
+// How long a closed attempt is refused, and how long an ended attempt that may not be repeated is remembered:
+// longer than its key can be used. With 15 min, a resend after 16 min was told "never seen" for work that had
+// run, and ran it again.
+inline constexpr std::chrono::seconds attempt_memory = control::key_drop_after + std::chrono::minutes(5);
 
 // How long the answer of an ended repeatable attempt is kept for a resume.
 inline constexpr std::chrono::seconds answer_memory{15};
--- a/src/agent/engine_runner.cpp
+++ b/src/agent/engine_runner.cpp
@@ -71,8 +71,7 @@
 {
     engine_request request;
     request.id = value->engine_id();
-    request.priority = policy::engine_priority(length_class::short_prompt) -
-                       policy::engine_priority(classify(value->submit.prompt_tokens));
+    request.priority = m_admission.engine_level(value, clock::now());
     request.method = value->submit.method.empty() ? "POST" : value->submit.method;
     request.target = value->submit.path;
     request.key = value->submit.key;
@@ -150,6 +149,8 @@
             if (!whole.empty()) {
                 if (value->log.size() == 0) {
                     end.first_byte = clock::now();
+                    m_admission.first_token(value, end.first_byte);
+                    pump();
                 }
                 value->log.append(whole);
             }
--- a/src/control/raft_host.cpp
+++ b/src/control/raft_host.cpp
@@ -191,7 +191,7 @@
     schedule_flush();
 }
 
-void raft_host::change_membership(const raft::membership_change& change, member_handler handler)
+void raft_host::change_membership(const raft::membership_change& change, const member_handler& handler)
 {
     const auto done = [handler](const raft::proposal_result& outcome) {
         if (outcome.fate == raft::proposal_fate::committed) {
@@ -211,12 +211,12 @@
 
 void raft_host::add_member(std::uint64_t id, const std::string& address, member_handler handler)
 {
-    change_membership({raft::membership_change::kind::add, id, address}, std::move(handler));
+    change_membership({raft::membership_change::kind::add, id, address}, handler);
 }
 
 void raft_host::remove_member(std::uint64_t id, member_handler handler)
 {
-    change_membership({raft::membership_change::kind::remove, id, {}}, std::move(handler));
+    change_membership({raft::membership_change::kind::remove, id, {}}, handler);
 }
 
 void raft_host::transfer_leadership()
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -94,7 +94,7 @@
     result<void> prepare_folder(const options& settings);
     net::task<void> run_timer();
     net::task<void> connect(raft::member_id id, host_port address);
-    void change_membership(const raft::membership_change& change, member_handler handler);
+    void change_membership(const raft::membership_change& change, const member_handler& handler);
     void schedule_flush();
     void check(const result<void>& outcome);
     std::string address_of(raft::member_id id) const;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -149,8 +149,8 @@
     stream->close(make_error(error_kind::invalid_frame, "unexpected first message"));
 }
 
-net::task<void> entry_service::refuse(net::http_exchange& exchange, const caller_error& failure,
-                                      const std::string& team)
+net::task<void> entry_service::reply_error(net::http_exchange& exchange, const caller_error& failure,
+                                           const std::string& team)
 {
     m_process.counters().add("verbena_entry_refusals_total", {{"team", team}, {"type", failure.type}});
     const result<void> sent = co_await exchange.reply(to_response(failure));
@@ -206,7 +206,7 @@
     const time_point now = clock::now();
     const std::shared_ptr<const node::config_snapshot> config = m_config.current();
     if (!config || !m_config.is_fresh(now)) {
-        co_await refuse(exchange, stale_configuration(), "");
+        co_await reply_error(exchange, stale_configuration(), "");
         co_return;
     }
     if (exchange.request().target == "/v1/models") {
@@ -218,7 +218,7 @@
     parse_result parsed =
         parse_caller_request(exchange.request(), *config, options, m_choice.next_request_id(), now);
     if (!parsed) {
-        co_await refuse(exchange, parsed.error(), "");
+        co_await reply_error(exchange, parsed.error(), "");
         co_return;
     }
     const caller_request request = std::move(parsed.value());
@@ -232,7 +232,7 @@
             refused->outcome = attempt_outcome::unknown;
             refused->remedy = "send the request again with the same key";
         }
-        co_await refuse(exchange, *refused, request.team);
+        co_await reply_error(exchange, *refused, request.team);
         co_return;
     }
     auto watch = std::make_shared<caller_watch>();
@@ -291,7 +291,7 @@
     } else if (writer.started()) {
         co_await writer.fail(outcome.failure);
     } else if (!outcome.caller_gone) {
-        co_await refuse(exchange, outcome.failure, request.team);
+        co_await reply_error(exchange, outcome.failure, request.team);
     }
 }
 
@@ -310,7 +310,7 @@
     if (outcome.done) {
         (void)co_await exchange.reply(answer.to_response());
     } else if (!outcome.caller_gone) {
-        co_await refuse(exchange, outcome.failure, request.team);
+        co_await reply_error(exchange, outcome.failure, request.team);
     }
 }
 
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -34,8 +34,8 @@
                                    std::shared_ptr<caller_watch> watch);
     net::task<void> serve_plain(net::http_exchange& exchange, const caller_request& request,
                                 std::shared_ptr<caller_watch> watch);
-    net::task<void> refuse(net::http_exchange& exchange, const caller_error& failure,
-                           const std::string& team);
+    net::task<void> reply_error(net::http_exchange& exchange, const caller_error& failure,
+                                const std::string& team);
     std::optional<caller_error> check_size(const caller_request& request) const;
     void count_end(const caller_request& request, const dispatch_result& outcome);
     net::task<void> refresh();
--- a/src/entry/key_dispatcher.cpp
+++ b/src/entry/key_dispatcher.cpp
@@ -113,20 +113,32 @@
     }
 }
 
+wire::key_bindT key_dispatcher::make_bind(const caller_request& request, const owner& wanted) const
+{
+    wire::key_bindT bind;
+    bind.team = request.team;
+    bind.key = request.key;
+    bind.fingerprint = fingerprint_of(request);
+    bind.id = to_wire(wanted.id.request);
+    bind.attempt = wanted.id.number;
+    bind.endpoint = wanted.endpoint;
+    bind.agent_incarnation = wanted.agent;
+    return bind;
+}
+
+net::task<bool> key_dispatcher::still_bound(const caller_request& request, const owner& last)
+{
+    auto reply = co_await m_control.call_key(net::make_frame(make_bind(request, last)), key_call_timeout);
+    co_return reply.has_value() && reply.value().state == wire::key_state::bound;
+}
+
 net::task<key_dispatcher::step> key_dispatcher::bind(const caller_request& request,
                                                      const chosen_endpoint& endpoint, std::uint32_t number,
                                                      std::optional<owner> replaced, buffered_answer& answer)
 {
     const time_point window_start = clock::now();
     const owner wanted{attempt_id{request.id, number}, endpoint.name, endpoint.agent};
-    wire::key_bindT bind;
-    bind.team = request.team;
-    bind.key = request.key;
-    bind.fingerprint = fingerprint_of(request);
-    bind.id = to_wire(request.id);
-    bind.attempt = number;
-    bind.endpoint = endpoint.name;
-    bind.agent_incarnation = endpoint.agent;
+    wire::key_bindT bind = make_bind(request, wanted);
     if (replaced) {
         bind.replaces = true;
         bind.replaces_id = to_wire(replaced->id.request);
@@ -312,8 +324,10 @@
         tried.push_back(endpoint->name);
         answer.reset();
     }
-    // Without a bind nothing is known about earlier calls with this key.
-    refused.outcome = replaced ? attempt_outcome::not_run : attempt_outcome::unknown;
+    // Without a bind nothing is known about earlier calls with this key, and another entry may have taken the
+    // key over.
+    const bool proved = replaced && co_await still_bound(request, *replaced);
+    refused.outcome = proved ? attempt_outcome::not_run : attempt_outcome::unknown;
     refused.remedy = "send the request again with the same key";
     outcome.failure = refused;
     co_return outcome;
--- a/src/entry/key_dispatcher.h
+++ b/src/entry/key_dispatcher.h
@@ -38,6 +38,10 @@
                              const owner& bound, time_point window_start, buffered_answer& answer);
     net::task<step> follow(const caller_request& request, owner bound, buffered_answer& answer);
     net::task<result<wire::attempt_stateT>> query(const owner& bound, host_port address);
+    // True when the record still names `last`: no other entry has taken the key over, so "not run" may be
+    // told.
+    net::task<bool> still_bound(const caller_request& request, const owner& last);
+    wire::key_bindT make_bind(const caller_request& request, const owner& wanted) const;
     net::task<void> finish(const caller_request& request, const owner& bound, const buffered_answer& answer);
     step unknown_outcome(const std::string& why) const;
 
--- a/src/node/control_client.cpp
+++ b/src/node/control_client.cpp
@@ -49,6 +49,7 @@
     const std::string name = address_text(member);
     std::shared_ptr<net::frame_stream> stream;
     time_point last_answer = clock::now();
+    announced told;
     while (!m_stopping) {
         const time_point begin = clock::now();
         if (!stream) {
@@ -58,7 +59,7 @@
             }
         }
         if (stream) {
-            const result<void> polled = co_await poll_once(member, stream);
+            const result<void> polled = co_await poll_once(member, stream, told);
             if (polled) {
                 last_answer = clock::now();
             } else {
@@ -77,7 +78,8 @@
 }
 
 net::task<result<void>> control_client::poll_once(const host_port& member,
-                                                  const std::shared_ptr<net::frame_stream>& stream)
+                                                  const std::shared_ptr<net::frame_stream>& stream,
+                                                  announced& told)
 {
     const std::string name = address_text(member);
     wire::pollT poll;
@@ -92,6 +94,12 @@
     }
     if (m_announce) {
         poll.announce = m_announce();
+        const bool unchanged = poll.announce && told.last && *poll.announce == *told.last;
+        told.skip_next = unchanged && !told.skip_next;
+        told.last = poll.announce ? std::make_unique<wire::announcementT>(*poll.announce) : nullptr;
+        if (told.skip_next) {
+            poll.announce = nullptr;
+        }
     }
     const time_point asked = clock::now();
     poll.nonce = static_cast<std::uint64_t>(asked.time_since_epoch().count());
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -37,8 +37,14 @@
 
 private:
     net::task<void> poll_member(host_port member);
+    // What one member was told last; an unchanged announcement travels in every second poll only.
+    struct announced {
+        std::unique_ptr<wire::announcementT> last;
+        bool skip_next = false;
+    };
+
     net::task<result<void>> poll_once(const host_port& member,
-                                      const std::shared_ptr<net::frame_stream>& stream);
+                                      const std::shared_ptr<net::frame_stream>& stream, announced& told);
     net::task<result<wire::key_replyT>> call_member(host_port member, wire::frameT call,
                                                     milliseconds timeout);
     void take_reply(const std::string& member, const wire::poll_reply& reply, time_point asked);
--- a/src/node/freshness.cpp
+++ b/src/node/freshness.cpp
@@ -35,7 +35,7 @@
     if (!opened) {
         co_return;
     }
-    const std::shared_ptr<net::frame_stream> stream = opened.value();
+    const std::shared_ptr<net::frame_stream>& stream = opened.value();
     const time_point asked = clock::now();
     wire::freshness_queryT query;
     query.revision = config.held();
