--- a/src/agent/agent_service.cpp
+++ b/src/agent/agent_service.cpp
@@ -12,8 +12,6 @@
 constexpr milliseconds reconcile_interval{1'000};
 constexpr milliseconds table_interval{50};
 
-// A new incarnation waits this long before its first order to an engine that ignores fencing numbers; longer
-// than its predecessor could believe its configuration fresh.
 admission_options to_options(const settings::agent_settingsT& settings)
 {
     admission_options options;
@@ -121,6 +119,7 @@
     spawn([self] { return self->watch_status(); });
     spawn([self] { return self->watch_held(); });
     spawn([self] { return self->watch_tables(); });
+    spawn([self] { return self->watch_freshness(); });
     metrics& counters = m_process.counters();
     counters.gauge("verbena_agent_running", {}, [self] { return double(self->m_admission.load().running); });
     counters.gauge("verbena_agent_queued", {}, [self] { return double(self->m_admission.load().queued); });
@@ -196,6 +195,39 @@
     }
 }
 
+void agent_service::remember_peer(const std::shared_ptr<net::connection>& peer)
+{
+    const std::lock_guard lock(m_peers_mutex);
+    std::erase_if(m_peers, [](const auto& item) { return item.second.expired(); });
+    m_peers[peer->peer().incarnation] = peer;
+}
+
+net::task<void> agent_service::watch_freshness()
+{
+    while (true) {
+        co_await net::sleep_for(status_interval);
+        const std::optional<milliseconds> age = m_config.age(clock::now());
+        if (age && *age < node::ask_peers_after) {
+            continue;
+        }
+        std::vector<std::shared_ptr<net::connection>> peers;
+        {
+            const std::lock_guard lock(m_peers_mutex);
+            for (const auto& [id, peer] : m_peers) {
+                if (auto open = peer.lock(); open && open->is_open() && peers.size() < node::peers_asked) {
+                    peers.push_back(std::move(open));
+                }
+            }
+        }
+        for (const auto& peer : peers) {
+            net::asio::co_spawn(
+                net::asio::make_strand(m_process.io()),
+                [self = shared_from_this(), peer] { return node::ask_freshness(peer, self->m_config); },
+                net::asio::detached);
+        }
+    }
+}
+
 net::task<void> agent_service::watch_tables()
 {
     while (true) {
--- a/src/agent/agent_service.h
+++ b/src/agent/agent_service.h
@@ -76,6 +76,9 @@
     net::task<void> watch_status();
     net::task<void> watch_held();
     net::task<void> watch_tables();
+    // Asks entries for the newest confirmed configuration when control has not answered for a while.
+    net::task<void> watch_freshness();
+    void remember_peer(const std::shared_ptr<net::connection>& peer);
     net::task<void> drain();
 
     node::process& m_process;
@@ -88,6 +91,9 @@
     std::atomic<bool> m_leaving{false};
     std::atomic<bool> m_engine_seen{false};
     std::string m_address;
+    // Connections of entries by the incarnation of the entry; last in the lock order.
+    std::mutex m_peers_mutex;
+    std::map<incarnation, std::weak_ptr<net::connection>> m_peers;
 };
 
 } // namespace verbena::agent
--- a/src/agent/entry_streams.cpp
+++ b/src/agent/entry_streams.cpp
@@ -35,6 +35,7 @@
         net::asio::co_spawn(stream->parent()->executor(), std::move(work), net::asio::detached);
     };
     auto self = shared_from_this();
+    remember_peer(stream->parent());
     if (const wire::submit* message = first.frame->message_as_submit();
         message != nullptr && message->id() != nullptr) {
         wire::submitT submit;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
+
 namespace verbena::entry {
 
 namespace {
@@ -89,6 +91,9 @@
     net::asio::co_spawn(
         net::asio::make_strand(m_process.io()), [self = shared_from_this()] { return self->refresh(); },
         net::asio::detached);
+    net::asio::co_spawn(
+        net::asio::make_strand(m_process.io()), [self = shared_from_this()] { return self->ask_peers(); },
+        net::asio::detached);
     metrics& counters = m_process.counters();
     counters.gauge("verbena_entry_active_requests", {},
                    [self = shared_from_this()] { return static_cast<double>(self->m_server->active()); });
@@ -119,6 +124,30 @@
     m_process.set_ready(false);
 }
 
+net::task<void> entry_service::ask_peers()
+{
+    while (!m_stopping) {
+        co_await net::sleep_for(refresh_interval * 3);
+        const std::optional<milliseconds> age = m_config.age(clock::now());
+        if (age && *age < node::ask_peers_after) {
+            continue;
+        }
+        std::vector<std::shared_ptr<net::connection>> peers = m_pool->open_connections();
+        // Peers are taken in turn, so that one with an old confirmation does not hide the others.
+        std::rotate(peers.begin(),
+                    peers.begin() + static_cast<std::ptrdiff_t>(peers.empty() ? 0 : m_turn++ % peers.size()),
+                    peers.end());
+        for (std::size_t i = 0; i < std::min(peers.size(), node::peers_asked); ++i) {
+            net::asio::co_spawn(
+                net::asio::make_strand(m_process.io()),
+                [self = shared_from_this(), peer = peers[i]] {
+                    return node::ask_freshness(peer, self->m_config);
+                },
+                net::asio::detached);
+        }
+    }
+}
+
 void entry_service::stop()
 {
     m_stopping = true;
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -39,6 +39,8 @@
     std::optional<caller_error> check_size(const caller_request& request) const;
     void count_end(const caller_request& request, const dispatch_result& outcome);
     net::task<void> refresh();
+    // Asks agents for the newest confirmed configuration when control has not answered for a while.
+    net::task<void> ask_peers();
     net::task<void> drain();
 
     node::process& m_process;
@@ -53,6 +55,7 @@
     std::unique_ptr<key_dispatcher> m_keys;
     std::shared_ptr<net::http_server> m_server;
     std::atomic<bool> m_stopping{false};
+    std::size_t m_turn = 0;
 };
 
 } // namespace verbena::entry
--- a/src/net/peer_pool.cpp
+++ b/src/net/peer_pool.cpp
@@ -129,6 +129,18 @@
     co_return opened.value()->open_stream();
 }
 
+std::vector<std::shared_ptr<connection>> peer_pool::open_connections()
+{
+    std::vector<std::shared_ptr<connection>> connections;
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [key, value] : m_connections) {
+        if (value->is_open()) {
+            connections.push_back(value);
+        }
+    }
+    return connections;
+}
+
 void peer_pool::drop(const host_port& address)
 {
     std::shared_ptr<connection> dropped;
--- a/src/net/peer_pool.h
+++ b/src/net/peer_pool.h
@@ -44,6 +44,9 @@
     // Opens a stream on a connection to the address.
     task<result<std::shared_ptr<frame_stream>>> open_stream(host_port address, milliseconds timeout);
 
+    // Connections that are open now.
+    std::vector<std::shared_ptr<connection>> open_connections();
+
     // Closes idle connections to addresses that are no longer in use.
     void drop(const host_port& address);
 
--- a/src/node/freshness.h
+++ b/src/node/freshness.h
@@ -14,4 +14,11 @@
 // counted from before the question was sent.
 net::task<void> ask_freshness(std::shared_ptr<net::connection> peer, config_view& config);
 
+// Peers are asked once the own confirmation is older than this: several polls have failed then, and half of
+// the freshness bound is left.
+inline constexpr milliseconds ask_peers_after{1'200};
+
+// Peers asked in one round.
+inline constexpr std::size_t peers_asked = 3;
+
 } // namespace verbena::node
--- /dev/null
+++ b/test/agent_admission_test.cpp
@@ -0,0 +1,277 @@
+#include "agent/admission.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace verbena;
+using agent::admission;
+using agent::attempt;
+using agent::attempt_phase;
+
+namespace {
+
+const time_point start{std::chrono::hours(1)};
+
+agent::serving_state serving()
+{
+    agent::serving_state state;
+    state.fresh = true;
+    return state;
+}
+
+wire::submitT make_submit(std::uint32_t prompt, std::uint32_t output, bool repeatable = true)
+{
+    wire::submitT submit;
+    submit.team = "clerks";
+    submit.prompt_tokens = prompt;
+    submit.max_tokens = output;
+    submit.time_left_ms = 60'000;
+    submit.repeatable = repeatable;
+    submit.entry_incarnation = 7;
+    return submit;
+}
+
+// One endpoint with its tables, driven without an engine.
+struct fixture {
+    net::asio::io_context io;
+    admission table{[] {
+        agent::admission_options options;
+        options.memory_tokens = 100'000;
+        options.prefill_tokens_per_s = 100'000;
+        options.cold_limit = 1;
+        options.warm_limit = 4;
+        options.queue_limit = 8;
+        return options;
+    }()};
+    std::uint64_t next = 1;
+
+    std::shared_ptr<attempt> make(std::uint32_t prompt, std::uint32_t output, bool repeatable = true,
+                                  time_point now = start)
+    {
+        const attempt_id id{request_id{1, next++}, 1};
+        return std::make_shared<attempt>(id, make_submit(prompt, output, repeatable), "body", now,
+                                         io.get_executor());
+    }
+
+    std::vector<std::shared_ptr<attempt>> take(time_point now = start)
+    {
+        return table.take_work(serving(), now).dispatch;
+    }
+
+    void report(incarnation engine, bool cold = false)
+    {
+        agent::engine_status status;
+        status.engine = engine;
+        status.cold = cold;
+        (void)table.observe(status);
+    }
+};
+
+agent::held_request held(const std::shared_ptr<attempt>& value, std::uint64_t tokens)
+{
+    return {value->engine_id(), tokens};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(agent_admission)
+
+// Guards against new work at an endpoint whose view of the configuration may be old, or that is out or
+// leaving.
+BOOST_AUTO_TEST_CASE(work_is_refused_when_stale_out_or_leaving)
+{
+    fixture f;
+    const wire::submitT submit = make_submit(100, 10);
+    BOOST_TEST(!f.table.check(submit, serving(), start).has_value());
+    agent::serving_state stale = serving();
+    stale.fresh = false;
+    BOOST_TEST((f.table.check(submit, stale, start)->reason == wire::refusal::stale));
+    agent::serving_state out = serving();
+    out.domain = op::admin_state::out;
+    BOOST_TEST((f.table.check(submit, out, start)->reason == wire::refusal::domain_out));
+    agent::serving_state leaving = serving();
+    leaving.endpoint = op::admin_state::leaving;
+    BOOST_TEST((f.table.check(submit, leaving, start)->reason == wire::refusal::leaving));
+}
+
+// Guards against queued work that is dispatched after its failure domain was taken out.
+BOOST_AUTO_TEST_CASE(queued_work_leaves_unrun_when_the_domain_goes_out)
+{
+    fixture f;
+    f.report(1);
+    const auto first = f.make(100, 10);
+    const auto second = f.make(100, 10);
+    BOOST_TEST(f.table.enqueue(first, serving(), start).added);
+    BOOST_TEST(f.table.enqueue(second, serving(), start).added);
+    BOOST_TEST(f.take().size() == 1U);
+    agent::serving_state out = serving();
+    out.domain = op::admin_state::out;
+    const auto work = f.table.take_work(out, start);
+    BOOST_TEST(work.dispatch.empty());
+    BOOST_TEST_REQUIRE(work.refused.size() == 1U);
+    BOOST_TEST((f.table.phase_of(work.refused.front().first) == attempt_phase::ended));
+    BOOST_TEST(f.take().empty());
+}
+
+// Guards against overload of an endpoint that turns cold while work is queued.
+BOOST_AUTO_TEST_CASE(cold_limit_falls_for_queued_work_at_once)
+{
+    fixture f;
+    f.report(1);
+    for (int i = 0; i < 6; ++i) {
+        BOOST_TEST(f.table.enqueue(f.make(100, 10), serving(), start).added);
+    }
+    auto running = f.take();
+    BOOST_TEST_REQUIRE(running.size() == 1U);
+    f.table.released(running.front());
+    f.table.ended(running.front(), policy::service_sample{100, 10, milliseconds(1), milliseconds(10)}, start);
+    running = f.take();
+    BOOST_TEST(running.size() == 2U);
+    f.report(2);
+    for (const auto& value : running) {
+        f.table.released(value);
+    }
+    BOOST_TEST(f.take().size() == 1U);
+}
+
+// Guards against an engine pushed past its memory.
+BOOST_AUTO_TEST_CASE(memory_is_reserved_until_the_engine_has_ended_the_request)
+{
+    fixture f;
+    f.report(1);
+    // Raise the limit to 2.
+    const auto warm = f.make(100, 10);
+    (void)f.table.enqueue(warm, serving(), start);
+    (void)f.take();
+    f.table.released(warm);
+    f.table.ended(warm, policy::service_sample{100, 10, milliseconds(1), milliseconds(10)}, start);
+    const auto first = f.make(7'000, 60'000);
+    const auto second = f.make(7'000, 60'000);
+    (void)f.table.enqueue(first, serving(), start);
+    (void)f.table.enqueue(second, serving(), start);
+    BOOST_TEST(f.take().size() == 1U);
+    f.table.ended(first, std::nullopt, start);
+    BOOST_TEST(f.take().empty(), "the engine still holds the first request");
+    BOOST_TEST(f.table.reconcile({held(first, 67'000)}).vanished.empty());
+    BOOST_TEST(f.take().empty());
+    BOOST_TEST(f.table.reconcile({}).vanished.size() == 1U);
+    BOOST_TEST(f.take().size() == 1U);
+}
+
+// Guards against engine memory that is held for nobody after an agent restart or a lost cancel.
+BOOST_AUTO_TEST_CASE(requests_unknown_to_the_account_are_cancelled_and_counted)
+{
+    fixture f;
+    f.report(1);
+    const auto found = f.table.reconcile({{"00000000000000010000000000000009-1", 500}, {"foreign", 10}});
+    BOOST_TEST(found.unknown.size() == 2U);
+    BOOST_TEST(f.table.load().free_tokens == 99'490U);
+}
+
+// Guards against a second run of an attempt that arrives twice, also after it was closed unseen.
+BOOST_AUTO_TEST_CASE(an_attempt_runs_at_most_once)
+{
+    fixture f;
+    f.report(1);
+    const auto value = f.make(100, 10, false);
+    BOOST_TEST(f.table.enqueue(value, serving(), start).added);
+    const auto copy = std::make_shared<attempt>(value->id, value->submit, "body", start, f.io.get_executor());
+    const auto again = f.table.enqueue(copy, serving(), start);
+    BOOST_TEST(!again.added);
+    BOOST_TEST(again.value == value);
+    const time_point later = start + std::chrono::minutes(70);
+    const auto late = f.make(100, 10, false, later);
+    BOOST_TEST(f.table.close_unseen(late->id, start));
+    const auto refused = f.table.enqueue(late, serving(), later);
+    BOOST_TEST_REQUIRE(refused.refused.has_value());
+    BOOST_TEST((refused.refused->reason == wire::refusal::closed));
+}
+
+// Guards against a resend under a valid key that is told "never seen" for work that has run.
+BOOST_AUTO_TEST_CASE(unrepeatable_attempts_are_remembered_longer_than_their_keys)
+{
+    fixture f;
+    f.report(1);
+    const auto value = f.make(1, 1, false);
+    (void)f.table.enqueue(value, serving(), start);
+    (void)f.take();
+    f.table.ended(value, std::nullopt, start);
+    f.table.acknowledged(value);
+    (void)f.table.take_orphans(start + control::key_drop_after);
+    BOOST_TEST(!f.table.close_unseen(value->id, start + control::key_drop_after));
+}
+
+// Guards against reservations that outlive the entry that made them.
+BOOST_AUTO_TEST_CASE(orphans_are_taken_after_the_owner_lease)
+{
+    fixture f;
+    f.report(1);
+    const auto value = f.make(100, 10);
+    (void)f.table.enqueue(value, serving(), start);
+    (void)f.take();
+    const std::uint64_t delivery = f.table.begin_delivery(value);
+    f.table.delivery_broken(value, delivery, start);
+    BOOST_TEST(f.table.take_orphans(start + milliseconds(4'900)).empty());
+    const std::uint64_t resumed = f.table.begin_delivery(value);
+    BOOST_TEST(f.table.take_orphans(start + milliseconds(5'100)).empty(), "the entry has resumed");
+    f.table.delivery_broken(value, resumed, start);
+    BOOST_TEST(f.table.take_orphans(start + milliseconds(5'100)).size() == 1U);
+}
+
+// Guards against a request that runs on after its deadline.
+BOOST_AUTO_TEST_CASE(running_work_is_taken_at_its_deadline_unless_it_may_not_be_repeated)
+{
+    fixture f;
+    f.report(1);
+    const auto value = f.make(100, 10);
+    (void)f.table.enqueue(value, serving(), start);
+    (void)f.take();
+    BOOST_TEST(f.table.take_orphans(start + milliseconds(59'000)).empty());
+    BOOST_TEST(f.table.take_orphans(start + milliseconds(60'000)).size() == 1U);
+    fixture g;
+    g.report(1);
+    const auto booking = g.make(1, 1, false);
+    (void)g.table.enqueue(booking, serving(), start);
+    (void)g.take();
+    BOOST_TEST(g.table.take_orphans(start + milliseconds(60'000)).empty());
+}
+
+// Guards against a queued request that is neither run nor answered when its deadline passes.
+BOOST_AUTO_TEST_CASE(queued_work_is_refused_at_its_deadline)
+{
+    fixture f;
+    f.report(1);
+    (void)f.table.enqueue(f.make(100, 10), serving(), start);
+    (void)f.table.enqueue(f.make(100, 10), serving(), start);
+    (void)f.take();
+    const auto work = f.table.take_work(serving(), start + milliseconds(60'001));
+    BOOST_TEST(work.refused.size() == 1U);
+    BOOST_TEST((work.refused.front().second.reason == wire::refusal::deadline));
+}
+
+// Guards against attempts that seem to run on an engine that has restarted.
+BOOST_AUTO_TEST_CASE(a_restarted_engine_loses_its_attempts)
+{
+    fixture f;
+    f.report(1);
+    const auto value = f.make(100, 10);
+    (void)f.table.enqueue(value, serving(), start);
+    (void)f.take();
+    agent::engine_status status;
+    status.engine = 2;
+    const auto lost = f.table.observe(status);
+    BOOST_TEST_REQUIRE(lost.size() == 1U);
+    BOOST_TEST(lost.front() == value);
+    BOOST_TEST(f.table.load().free_tokens == 100'000U);
+}
+
+// Guards against a reservation that can never complete.
+BOOST_AUTO_TEST_CASE(a_prompt_that_can_never_fit_is_refused_with_the_size_that_does)
+{
+    fixture f;
+    const auto refused = f.table.check(make_submit(200'000, 10), serving(), start);
+    BOOST_TEST_REQUIRE(refused.has_value());
+    BOOST_TEST((refused->reason == wire::refusal::too_large));
+    BOOST_TEST(refused->message.find("largest that fits") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
