Send no entries and chunks to a member that does not answer

Cause: a leader in the probe phase sent up to 128 KiB with each heartbeat to a member that was down, and a chunk every other round; a connection that went silent would have collected them. Ruled out: pausing the heartbeats too, because their reply is what ends the silence. Change: a member that was not heard for one election timeout gets heartbeats without entries until it answers. Conclusion: traffic towards a member that is down is bounded by the heartbeats.

--- a/src/raft/core.h
+++ b/src/raft/core.h
@@ -199,7 +199,8 @@
     void tick_leader(time_point now);
     void start_round(time_point now);
     void broadcast();
-    void send_heartbeat(member_id to, progress& peer);
+    void send_heartbeat(member_id to, progress& peer, time_point now);
+    bool answers(const progress& peer, time_point now) const;
     void send_entries(member_id to, progress& peer);
     void send_append(member_id to, progress& peer);
     void send_chunk(member_id to, progress& peer);
--- a/src/raft/core_leader.cpp
+++ b/src/raft/core_leader.cpp
@@ -28,17 +28,25 @@
         m_rounds.pop_front();
     }
     for (auto& [id, peer] : m_peers) {
-        send_heartbeat(id, peer);
+        send_heartbeat(id, peer, now);
     }
 }
 
-void core::send_heartbeat(member_id to, progress& peer)
+// Whether the member was heard within one election timeout; after an election it is given that time.
+bool core::answers(const progress& peer, time_point now) const
 {
+    return now - (peer.heard ? peer.heard_at : m_leader_since) < m_options.election_timeout_min;
+}
+
+void core::send_heartbeat(member_id to, progress& peer, time_point now)
+{
+    // A member that does not answer gets no entries and chunks, which would only pile up on the way.
+    const bool silent = !answers(peer, now);
     // A chunk that was not answered for two rounds was lost.
-    if (peer.state == progress::phase::snapshot && m_round >= peer.snapshot_round + 2) {
+    if (peer.state == progress::phase::snapshot && !silent && m_round >= peer.snapshot_round + 2) {
         send_chunk(to, peer);
     }
-    if (peer.state == progress::phase::probe) {
+    if (peer.state == progress::phase::probe && !silent) {
         peer.paused = false;
         send_append(to, peer);
         return;
@@ -243,8 +251,7 @@
         if (value.id == m_self) {
             ++count;
         } else if (peer != m_peers.end()) {
-            const time_point heard = peer->second.heard ? peer->second.heard_at : m_leader_since;
-            count += now - heard < m_options.election_timeout_min ? 1 : 0;
+            count += answers(peer->second, now) ? 1 : 0;
         }
     }
     return count >= membership().quorum();
--- a/test/raft_members_test.cpp
+++ b/test/raft_members_test.cpp
@@ -274,4 +274,33 @@
     BOOST_TEST(sent_to_away <= settings.inflight_bytes + 2 * settings.append_bytes);
 }
 
+// Guards against entries that are sent again and again to a member that is down.
+BOOST_AUTO_TEST_CASE(a_silent_member_gets_heartbeats_only)
+{
+    raft_cluster cluster(12, 3, options{});
+    const member_id leader = elect(cluster);
+    const member_id away = follower_of(cluster, leader);
+    cluster.crash(away, crash_kind::power);
+    BOOST_TEST(cluster.at(leader)->transfer_leadership(cluster.now()).has_value());
+    const auto moved = [&] { return cluster.leader() != 0 && cluster.leader() != leader; };
+    BOOST_TEST_REQUIRE(cluster.run_until(moved, milliseconds(1000)));
+    propose_many(cluster, 50);
+    cluster.run(milliseconds(700));
+    std::size_t messages = 0;
+    std::size_t entries = 0;
+    cluster.on_send = [&](const message& content) {
+        messages += content.to == away ? 1 : 0;
+        entries += content.to == away ? content.entries.size() : 0;
+    };
+    cluster.run(milliseconds(2000));
+    BOOST_TEST(messages >= 15U);
+    BOOST_TEST(entries == 0U);
+    BOOST_TEST_REQUIRE(cluster.restart(away));
+    const auto caught_up = [&] {
+        return cluster.machine_of(away).chain() == cluster.machine_of(cluster.leader()).chain();
+    };
+    BOOST_TEST(cluster.run_until(caught_up, milliseconds(500)));
+    require_clean(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
