Add TCP relay that injects network faults for tests

Cause: no test could make an open connection go silent while new ones work, which is one of the faults the design has to bear.

Ruled out: test/relay.{h,cpp}. The subcommand "relay" of verbenaproxy-standin needs the same code and CMakeLists.txt puts test/*.cpp into the test binary only, so it lives in standin/relay.{h,cpp}.

Change: standin::relay forwards between a port and a target; it can be cut silently in either direction (existing connections only, or all), healed, closed, and can flip a bit of the next byte. relay_service is its HTTP control (POST /cut, /heal, /close, /corrupt). test/net_fixture.h runs an io_context on four threads for the tests of src/net.

Conclusion: silent partitions can be tested in-process and between processes.

--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -1,5 +1,6 @@
 #include "standin/desk_service.h"
 #include "standin/engine_service.h"
+#include "standin/relay_service.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
@@ -26,6 +27,8 @@
 DEFINE_string(models, "standin", "names of the loaded models, separated by commas");
 DEFINE_string(role, "mixed", "role at the start");
 DEFINE_bool(check_fencing, false, "refuse orders with a number below the highest seen");
+DEFINE_string(target, "", "relay: IP address and port that connections are forwarded to");
+DEFINE_string(control, "127.0.0.1:0", "relay: IP address and port of the HTTP control interface");
 DEFINE_uint32(delay_ms, 0, "desk: time between execution and answer, in ms");
 
 namespace {
@@ -72,8 +75,16 @@
         BOOST_OUTCOME_TRY(auto service, standin::desk_service::create(options, crash));
         return std::unique_ptr<net::http_handler>(std::move(service));
     }
+    if (kind == "relay") {
+        BOOST_OUTCOME_TRY(const host_port listen, parse_host_port(FLAGS_listen));
+        BOOST_OUTCOME_TRY(const host_port target, parse_host_port(FLAGS_target));
+        BOOST_OUTCOME_TRY(auto relay, standin::relay::create(io, listen, target));
+        relay->start();
+        std::printf("relaying on %s:%u\n", listen.host.c_str(), relay->port());
+        return std::unique_ptr<net::http_handler>(std::make_unique<standin::relay_service>(std::move(relay)));
+    }
     return make_error(error_kind::invalid_settings, "unknown subcommand \"" + kind + "\"",
-                      "use engine or desk");
+                      "use engine, desk or relay");
 }
 
 // Bounds of the stand-ins' own server: bodies up to a prompt of a million tokens at four bytes each.
@@ -89,7 +100,8 @@
     net::asio::io_context io(1);
     metrics counters;
     BOOST_OUTCOME_TRY(auto service, make_service(kind, io));
-    BOOST_OUTCOME_TRY(const host_port address, parse_host_port(FLAGS_listen));
+    BOOST_OUTCOME_TRY(const host_port address,
+                      parse_host_port(kind == "relay" ? FLAGS_control : FLAGS_listen));
     BOOST_OUTCOME_TRY(auto server,
                       net::http_server::create(io, address, server_limits(), *service, counters, kind));
     server->start();
@@ -105,7 +117,8 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage("verbenaproxy-standin engine|desk [flags]: simulated endpoints for tests");
+    gflags::SetUsageMessage(
+        "verbenaproxy-standin engine|desk|relay [flags]: simulated endpoints and network faults");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const result<void> served = serve(argc == 2 ? argv[1] : "");
     if (!served) {
--- /dev/null
+++ b/test/net_fixture.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "net/asio.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <exception>
+#include <functional>
+#include <future>
+#include <thread>
+#include <vector>
+
+// Runs an io_context on several threads, so that the sanitizer builds see the interleavings of a process.
+class net_threads {
+public:
+    explicit net_threads(std::size_t count = 4)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            m_threads.emplace_back([this] { io.run(); });
+        }
+    }
+    net_threads(const net_threads&) = delete;
+    net_threads& operator=(const net_threads&) = delete;
+    ~net_threads() { stop(); }
+
+    void stop()
+    {
+        m_work.reset();
+        io.stop();
+        for (auto& thread : m_threads) {
+            thread.join();
+        }
+        m_threads.clear();
+    }
+
+    // Runs a coroutine to its end and returns its value. The limit only ends a test that hangs.
+    template <typename T>
+    T run(std::function<verbena::net::task<T>()> body)
+    {
+        auto done = std::make_shared<std::promise<T>>();
+        std::future<T> value = done->get_future();
+        verbena::net::asio::co_spawn(io, body(), [done](const std::exception_ptr& failure, T result) {
+            failure ? done->set_exception(failure) : done->set_value(std::move(result));
+        });
+        BOOST_TEST_REQUIRE((value.wait_for(std::chrono::seconds(20)) == std::future_status::ready));
+        return value.get();
+    }
+
+    verbena::net::asio::io_context io;
+
+private:
+    verbena::net::asio::executor_work_guard<verbena::net::asio::io_context::executor_type> m_work =
+        verbena::net::asio::make_work_guard(io);
+    std::vector<std::thread> m_threads;
+};
+
+// Waits until `condition` holds; false after a limit that only ends a test that hangs.
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > limit) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return true;
+}
