--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -297,6 +297,9 @@
         m_socket.get_executor(), [self] { return self->liveness_loop(); }, asio::detached);
     const result<void> greeted = co_await exchange_hello();
     if (!greeted) {
+        if (greeted.error().kind != error_kind::unavailable) {
+            count(greeted.error().message);
+        }
         close(greeted.error());
         co_return greeted.error();
     }
@@ -439,11 +442,20 @@
     std::shared_ptr<frame_stream> stream;
     {
         const std::lock_guard lock(m_mutex);
-        if (m_closed || m_streams.size() >= max_streams) {
+        if (m_closed) {
             return;
         }
-        stream = std::make_shared<frame_stream>(shared_from_this(), id);
-        m_streams.emplace(id, stream);
+        if (m_streams.size() < max_streams) {
+            stream = std::make_shared<frame_stream>(shared_from_this(), id);
+            m_streams.emplace(id, stream);
+        }
+    }
+    if (!stream) {
+        count("stream_limit");
+        wire::resetT reset;
+        reset.reason = "too many open streams";
+        send_frame(id, make_frame(std::move(reset)));
+        return;
     }
     m_handler->on_stream(stream, std::move(message));
 }
--- a/src/net/peer_pool.cpp
+++ b/src/net/peer_pool.cpp
@@ -74,27 +74,46 @@
     return place->second;
 }
 
-task<result<std::shared_ptr<connection>>> peer_pool::connect(tcp::endpoint endpoint, milliseconds timeout)
+task<peer_pool::connect_outcome> peer_pool::connect_on_strand(tcp::endpoint endpoint, milliseconds timeout)
 {
-    boost::beast::tcp_stream stream(asio::make_strand(m_io));
-    stream.expires_after(timeout);
+    const time_point deadline = clock::now() + timeout;
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    connect_outcome outcome;
+    boost::beast::tcp_stream stream(executor);
+    stream.expires_at(deadline);
     auto [failure] = co_await stream.async_connect(endpoint, no_throw);
     if (failure) {
-        co_return io_error("connect", failure);
+        outcome.failed = io_error("connect", failure);
+        co_return outcome;
+    }
+    outcome.opened = std::make_shared<connection>(stream.release_socket(), m_options, m_handler, true);
+    // A peer that accepts and never answers hello must not hold the caller longer than its time-out.
+    asio::steady_timer limit(executor, deadline);
+    limit.async_wait([waiting = std::weak_ptr(outcome.opened)](const error_code& cancelled) {
+        const auto late = waiting.lock();
+        if (!cancelled && late) {
+            late->close(make_error(error_kind::timeout, "the peer did not answer hello in time"));
+        }
+    });
+    const result<void> greeted = co_await outcome.opened->handshake();
+    if (!greeted) {
+        outcome.failed = greeted.error();
     }
-    auto opened = std::make_shared<connection>(stream.release_socket(), m_options, m_handler, true);
-    // The handshake runs on the connection's strand; co_spawn needs a result that can be default-constructed.
-    const std::optional<error> failed = co_await asio::co_spawn(
-        opened->executor(),
-        [opened]() -> task<std::optional<error>> {
-            const result<void> greeted = co_await opened->handshake();
-            co_return greeted ? std::nullopt : std::optional<error>(greeted.error());
-        },
-        asio::use_awaitable);
-    if (failed) {
-        co_return *failed;
+    co_return outcome;
+}
+
+task<result<std::shared_ptr<connection>>> peer_pool::connect(tcp::endpoint endpoint, milliseconds timeout)
+{
+    // Everything runs on the strand of the new connection: the time-out of tcp_stream runs there too, and the
+    // stream is not thread safe. The coroutine is a named variable because GCC 12 destroys the captures of a
+    // lambda inside a co_await expression twice.
+    const auto strand = asio::make_strand(m_io);
+    task<connect_outcome> attempt = connect_on_strand(endpoint, timeout);
+    connect_outcome outcome = co_await asio::co_spawn(strand, std::move(attempt), asio::use_awaitable);
+    if (outcome.failed) {
+        co_return *outcome.failed;
     }
-    co_return opened;
+    co_return outcome.opened;
 }
 
 task<result<std::shared_ptr<connection>>> peer_pool::get(host_port address, milliseconds timeout)
--- a/src/net/peer_pool.h
+++ b/src/net/peer_pool.h
@@ -50,7 +50,15 @@
 private:
     using address_key = std::pair<std::string, std::uint16_t>;
 
+    // co_spawn needs a result that can be default-constructed.
+    struct connect_outcome {
+        std::shared_ptr<connection> opened;
+        std::optional<error> failed;
+    };
+
     std::shared_ptr<connection> find(const address_key& key);
+    // Connects and exchanges hello within `timeout`, on the strand that the connection keeps.
+    task<connect_outcome> connect_on_strand(tcp::endpoint endpoint, milliseconds timeout);
     task<result<std::shared_ptr<connection>>> connect(tcp::endpoint endpoint, milliseconds timeout);
 
     asio::io_context& m_io;
