Meet the targets for short work beside long work; recognise teams over their share

Cause: short answers slowed down 1.35 times beside long work (target 1.2), because most engine steps carried a prefill chunk, and first tokens of teams within their share 1.47 times beside a team at twice its share.

Change: medium work prefers 60% of the endpoints and short work the rest; the router counts an attempt by its prompt until the first token and sees only the work that competes with a length class; 10% of the memory is kept for short work; short work is held back only for aged long work; a returning failure domain is drawn less often, because its idle endpoints win most comparisons; team_shares marks teams over their share, whose requests compete as batch.

--- a/bench/policy_agent.cpp
+++ b/bench/policy_agent.cpp
@@ -67,12 +67,14 @@
     return m_estimator.meets(estimate, now, request.deadline);
 }
 
-bool model_agent::submit(const job_spec& job, const attempt_id& attempt, time_point deadline)
+bool model_agent::submit(const job_spec& job, request_class as, const attempt_id& attempt,
+                         time_point deadline)
 {
     const time_point now = m_owner.events().now();
     policy::queued_request request;
     request.attempt = attempt;
     request.team = team_name(job.team);
+    request.request = as;
     request.prompt_tokens = job.prompt_tokens;
     request.max_tokens = job.max_tokens;
     request.arrival = now;
--- a/bench/policy_cluster.h
+++ b/bench/policy_cluster.h
@@ -6,6 +6,7 @@
 #include "policy/buffer_account.h"
 #include "policy/retry_budget.h"
 #include "policy/router.h"
+#include "policy/team_shares.h"
 
 #include <array>
 #include <map>
@@ -23,7 +24,9 @@
     scheduling order = scheduling::class_shares;
     bool limits = true;     // memory account, cold limit and deadline estimate
     bool priorities = true; // engine priority by length class
-    std::optional<policy::dispatch_window> window;
+    bool shares = false;    // work of teams over their share goes after that of others
+    bool pools = false;     // medium and short work prefer different endpoints
+    std::optional<policy::dispatch_window> window{};
 };
 
 // Conditions of one run.
@@ -58,7 +61,7 @@
     model_agent(cluster& owner, std::uint32_t number, std::string name, std::string domain, bool plain);
 
     // Queues or refuses an attempt; true when it is admitted.
-    bool submit(const job_spec& job, const attempt_id& attempt, time_point deadline);
+    bool submit(const job_spec& job, request_class as, const attempt_id& attempt, time_point deadline);
     void cancel(const attempt_id& attempt);
     // Refuses new work from now on and hands the queued work back.
     void set_in(bool in);
@@ -126,7 +129,9 @@
         time_point arrival{};
         time_point deadline{};
         std::uint32_t attempt = 0;
-        std::string endpoint; // of the current attempt; empty between attempts
+        request_class as = request_class::standard;
+        bool answering = false; // the current attempt has sent its first token
+        std::string endpoint;   // of the current attempt; empty between attempts
         std::vector<std::string> tried;
     };
 
@@ -146,6 +151,7 @@
     policy::router m_router;
     policy::retry_budget m_budget;
     policy::buffer_account m_buffers;
+    policy::team_shares m_shares;
     std::unordered_map<std::uint64_t, open_job> m_open;
 };
 
--- a/bench/policy_scenarios.h
+++ b/bench/policy_scenarios.h
@@ -33,7 +33,8 @@
 std::vector<figure> plain_load(const setup& chosen, const scenario_size& size);
 // Short requests beside medium and long ones at 0.7 of the capacity, against the same short load alone.
 std::vector<figure> short_beside_long(const setup& chosen, const scenario_size& size);
-// Long requests beside short and medium ones at 0.7 of the capacity, against the same long load alone.
+// Long requests beside short and medium ones at 0.7 of the capacity, against the same long load alone, in
+// three times the length of the other scenarios.
 std::vector<figure> long_beside_short(const setup& chosen, const scenario_size& size);
 // 1.5 times the capacity.
 std::vector<figure> overload(const setup& chosen, const scenario_size& size);
@@ -50,7 +51,7 @@
 
 std::vector<scenario> all_scenarios();
 
-// The baselines and policies that the bench compares; the last but one is the design.
+// The baselines and policies that the bench compares.
 std::vector<setup> all_setups();
 setup design_setup();
 
--- a/src/policy/admission_queue.cpp
+++ b/src/policy/admission_queue.cpp
@@ -23,12 +23,12 @@
 // its time.
 bool yields_to(const queued_request& dispatched, length_class length, time_point now)
 {
-    const std::uint32_t quarters = quarters_waited(dispatched, now);
+    const std::uint32_t quarters = promotions(dispatched, now);
     if (length != length_class::short_prompt) {
         return quarters > 0;
     }
     const auto second = std::chrono::floor<std::chrono::seconds>(now.time_since_epoch()).count();
-    return quarters >= 2 && second % 4 == 0;
+    return dispatched.length() == length_class::long_prompt && quarters >= 2 && second % 4 == 0;
 }
 
 } // namespace
@@ -116,10 +116,11 @@
     }
     const auto length = request.length();
     const std::uint32_t level = engine_level(request, now);
+    const std::uint32_t rank = engine_rank(request, now);
     std::uint64_t sum = 0;
     for (const pending& other : m_pending) {
         if (other.request.length() == length) {
-            sum += other.request.prompt_tokens;
+            sum += other.rank <= rank ? other.request.prompt_tokens : 0;
         } else if (other.level > level && yields_to(other.request, length, now)) {
             return false;
         }
@@ -202,8 +203,9 @@
     }
     m_policy->dispatched(entry, now);
     const std::uint32_t level = engine_level(request, now);
+    const std::uint32_t rank = engine_rank(request, now);
     queued_request taken = take(*index);
-    m_pending.push_back({taken, level, now});
+    m_pending.push_back({taken, level, rank, now});
     return taken;
 }
 
@@ -222,11 +224,11 @@
     return spent;
 }
 
-std::uint64_t admission_queue::pending_prefill(std::uint32_t level) const
+std::uint64_t admission_queue::pending_prefill(std::uint32_t rank) const
 {
     std::uint64_t sum = 0;
     for (const pending& other : m_pending) {
-        sum += other.level <= level ? other.request.prompt_tokens : 0;
+        sum += other.rank <= rank ? other.request.prompt_tokens : 0;
     }
     return sum;
 }
@@ -281,10 +283,10 @@
     const queue_entry entry{request, m_sequence, m_policy->start_of(request)};
     const dispatch_order own = m_policy->order(entry, now);
     backlog ahead;
-    const std::uint32_t level = engine_level(request, now);
-    ahead.prefill_tokens = pending_prefill(level);
+    const std::uint32_t rank = engine_rank(request, now);
+    ahead.prefill_tokens = pending_prefill(rank);
     for (const queue_entry& other : m_entries) {
-        if (engine_level(other.request, now) <= level && m_policy->order(other, now) < own) {
+        if (engine_rank(other.request, now) <= rank && m_policy->order(other, now) < own) {
             ahead.prefill_tokens += other.request.prompt_tokens;
             ++ahead.waiting;
         }
--- a/src/policy/admission_queue.h
+++ b/src/policy/admission_queue.h
@@ -47,8 +47,8 @@
     // unknown attempts. A request whose memory is released counts as processed too.
     std::optional<clock::duration> prefilled(const attempt_id& attempt, time_point now);
 
-    // Prompt tokens that are dispatched and not yet processed and go before a request of this engine level.
-    std::uint64_t pending_prefill(std::uint32_t level) const;
+    // Prompt tokens that are dispatched and not yet processed and go before a request of this engine rank.
+    std::uint64_t pending_prefill(std::uint32_t rank) const;
 
     // Removes a cancelled request that still waits, which proves that it did not run.
     std::optional<queued_request> remove(const attempt_id& attempt);
@@ -81,6 +81,7 @@
     struct pending {
         queued_request request;
         std::uint32_t level = 0; // engine level at dispatch
+        std::uint32_t rank = 0;  // engine rank at dispatch
         time_point dispatched{};
     };
 
--- a/src/policy/memory_account.cpp
+++ b/src/policy/memory_account.cpp
@@ -35,7 +35,14 @@
 bool memory_account::fits(std::uint64_t tokens, length_class length, std::uint64_t held) const
 {
     const std::uint64_t open = free();
-    if (held > open || tokens > open - held) {
+    const std::uint64_t reserve = short_reserve();
+    std::uint64_t kept = held;
+    if (length == length_class::short_prompt) {
+        kept = m_short_used + tokens <= reserve ? 0 : held;
+    } else if (!m_reservations.empty()) {
+        kept += reserve > m_short_used ? reserve - m_short_used : 0;
+    }
+    if (kept > open || tokens > open - kept) {
         return false;
     }
     if (length != length_class::long_prompt) {
@@ -59,6 +66,8 @@
     m_used += tokens;
     if (length == length_class::long_prompt) {
         m_long_used += tokens;
+    } else if (length == length_class::short_prompt) {
+        m_short_used += tokens;
     }
     return true;
 }
@@ -72,6 +81,8 @@
     m_used -= found->second.tokens;
     if (found->second.length == length_class::long_prompt) {
         m_long_used -= found->second.tokens;
+    } else if (found->second.length == length_class::short_prompt) {
+        m_short_used -= found->second.tokens;
     }
     m_reservations.erase(found);
     return true;
@@ -88,6 +99,7 @@
     m_reservations.clear();
     m_used = 0;
     m_long_used = 0;
+    m_short_used = 0;
     m_unaccounted = 0;
     return dropped;
 }
--- a/src/policy/memory_account.h
+++ b/src/policy/memory_account.h
@@ -16,9 +16,14 @@
     // The share of the capacity in [0, 1) that long work cannot use.
     static constexpr double default_protected_share = 0.3;
 
+    // The share that only short work can use, while anything is dispatched. Without it a medium prompt that
+    // waits for memory would stop short work.
+    static constexpr double short_share = 0.1;
+
     explicit memory_account(std::uint64_t capacity_tokens, double protected_share = default_protected_share);
 
-    // True when the tokens fit now, beside `held` tokens that are kept free for another request.
+    // True when the tokens fit now, beside `held` tokens that are kept free for another request. Short work
+    // may use the short share in spite of them.
     bool fits(std::uint64_t tokens, length_class length, std::uint64_t held = 0) const;
 
     // True when the tokens fit into the empty account.
@@ -50,6 +55,7 @@
     std::uint64_t capacity() const { return m_capacity; }
     std::uint64_t used() const { return m_used + m_unaccounted; }
     std::uint64_t used_by_long() const { return m_long_used; }
+    std::uint64_t used_by_short() const { return m_short_used; }
     std::uint64_t long_capacity() const { return m_long_capacity; }
     std::uint64_t free() const { return used() < m_capacity ? m_capacity - used() : 0; }
 
@@ -60,11 +66,16 @@
         incarnation owner = 0;
     };
 
+    std::uint64_t short_reserve() const
+    {
+        return static_cast<std::uint64_t>(short_share * static_cast<double>(m_capacity));
+    }
     double m_protected_share;
     std::uint64_t m_capacity = 0;
     std::uint64_t m_long_capacity = 0;
     std::uint64_t m_used = 0;
     std::uint64_t m_long_used = 0;
+    std::uint64_t m_short_used = 0;
     std::uint64_t m_unaccounted = 0;
     std::unordered_map<attempt_id, reservation> m_reservations;
 };
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -14,6 +14,10 @@
 
 constexpr std::size_t affinity_slots = 1'024;
 constexpr std::size_t sample_tries = 8;
+
+// Additional part of the work that an idle failure domain attracts, measured in policy_router.
+constexpr double idle_preference = 1.5;
+
 constexpr auto mean_lifetime = milliseconds(50);
 
 // Conditions that a pick gives up in turn when no endpoint satisfies all of them.
@@ -22,6 +26,13 @@
     bool respect_cold = true;
 };
 
+// Endpoints that a length class prefers, and those that it takes at an additional cost.
+struct placement {
+    std::span<endpoint_state* const> first;
+    std::span<endpoint_state* const> spill;
+    double spill_penalty = 0;
+};
+
 struct candidates {
     endpoint_state* first = nullptr;
     endpoint_state* second = nullptr;
@@ -74,6 +85,8 @@
         service_state& owner = *endpoint.service;
         std::erase(owner.members, &endpoint);
         std::erase(owner.long_members, &endpoint);
+        std::erase(owner.medium_members, &endpoint);
+        std::erase(owner.short_members, &endpoint);
         ++owner.generation;
         owner.affinity.clear();
         if (owner.members.empty()) {
@@ -92,7 +105,9 @@
                                 std::chrono::duration<double>(options.ramp);
             const double share = options.first_ramp_share + (1.0 - options.first_ramp_share) * done;
             state->ramping = share < 1.0;
-            state->open = std::uniform_real_distribution<double>(0, 1)(random) < share;
+            // An idle failure domain wins most comparisons of load, so it is drawn less often than its share.
+            const double chance = share / (1.0 + idle_preference * (1.0 - share));
+            state->open = std::uniform_real_distribution<double>(0, 1)(random) < chance;
         }
     }
 
@@ -115,33 +130,35 @@
         return std::find(request.tried.begin(), request.tried.end(), info.name) == request.tried.end();
     }
 
-    double load(const endpoint_state& endpoint, time_point now) const
+    double load(const endpoint_state& endpoint, length_class length, time_point now) const
     {
-        return endpoint.work + detail::decayed_load(endpoint, now, options.load_half_life);
+        return detail::competing_work(endpoint, length) +
+               detail::decayed_load(endpoint, now, options.load_half_life);
     }
 
-    double cost(const endpoint_state& endpoint, time_point now) const
+    double cost(const endpoint_state& endpoint, length_class length, time_point now) const
     {
         const bool own = endpoint.info.failure_domain == options.own_failure_domain;
-        return load(endpoint, now) + (own ? 0 : options.other_domain_penalty);
+        return load(endpoint, length, now) + (own ? 0 : options.other_domain_penalty);
     }
 
-    double mean_load(service_state& state, time_point now) const
+    double mean_load(service_state& state, length_class length, time_point now) const
     {
-        if (now - state.mean_at < mean_lifetime && state.mean_at != time_point{}) {
-            return state.mean_load;
+        detail::mean_value& mean = state.means[static_cast<std::size_t>(length)];
+        if (now - mean.at < mean_lifetime && mean.at != time_point{}) {
+            return mean.load;
         }
         double sum = 0;
         std::size_t count = 0;
         for (const endpoint_state* member : state.members) {
             if (member->domain->in && member->info.accepts_work) {
-                sum += load(*member, now);
+                sum += load(*member, length, now);
                 ++count;
             }
         }
-        state.mean_at = now;
-        state.mean_load = count == 0 ? 0 : sum / static_cast<double>(count);
-        return state.mean_load;
+        mean.at = now;
+        mean.load = count == 0 ? 0 : sum / static_cast<double>(count);
+        return mean.load;
     }
 
     endpoint_state* affinity(service_state& state, std::span<endpoint_state* const> pool, std::uint64_t hash)
@@ -193,50 +210,79 @@
     endpoint_state* two_candidates(std::span<endpoint_state* const> pool, const route_request& request,
                                    pick_pass pass, time_point now, random_engine& random) const
     {
+        if (pool.empty()) {
+            return nullptr;
+        }
         const candidates found = sample(pool, request, pass, now, random);
         if (found.first == nullptr || found.second == nullptr) {
             return found.first;
         }
-        return cost(*found.second, now) < cost(*found.first, now) ? found.second : found.first;
+        const auto length = classify(request.prompt_tokens);
+        return cost(*found.second, length, now) < cost(*found.first, length, now) ? found.second
+                                                                                  : found.first;
     }
 
-    endpoint_state* choose(service_state& state, std::span<endpoint_state* const> pool,
-                           const route_request& request, pick_pass pass, time_point now,
-                           random_engine& random)
+    // Short work avoids the endpoints of medium work only while there is such work.
+    double short_spill_penalty(service_state& state, time_point now) const
     {
-        if (pool.empty()) {
+        const double all = mean_load(state, length_class::long_prompt, now);
+        const double own = mean_load(state, length_class::short_prompt, now);
+        return options.short_spill_penalty * std::clamp(all - own, 0.0, 1.0);
+    }
+
+    placement place(service_state& state, length_class length, time_point now) const
+    {
+        detail::refresh_subsets(state, options);
+        switch (length) {
+        case length_class::short_prompt:
+            return {state.short_members, state.medium_members, short_spill_penalty(state, now)};
+        case length_class::medium_prompt:
+            return {state.medium_members, state.short_members, options.medium_spill_penalty};
+        case length_class::long_prompt:
+            break;
+        }
+        return {state.long_members, {}, 0};
+    }
+
+    endpoint_state* preferred(service_state& state, const placement& where, const route_request& request,
+                              pick_pass pass, time_point now)
+    {
+        if (request.prefix_hash == 0 || where.first.empty()) {
             return nullptr;
         }
-        if (request.prefix_hash != 0) {
-            endpoint_state* preferred = affinity(state, pool, request.prefix_hash);
-            const double bound = options.affinity_bound * mean_load(state, now) + 1;
-            if (eligible(*preferred, request, pass, now) && load(*preferred, now) <= bound) {
-                return preferred;
-            }
+        const auto length = classify(request.prompt_tokens);
+        endpoint_state* home = affinity(state, where.first, request.prefix_hash);
+        const double bound = options.affinity_bound * mean_load(state, length, now) + 1;
+        return eligible(*home, request, pass, now) && load(*home, length, now) <= bound ? home : nullptr;
+    }
+
+    endpoint_state* choose(service_state& state, const placement& where, const route_request& request,
+                           pick_pass pass, time_point now, random_engine& random)
+    {
+        if (endpoint_state* home = preferred(state, where, request, pass, now)) {
+            return home;
+        }
+        endpoint_state* first = two_candidates(where.first, request, pass, now, random);
+        endpoint_state* other = two_candidates(where.spill, request, pass, now, random);
+        if (first == nullptr || other == nullptr) {
+            return first == nullptr ? other : first;
         }
-        return two_candidates(pool, request, pass, now, random);
+        const auto length = classify(request.prompt_tokens);
+        return cost(*other, length, now) + where.spill_penalty < cost(*first, length, now) ? other : first;
     }
 
     endpoint_state* choose_by_design(service_state& state, const route_request& request, time_point now,
                                      random_engine& random)
     {
         draw_open_domains(now, random);
-        detail::refresh_long_subset(state, options.long_subset_share);
-        const bool is_long = classify(request.prompt_tokens) == length_class::long_prompt;
+        const placement where = place(state, classify(request.prompt_tokens), now);
         for (const pick_pass pass :
              {pick_pass{true, true}, pick_pass{false, true}, pick_pass{false, false}}) {
-            endpoint_state* chosen = nullptr;
-            if (is_long) {
-                chosen = choose(state, state.long_members, request, pass, now, random);
-            }
-            if (chosen == nullptr && (!is_long || !pass.respect_cold)) {
-                chosen = choose(state, state.members, request, pass, now, random);
-            }
-            if (chosen != nullptr) {
+            if (endpoint_state* chosen = choose(state, where, request, pass, now, random)) {
                 return chosen;
             }
         }
-        return nullptr;
+        return choose(state, {state.members, {}, 0}, request, {false, false}, now, random);
     }
 
     endpoint_state* round_robin(service_state& state, const route_request& request, time_point now) const
@@ -351,19 +397,33 @@
 {
     if (endpoint_state* state = m_implementation->find(endpoint)) {
         ++state->requests;
-        state->work += detail::route_weight(request);
+        detail::work_of(*state, request) += detail::waiting_weight(request);
+    }
+}
+
+void router::first_token(std::string_view endpoint, const route_request& request)
+{
+    if (endpoint_state* state = m_implementation->find(endpoint)) {
+        const double change = detail::answering_weight - detail::waiting_weight(request);
+        double& work = detail::work_of(*state, request);
+        work = std::max(0.0, work + change);
     }
 }
 
 void router::finished(std::string_view endpoint, const route_request& request, attempt_end end,
-                      time_point now)
+                      time_point now, bool answering)
 {
     endpoint_state* state = m_implementation->find(endpoint);
     if (state == nullptr || state->requests == 0) {
         return;
     }
     --state->requests;
-    state->work = state->requests == 0 ? 0 : std::max(0.0, state->work - detail::route_weight(request));
+    const double weight = answering ? detail::answering_weight : detail::waiting_weight(request);
+    double& work = detail::work_of(*state, request);
+    work = std::max(0.0, work - weight);
+    if (state->requests == 0) {
+        state->work = {};
+    }
     if (end == attempt_end::success) {
         state->failures = 0;
         state->ejections = 0;
@@ -421,7 +481,7 @@
     if (found == m_implementation->services.end()) {
         return names;
     }
-    detail::refresh_long_subset(*found->second, m_implementation->options.long_subset_share);
+    detail::refresh_subsets(*found->second, m_implementation->options);
     for (const endpoint_state* member : found->second->long_members) {
         names.push_back(member->info.name);
     }
--- a/src/policy/router.h
+++ b/src/policy/router.h
@@ -43,7 +43,7 @@
 
 struct router_options {
     std::string own_failure_domain;
-    double other_domain_penalty = 2.0; // requests
+    double other_domain_penalty = 2; // requests of a short prompt
     clock::duration load_half_life = std::chrono::seconds(1);
     double affinity_bound = 1.25; // times the mean load
     std::uint32_t failures_to_eject = 3;
@@ -52,7 +52,12 @@
     double ejected_share = 0.5; // of the endpoints of a service
     double first_ramp_share = 0.1;
     clock::duration ramp = std::chrono::seconds(30);
-    double long_subset_share = 0.4; // of a service's endpoints in each failure domain that take long work
+    // Shares of a service's endpoints in each failure domain. Long work stays on the first share. Medium work
+    // prefers the second, which contains the first, and short work prefers the endpoints outside it.
+    double long_subset_share = 0.6;
+    double medium_subset_share = 0.6;
+    double short_spill_penalty = 1;   // requests; at most, for short work inside the medium share
+    double medium_spill_penalty = 16; // requests; for medium work outside it
 };
 
 // How the router selects among the eligible endpoints.
@@ -81,8 +86,14 @@
     // Counts an attempt sent to the endpoint.
     void started(std::string_view endpoint, const route_request& request);
 
-    // Ends an attempt. Three consecutive failures eject the endpoint; a refusal is no failure.
-    void finished(std::string_view endpoint, const route_request& request, attempt_end end, time_point now);
+    // The attempt's first token has arrived, so the endpoint has processed its prompt. Optional, once per
+    // attempt.
+    void first_token(std::string_view endpoint, const route_request& request);
+
+    // Ends an attempt; `answering` says whether first_token() was called for it. Three consecutive failures
+    // eject the endpoint; a refusal is no failure.
+    void finished(std::string_view endpoint, const route_request& request, attempt_end end, time_point now,
+                  bool answering = false);
 
     // Takes over a load report; its weight halves with each half-life.
     void report(std::string_view endpoint, const load_report& load, time_point now);
--- a/src/policy/router_state.cpp
+++ b/src/policy/router_state.cpp
@@ -9,7 +9,17 @@
 namespace {
 
 // Prompt tokens that weigh as much as one more request of a short prompt.
-constexpr double tokens_per_unit = 16'000;
+constexpr double tokens_per_unit = 4'000;
+
+// Part of the work of later length classes that a request competes with.
+constexpr double later_class_weight = 0.1;
+
+// Number of endpoints that a share of them rounds to, at least one.
+std::size_t part_of(std::size_t count, double share)
+{
+    const auto rounded = std::lround(share * static_cast<double>(count));
+    return std::clamp<std::size_t>(static_cast<std::size_t>(std::max(rounded, 1L)), 1, count);
+}
 
 } // namespace
 
@@ -26,7 +36,7 @@
     return XXH3_64bits(name.data(), name.size());
 }
 
-double route_weight(const route_request& request)
+double waiting_weight(const route_request& request)
 {
     return 1.0 + request.prompt_tokens / tokens_per_unit;
 }
@@ -45,37 +55,55 @@
     return best;
 }
 
-void refresh_long_subset(service_state& service, double share)
+void refresh_subsets(service_state& service, const router_options& options)
 {
     if (service.subset_generation == service.generation) {
         return;
     }
     service.subset_generation = service.generation;
     service.long_members.clear();
+    service.medium_members.clear();
+    service.short_members.clear();
     std::unordered_map<const domain_state*, std::vector<endpoint_state*>> by_domain;
     for (endpoint_state* endpoint : service.members) {
         by_domain[endpoint->domain].push_back(endpoint);
     }
     const std::uint64_t salt = stable_hash(service.name);
+    const auto higher = [salt](const endpoint_state* left, const endpoint_state* right) {
+        return mix(left->hash, salt) > mix(right->hash, salt);
+    };
     for (auto& [domain, endpoints] : by_domain) {
-        const auto count = static_cast<std::size_t>(std::ceil(share * static_cast<double>(endpoints.size())));
-        const auto higher = [salt](const endpoint_state* left, const endpoint_state* right) {
-            return mix(left->hash, salt) > mix(right->hash, salt);
-        };
         std::sort(endpoints.begin(), endpoints.end(), higher);
-        endpoints.resize(std::min(endpoints.size(), count));
-        service.long_members.insert(service.long_members.end(), endpoints.begin(), endpoints.end());
+        const std::size_t long_count = part_of(endpoints.size(), options.long_subset_share);
+        const std::size_t medium_count = part_of(endpoints.size(), options.medium_subset_share);
+        for (std::size_t i = 0; i < endpoints.size(); ++i) {
+            if (i < long_count) {
+                service.long_members.push_back(endpoints[i]);
+            }
+            (i < medium_count ? service.medium_members : service.short_members).push_back(endpoints[i]);
+        }
     }
-    const auto by_name = [](const endpoint_state* left, const endpoint_state* right) {
-        return left->info.name < right->info.name;
-    };
-    std::sort(service.long_members.begin(), service.long_members.end(), by_name);
+    for (auto* subset : {&service.long_members, &service.medium_members, &service.short_members}) {
+        std::sort(subset->begin(), subset->end(),
+                  [](const endpoint_state* left, const endpoint_state* right) {
+                      return left->info.name < right->info.name;
+                  });
+    }
+}
+
+double competing_work(const endpoint_state& endpoint, length_class length)
+{
+    double sum = 0;
+    for (std::size_t i = 0; i < length_class_count; ++i) {
+        sum += endpoint.work[i] * (i <= static_cast<std::size_t>(length) ? 1 : later_class_weight);
+    }
+    return sum;
 }
 
 double decayed_load(const endpoint_state& endpoint, time_point now, clock::duration half_life)
 {
-    const std::uint32_t load = endpoint.load.running + endpoint.load.queued;
-    if (load == 0) {
+    const double load = answering_weight * endpoint.load.running + endpoint.load.queued;
+    if (load <= 0) {
         return 0;
     }
     const std::chrono::duration<double> age = now - endpoint.reported;
--- a/src/policy/scheduling.cpp
+++ b/src/policy/scheduling.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double least_weight = 0.001;
+constexpr std::uint32_t request_classes = 3;
 
 double work_of(const queued_request& request)
 {
@@ -54,7 +55,7 @@
 
     bool holds_memory(const queue_entry& blocked, time_point now) const override
     {
-        return quarters_waited(blocked.request, now) > 0;
+        return promotions(blocked.request, now) > 0;
     }
 
     void idle(length_class length) override { clock_of(length).reset(); }
@@ -84,14 +85,12 @@
 
     dispatch_order order(const queue_entry& entry, time_point now) const override
     {
-        const auto waited = quarters_waited(entry.request, now);
         const std::uint32_t level = level_of(entry, now);
         const bool promoted_next = m_debt[level] <= 0;
-        const auto request = static_cast<std::uint32_t>(entry.request.request);
         dispatch_order order;
         order.level = level;
         order.turn = promoted(entry, now) == promoted_next ? 0 : 1;
-        order.rank = request - std::min(request, waited);
+        order.rank = request_rank(entry.request, now);
         order.start = entry.start;
         order.sequence = entry.sequence;
         return order;
@@ -105,7 +104,7 @@
 
     static std::uint32_t level_of(const queue_entry& entry, time_point now)
     {
-        return promoted_level(entry.request.length(), quarters_waited(entry.request, now));
+        return promoted_level(entry.request, now);
     }
 
     static bool promoted(const queue_entry& entry, time_point now)
@@ -148,21 +147,39 @@
     return static_cast<std::uint32_t>(std::min<std::int64_t>(4, (now - request.arrival) / (total / 4)));
 }
 
-std::uint32_t promoted_level(length_class length, std::uint32_t quarters)
+std::uint32_t promotions(const queued_request& request, time_point now)
 {
-    const auto level = static_cast<std::uint32_t>(length);
-    return level - std::min(level, quarters);
+    const std::uint32_t quarters = quarters_waited(request, now);
+    const std::uint32_t later = request.request == request_class::batch ? 2 : 0;
+    return quarters - std::min(quarters, later);
 }
 
-std::uint32_t engine_level(const queued_request& request, time_point now)
+std::uint32_t promoted_level(const queued_request& request, time_point now)
 {
     const auto level = static_cast<std::uint32_t>(request.length());
-    return level == 0 ? 0 : std::max(1U, promoted_level(request.length(), quarters_waited(request, now)));
+    return level - std::min(level, promotions(request, now));
+}
+
+std::uint32_t engine_level(const queued_request& request, time_point now)
+{
+    return request.length() == length_class::short_prompt ? 0 : std::max(1U, promoted_level(request, now));
+}
+
+std::uint32_t request_rank(const queued_request& request, time_point now)
+{
+    const auto own = static_cast<std::uint32_t>(request.request);
+    return own > 0 && quarters_waited(request, now) >= 3 ? own - 1 : own;
+}
+
+std::uint32_t engine_rank(const queued_request& request, time_point now)
+{
+    const std::uint32_t level = engine_level(request, now);
+    return level * request_classes + (level == 0 ? request_rank(request, now) : 0);
 }
 
 std::uint32_t engine_priority(const queued_request& request, time_point now)
 {
-    return static_cast<std::uint32_t>(length_class_count) - 1 - engine_level(request, now);
+    return static_cast<std::uint32_t>(length_class_count) * request_classes - 1 - engine_rank(request, now);
 }
 
 double fair_queue_clock::start_of(std::string_view team) const
--- a/src/policy/scheduling.h
+++ b/src/policy/scheduling.h
@@ -51,13 +51,26 @@
 // Number of quarters of its time to the deadline that a request has waited, 0 to 4.
 std::uint32_t quarters_waited(const queued_request& request, time_point now);
 
+// Number of length classes by which a request is promoted: one for each quarter waited, for batch work two
+// quarters later, so that work of a team over its share does not pass the other teams by having waited
+// longer.
+std::uint32_t promotions(const queued_request& request, time_point now);
+
 // Level of a request after promotion by one class for each quarter waited; 0 goes first.
-std::uint32_t promoted_level(length_class length, std::uint32_t quarters);
+std::uint32_t promoted_level(const queued_request& request, time_point now);
 
 // Level at which a request competes inside the engine; 0 goes first. Aging lifts long work beside medium
 // work, but nothing beside short work: one promoted prompt would delay short prompts by seconds.
 std::uint32_t engine_level(const queued_request& request, time_point now);
 
+// Rank of the request class inside a level, 0 goes first. It rises by one in the last quarter before the
+// deadline only: under overload all work of a team over its share has waited a quarter and would no longer
+// give way.
+std::uint32_t request_rank(const queued_request& request, time_point now);
+
+// Rank inside the engine: level, then request class; 0 goes first.
+std::uint32_t engine_rank(const queued_request& request, time_point now);
+
 // Priority that the engine gets for a request dispatched now; larger goes first.
 std::uint32_t engine_priority(const queued_request& request, time_point now);
 
--- a/test/policy_queue_test.cpp
+++ b/test/policy_queue_test.cpp
@@ -211,6 +211,78 @@
     BOOST_TEST(queue.ahead_of(waiting(60, "a", 400'000), at(seconds(1))).waiting == 21U);
 }
 
+// Guards against work that waits in the engine, where neither team order nor aging applies.
+BOOST_AUTO_TEST_CASE(the_window_bounds_unprocessed_prompts_of_a_class)
+{
+    auto queue = make_queue();
+    queue.set_window(policy::dispatch_window{});
+    policy::memory_account memory(1'000'000);
+    for (std::uint64_t i = 1; i <= 6; ++i) {
+        BOOST_TEST(push(queue, waiting(i, "a", 4'000), memory));
+    }
+    const auto limit = warm_limit(64);
+    const auto first = queue.pop(memory, limit, at(seconds(1)));
+    BOOST_TEST_REQUIRE(first.has_value());
+    BOOST_TEST(queue.pop(memory, limit, at(seconds(1))).has_value());
+    BOOST_TEST(!queue.pop(memory, limit, at(seconds(1))).has_value());
+    BOOST_TEST((queue.prefilled(first->attempt, at(seconds(2))) == seconds(1)));
+    BOOST_TEST(!queue.prefilled(first->attempt, at(seconds(2))).has_value());
+    BOOST_TEST(queue.pop(memory, limit, at(seconds(2))).has_value());
+    BOOST_TEST(!queue.pop(memory, limit, at(seconds(2))).has_value());
+}
+
+// Guards against a prefill time that contains the wait behind an earlier prompt of the class.
+BOOST_AUTO_TEST_CASE(prefill_time_starts_at_the_previous_first_token)
+{
+    auto queue = make_queue();
+    policy::memory_account memory(1'000'000);
+    BOOST_TEST(push(queue, waiting(1, "a", 4'000), memory));
+    BOOST_TEST(push(queue, waiting(2, "b", 4'000), memory));
+    BOOST_TEST(queue.pop(memory, warm_limit(64), at(seconds(1))).has_value());
+    BOOST_TEST(queue.pop(memory, warm_limit(64), at(seconds(1))).has_value());
+    BOOST_TEST((queue.prefilled(attempt(1), at(seconds(3))) == seconds(2)));
+    BOOST_TEST((queue.prefilled(attempt(2), at(seconds(4))) == seconds(1)));
+}
+
+// Guards against batch work in the window that keeps interactive short work waiting.
+BOOST_AUTO_TEST_CASE(batch_work_does_not_fill_the_window_of_short_work)
+{
+    auto queue = make_queue();
+    queue.set_window(policy::dispatch_window{});
+    policy::memory_account memory(1'000'000);
+    auto batch = waiting(1, "a", 8'000);
+    batch.request = request_class::batch;
+    BOOST_TEST(push(queue, batch, memory));
+    BOOST_TEST(queue.pop(memory, warm_limit(64), at(seconds(1))).has_value());
+    BOOST_TEST(push(queue, waiting(2, "b", 8'000), memory));
+    BOOST_TEST(queue.pop(memory, warm_limit(64), at(seconds(1))).has_value());
+}
+
+// Guards against dispatched long work that starves in the engine behind work of a higher priority.
+BOOST_AUTO_TEST_CASE(new_work_gives_way_to_dispatched_long_work_that_has_aged)
+{
+    auto queue = make_queue();
+    queue.set_window(policy::dispatch_window{});
+    policy::memory_account memory(1'000'000);
+    BOOST_TEST(push(queue, waiting(1, "a", 300'000, milliseconds(0), seconds(400)), memory));
+    BOOST_TEST(queue.pop(memory, warm_limit(64), at(seconds(1))).has_value());
+    BOOST_TEST(push(queue, waiting(2, "a", 50'000, seconds(90), seconds(400)), memory));
+    BOOST_TEST(!queue.pop(memory, warm_limit(64), at(seconds(101))).has_value());
+    int held = 0;
+    for (int second = 200; second < 240; ++second) {
+        const auto number = static_cast<std::uint64_t>(second);
+        BOOST_TEST(push(queue, waiting(number, "b", 1'000, seconds(second)), memory));
+        const auto next = queue.pop(memory, warm_limit(64), at(seconds(second)));
+        held += next.has_value() ? 0 : 1;
+        while (const auto other = queue.remove(attempt(number))) {
+        }
+        memory.release(attempt(number));
+    }
+    BOOST_TEST(held == 10);
+    BOOST_TEST(queue.prefilled(attempt(1), at(seconds(240))).has_value());
+    BOOST_TEST(queue.pop(memory, warm_limit(64), at(seconds(240))).has_value());
+}
+
 // Guards against requests that are lost, dispatched twice, dispatched after cancel or deadline, or dispatched
 // above the memory or the limit, for each policy.
 BOOST_AUTO_TEST_CASE(random_steps_keep_each_request_exactly_once)
