Count held answer bytes, demote teams over their share, wait for delivered answers at a planned stop

Ruled out: a fixed pause at the end of an agent; it now waits until entries have acknowledged or their lease has passed. Change: one counter for held answer bytes, expiry of the attempt table once a second, undelivered answers in the drain, socket operations cancelled at the deadline, team shares, engine ranks and first-token reports from the policy modules.

--- a/src/agent/admission.cpp
+++ b/src/agent/admission.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::uint64_t plain_capacity = UINT32_MAX;
 
+// The table of attempts is searched for expired ones this often; the search visits every attempt.
+constexpr milliseconds table_expiry{1'000};
+
 std::uint32_t length_of(const wire::submitT& submit)
 {
     return submit.prompt_tokens;
@@ -111,15 +114,6 @@
     return std::clamp(std::chrono::duration_cast<milliseconds>(estimate.queue), default_retry, longest_retry);
 }
 
-std::uint64_t admission::answer_bytes() const
-{
-    std::uint64_t bytes = 0;
-    for (const auto& value : m_table.all()) {
-        bytes += value->log.size();
-    }
-    return bytes;
-}
-
 std::optional<refusal> admission::check(const wire::submitT& submit, const serving_state& state,
                                         time_point now) const
 {
@@ -147,11 +141,11 @@
     if (outcome.refused) {
         return outcome;
     }
-    if (answer_bytes() > m_options.answer_memory) {
+    if (m_answer_bytes->load() > m_options.answer_memory) {
         outcome.refused = refusal{wire::refusal::memory, "answers wait for slow readers", retry_hint()};
         return outcome;
     }
-    const policy::queued_request request = to_queued(value->submit, value->id, value->arrived);
+    policy::queued_request request = to_queued(value->submit, value->id, value->arrived);
     const auto time_left = std::chrono::duration_cast<milliseconds>(value->deadline - now);
     outcome.refused = check_deadline(request, time_left, now);
     if (outcome.refused) {
@@ -161,6 +155,12 @@
         outcome.refused = refusal{wire::refusal::closed, "the attempt was closed", milliseconds(0)};
         return outcome;
     }
+    const double weight = std::max<std::uint32_t>(value->submit.weight, 1);
+    m_shares.set_weight(request.team, weight);
+    m_queue.set_weight(request.team, weight);
+    const bool over_share = m_shares.record(request.team, static_cast<double>(request.tokens()), now);
+    value->urgency = policy::demoted(value->urgency, over_share);
+    request.request = value->urgency;
     const policy::push_verdict verdict = m_queue.push(request, m_memory, now);
     if (verdict != policy::push_verdict::queued) {
         value->phase = attempt_phase::ended;
@@ -308,7 +308,10 @@
 std::vector<std::shared_ptr<attempt>> admission::take_orphans(time_point now)
 {
     const std::lock_guard lock(m_mutex);
-    m_table.expire(now);
+    if (now - m_expired > table_expiry) {
+        m_expired = now;
+        m_table.expire(now);
+    }
     std::vector<std::shared_ptr<attempt>> orphans;
     for (const auto& value : m_table.all()) {
         const bool lost = value->owner_lost && now - *value->owner_lost > m_options.owner_lease;
@@ -411,21 +414,24 @@
     }));
 }
 
-std::uint64_t admission::held_answer_bytes() const
+std::uint32_t admission::engine_rank(const std::shared_ptr<attempt>& value, time_point now) const
 {
-    const std::lock_guard lock(m_mutex);
-    return answer_bytes();
+    policy::queued_request request = to_queued(value->submit, value->id, value->arrived);
+    request.request = value->urgency;
+    return policy::engine_rank(request, now);
 }
 
-std::uint32_t admission::engine_level(const std::shared_ptr<attempt>& value, time_point now) const
-{
-    return policy::engine_level(to_queued(value->submit, value->id, value->arrived), now);
-}
-
-void admission::set_weight(const std::string& team, double weight)
+std::size_t admission::undelivered(time_point now) const
 {
     const std::lock_guard lock(m_mutex);
-    m_queue.set_weight(team, weight);
+    std::size_t count = 0;
+    for (const auto& value : m_table.all()) {
+        const bool lost = value->owner_lost && now - *value->owner_lost > m_options.owner_lease;
+        if (value->phase == attempt_phase::ended && !value->acknowledged && !lost && now < value->deadline) {
+            ++count;
+        }
+    }
+    return count;
 }
 
 } // namespace verbena::agent
--- a/src/agent/admission.h
+++ b/src/agent/admission.h
@@ -4,6 +4,7 @@
 #include "agent/engine_client.h"
 #include "operator_generated.h"
 #include "policy/admission_queue.h"
+#include "policy/team_shares.h"
 
 #include <mutex>
 #include <optional>
@@ -110,10 +111,12 @@
     bool cold() const;
     // Attempts that are queued or running.
     std::size_t open_attempts() const;
-    std::uint64_t held_answer_bytes() const;
-    // Level at which the attempt competes inside the engine; 0 goes first.
-    std::uint32_t engine_level(const std::shared_ptr<attempt>& value, time_point now) const;
-    void set_weight(const std::string& team, double weight);
+    std::uint64_t held_answer_bytes() const { return m_answer_bytes->load(); }
+    const std::shared_ptr<std::atomic<std::uint64_t>>& answer_counter() const { return m_answer_bytes; }
+    // Ended attempts whose answer an entry may still be reading.
+    std::size_t undelivered(time_point now) const;
+    // Rank of the attempt inside the engine; 0 goes first.
+    std::uint32_t engine_rank(const std::shared_ptr<attempt>& value, time_point now) const;
 
 private:
     std::optional<refusal> check_state(const serving_state& state) const;
@@ -124,7 +127,6 @@
                                      time_point arrival) const;
     policy::backlog backlog_of(const policy::queued_request& request, time_point now) const;
     milliseconds retry_hint() const;
-    std::uint64_t answer_bytes() const;
 
     admission_options m_options;
     mutable std::mutex m_mutex;
@@ -133,6 +135,10 @@
     policy::service_estimator m_estimator;
     policy::admission_queue m_queue;
     attempt_table m_table;
+    policy::team_shares m_shares;
+    std::shared_ptr<std::atomic<std::uint64_t>> m_answer_bytes =
+        std::make_shared<std::atomic<std::uint64_t>>(0);
+    time_point m_expired{};
     std::optional<incarnation> m_engine;
 };
 
--- a/src/agent/agent_service.cpp
+++ b/src/agent/agent_service.cpp
@@ -145,11 +145,9 @@
 net::task<void> agent_service::drain()
 {
     co_await net::sleep_for(milliseconds(m_process.settings().stop_delay));
-    while (m_admission.open_attempts() != 0) {
+    while (m_admission.open_attempts() != 0 || m_admission.undelivered(clock::now()) != 0) {
         co_await net::sleep_for(table_interval);
     }
-    // Entries still read the last answers.
-    co_await net::sleep_for(milliseconds(500));
     m_server->stop_accepting();
     log::info("stopped: no attempt is open");
     m_process.finish();
--- a/src/agent/answer_log.cpp
+++ b/src/agent/answer_log.cpp
@@ -5,6 +5,13 @@
 
 namespace verbena::agent {
 
+answer_log::~answer_log()
+{
+    if (m_held) {
+        *m_held -= m_bytes.size();
+    }
+}
+
 void answer_log::signal()
 {
     m_changed.try_send(net::error_code());
@@ -29,6 +36,9 @@
     {
         const std::lock_guard lock(m_mutex);
         m_bytes.append(bytes);
+        if (m_held) {
+            *m_held += bytes.size();
+        }
     }
     signal();
 }
--- a/src/agent/answer_log.h
+++ b/src/agent/answer_log.h
@@ -5,6 +5,8 @@
 
 #include <boost/asio/experimental/concurrent_channel.hpp>
 
+#include <atomic>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -32,7 +34,15 @@
         std::string message;
     };
 
-    explicit answer_log(const net::asio::any_io_executor& executor) : m_changed(executor, 1) {}
+    // `held` counts the bytes of all answers that the process keeps; null for none.
+    explicit answer_log(const net::asio::any_io_executor& executor,
+                        std::shared_ptr<std::atomic<std::uint64_t>> held = nullptr)
+        : m_changed(executor, 1), m_held(std::move(held))
+    {
+    }
+    answer_log(const answer_log&) = delete;
+    answer_log& operator=(const answer_log&) = delete;
+    ~answer_log();
 
     void set_head(unsigned status, std::string content_type);
     void append(std::string_view bytes);
@@ -65,6 +75,7 @@
     std::uint32_t m_tokens = 0;
     attempt_outcome m_outcome = attempt_outcome::unknown;
     std::string m_message;
+    std::shared_ptr<std::atomic<std::uint64_t>> m_held;
 };
 
 } // namespace verbena::agent
--- a/src/agent/attempt.h
+++ b/src/agent/attempt.h
@@ -3,6 +3,7 @@
 #include "agent/answer_log.h"
 #include "wire_generated.h"
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <optional>
@@ -16,9 +17,11 @@
 // members are guarded by the mutex of the admission table that holds the attempt.
 struct attempt {
     attempt(attempt_id own_id, wire::submitT submitted, std::string request_body, time_point arrival,
-            const net::asio::any_io_executor& executor)
+            const net::asio::any_io_executor& executor,
+            std::shared_ptr<std::atomic<std::uint64_t>> held = nullptr)
         : id(own_id), submit(std::move(submitted)), body(std::move(request_body)), arrived(arrival),
-          deadline(arrival + milliseconds(submit.time_left_ms)), log(executor)
+          deadline(arrival + milliseconds(submit.time_left_ms)), log(executor, std::move(held)),
+          urgency(static_cast<request_class>(std::min<std::uint8_t>(submit.request_class, 2)))
     {
     }
 
@@ -32,6 +35,8 @@
     const time_point deadline;
     answer_log log;
 
+    // Class under which the attempt competes; a team over its share competes as batch.
+    request_class urgency;
     attempt_phase phase = attempt_phase::queued;
     bool cancel_requested = false;
     // Set when the entry's stream has ended before the answer; the owner lease runs from then.
--- a/src/agent/attempt_table.cpp
+++ b/src/agent/attempt_table.cpp
@@ -4,7 +4,9 @@
 
 attempt_table::add_verdict attempt_table::add(const std::shared_ptr<attempt>& value, time_point now)
 {
-    expire(now);
+    if (const auto closed = m_closed.find(value->id); closed != m_closed.end() && closed->second <= now) {
+        m_closed.erase(closed);
+    }
     if (m_closed.contains(value->id)) {
         return add_verdict::closed;
     }
--- a/src/agent/engine_runner.cpp
+++ b/src/agent/engine_runner.cpp
@@ -71,7 +71,7 @@
 {
     engine_request request;
     request.id = value->engine_id();
-    request.priority = m_admission.engine_level(value, clock::now());
+    request.priority = m_admission.engine_rank(value, clock::now());
     request.method = value->submit.method.empty() ? "POST" : value->submit.method;
     request.target = value->submit.path;
     request.key = value->submit.key;
--- a/src/agent/entry_streams.cpp
+++ b/src/agent/entry_streams.cpp
@@ -139,7 +139,7 @@
     admission::entry outcome;
     if (!refused) {
         auto value = std::make_shared<attempt>(id, submit, std::move(body.value()), received,
-                                               m_process.io().get_executor());
+                                               m_process.io().get_executor(), m_admission.answer_counter());
         outcome = m_admission.enqueue(value, state(), clock::now());
         refused = outcome.refused;
     }
@@ -252,9 +252,7 @@
     while (true) {
         const result<net::received_frame> message = co_await stream->receive();
         if (!message) {
-            if (value->log.is_open()) {
-                m_admission.delivery_broken(value, delivery, clock::now());
-            }
+            m_admission.delivery_broken(value, delivery, clock::now());
             value->log.wake();
             co_return;
         }
--- a/src/entry/attempt_client.cpp
+++ b/src/entry/attempt_client.cpp
@@ -71,9 +71,10 @@
 // on here.
 class attempt_client::receiver {
 public:
-    receiver(attempt_id id, answer_sink& sink, endpoint_choice& choice, const std::string& endpoint,
-             metrics& counters)
-        : m_id(id), m_sink(sink), m_choice(choice), m_endpoint(endpoint), m_metrics(counters)
+    receiver(attempt_id id, const caller_request& request, answer_sink& sink, endpoint_choice& choice,
+             const std::string& endpoint, metrics& counters)
+        : m_id(id), m_request(request), m_sink(sink), m_choice(choice), m_endpoint(endpoint),
+          m_metrics(counters)
     {
         XXH3_64bits_reset(m_hash.get());
     }
@@ -199,6 +200,9 @@
             drop("wrong_offset");
             return std::nullopt;
         }
+        if (m_received == 0) {
+            m_choice.first_token(m_endpoint, m_request);
+        }
         m_received += data->size();
         XXH3_64bits_update(m_hash.get(), data->data(), data->size());
         bytes.append(reinterpret_cast<const char*>(data->data()), data->size());
@@ -235,6 +239,7 @@
     }
 
     attempt_id m_id;
+    const caller_request& m_request;
     answer_sink& m_sink;
     endpoint_choice& m_choice;
     const std::string& m_endpoint;
@@ -336,14 +341,16 @@
         co_return broken;
     }
     std::shared_ptr<net::frame_stream> stream = opened.value();
-    receiver answer(id, sink, m_choice, endpoint.name, m_metrics);
+    receiver answer(id, request, sink, m_choice, endpoint.name, m_metrics);
     watch->follow(stream, id);
     // A failure to send shows as a broken stream below; a refusal may have arrived before the whole body was
     // sent.
     (void)co_await send_request(request, endpoint, attempt, dispatch_window, stream);
     for (int tries = 0;;) {
-        const std::optional<attempt_result> end = co_await answer.read(stream);
+        std::optional<attempt_result> end = co_await answer.read(stream);
+        broken.answering = answer.received() != 0;
         if (end) {
+            end->answering = broken.answering;
             send_cancel(stream, id);
             stream->close(make_error(error_kind::unavailable, "the attempt has ended"));
             co_return *end;
--- a/src/entry/attempt_client.h
+++ b/src/entry/attempt_client.h
@@ -31,6 +31,8 @@
     wire::refusal refusal = wire::refusal::none;
     std::string message;
     milliseconds retry_after{0};
+    // The first byte of the answer has arrived.
+    bool answering = false;
     // The caller took no more bytes or left; the request ends here.
     bool caller_gone = false;
 };
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -69,7 +69,7 @@
     m_choice.started(endpoint.name, request);
     const attempt_result end =
         co_await m_attempts.run(request, endpoint, number, milliseconds(0), sink, std::move(watch));
-    m_choice.finished(endpoint.name, request, to_attempt_end(end), clock::now());
+    m_choice.finished(endpoint.name, request, to_attempt_end(end), clock::now(), end.answering);
     co_return end;
 }
 
--- a/src/entry/endpoint_choice.cpp
+++ b/src/entry/endpoint_choice.cpp
@@ -112,11 +112,17 @@
     m_router.started(endpoint, to_route(request, {}));
 }
 
+void endpoint_choice::first_token(const std::string& endpoint, const caller_request& request)
+{
+    const std::lock_guard lock(m_mutex);
+    m_router.first_token(endpoint, to_route(request, {}));
+}
+
 void endpoint_choice::finished(const std::string& endpoint, const caller_request& request,
-                               policy::attempt_end end, time_point now)
+                               policy::attempt_end end, time_point now, bool answering)
 {
     const std::lock_guard lock(m_mutex);
-    m_router.finished(endpoint, to_route(request, {}), end, now);
+    m_router.finished(endpoint, to_route(request, {}), end, now, answering);
 }
 
 void endpoint_choice::report(const std::string& endpoint, const wire::load_summary* load, time_point now)
--- a/src/entry/endpoint_choice.h
+++ b/src/entry/endpoint_choice.h
@@ -39,8 +39,9 @@
     std::optional<chosen_endpoint> find(const std::string& name) const;
 
     void started(const std::string& endpoint, const caller_request& request);
+    void first_token(const std::string& endpoint, const caller_request& request);
     void finished(const std::string& endpoint, const caller_request& request, policy::attempt_end end,
-                  time_point now);
+                  time_point now, bool answering);
     void report(const std::string& endpoint, const wire::load_summary* load, time_point now);
 
     void count_request(const caller_request& request, time_point now);
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -278,9 +278,11 @@
         net::asio::detached);
     net::asio::steady_timer deadline(executor, request.deadline);
     if (request.repeatable) {
-        deadline.async_wait([watch](const net::error_code& failure) {
-            if (!failure) {
+        deadline.async_wait([watch, ended, &exchange](const net::error_code& failure) {
+            if (!failure && !*ended) {
                 watch->leave();
+                // A write to a caller that reads nothing would outlast the deadline.
+                exchange.cancel_wait();
             }
         });
     }
--- a/src/entry/key_dispatcher.cpp
+++ b/src/entry/key_dispatcher.cpp
@@ -184,7 +184,7 @@
     auto watch = std::make_shared<caller_watch>();
     const attempt_result end =
         co_await m_attempts.run(request, endpoint, bound.id.number, dispatch_window - spent, answer, watch);
-    m_choice.finished(endpoint.name, request, to_attempt_end(end), clock::now());
+    m_choice.finished(endpoint.name, request, to_attempt_end(end), clock::now(), end.answering);
     if (end.outcome == attempt_outcome::done) {
         co_await finish(request, bound, answer);
         next.next = step::kind::finished;
