Carry out orders to engines with fencing numbers and load permits

Cause: operators declare the models and role of an endpoint; the agent did nothing with it. Ruled out: sending orders from control, because engines that ignore fencing numbers need exactly one sender, and the agent beside the engine is the only process that can be it. Log lines have a plain timestamp. Conclusion: placement that follows demand is not built; operators place models.

--- a/src/agent/agent_service.cpp
+++ b/src/agent/agent_service.cpp
@@ -44,7 +44,8 @@
 
 agent_service::agent_service(node::process& process, const settings::agent_settingsT& settings,
                              std::unique_ptr<engine_client> engine)
-    : m_process(process), m_settings(settings), m_engine(std::move(engine)), m_admission(to_options(settings))
+    : m_process(process), m_settings(settings), m_engine(std::move(engine)),
+      m_admission(to_options(settings)), m_orders(split_list(settings.models), clock::now())
 {
 }
 
@@ -89,7 +90,10 @@
     value->failure_domain = m_process.settings().failure_domain;
     value->service = m_settings.service;
     value->plain = m_settings.kind == "plain";
-    value->models = split_list(m_settings.models);
+    {
+        const std::lock_guard lock(m_orders_mutex);
+        value->models = m_orders.models();
+    }
     value->memory_tokens = m_settings.memory_tokens;
     value->cold = m_admission.cold();
     value->leaving = m_leaving;
@@ -120,6 +124,9 @@
     spawn([self] { return self->watch_held(); });
     spawn([self] { return self->watch_tables(); });
     spawn([self] { return self->watch_freshness(); });
+    if (m_settings.kind != "plain") {
+        spawn([self] { return self->watch_orders(); });
+    }
     metrics& counters = m_process.counters();
     counters.gauge("verbena_agent_running", {}, [self] { return double(self->m_admission.load().running); });
     counters.gauge("verbena_agent_queued", {}, [self] { return double(self->m_admission.load().queued); });
@@ -153,6 +160,17 @@
     m_process.finish();
 }
 
+void agent_service::take_status(const engine_status& status)
+{
+    for (const auto& lost : m_admission.observe(status)) {
+        lost->log.fail(attempt_outcome::unknown, "the engine restarted");
+    }
+    if (std::exchange(m_engine_incarnation, status.engine) != status.engine) {
+        const std::lock_guard lock(m_orders_mutex);
+        m_orders.reset(split_list(m_settings.models));
+    }
+}
+
 net::task<void> agent_service::watch_status()
 {
     bool reachable = true;
@@ -160,9 +178,7 @@
         const auto status = co_await m_engine->status();
         if (status) {
             m_engine_seen = true;
-            for (const auto& lost : m_admission.observe(status.value())) {
-                lost->log.fail(attempt_outcome::unknown, "the engine restarted");
-            }
+            take_status(status.value());
             pump();
         }
         if (status.has_value() != reachable) {
@@ -226,6 +242,42 @@
     }
 }
 
+net::task<void> agent_service::watch_orders()
+{
+    while (true) {
+        co_await net::sleep_for(status_interval);
+        const auto config = m_config.current();
+        const op::endpointT* desired = config ? config->endpoint(m_settings.endpoint) : nullptr;
+        std::optional<order> next;
+        {
+            const std::lock_guard lock(m_orders_mutex);
+            m_control->want_load(m_orders.wants_load(desired) ? m_settings.load_bytes : 0);
+            next = m_orders.next(desired, state().fresh, m_control->load_permitted(), clock::now());
+        }
+        if (next) {
+            co_await send_order(*next);
+        }
+    }
+}
+
+net::task<void> agent_service::send_order(order next)
+{
+    const result<void> sent = co_await m_engine->order(next.fencing, to_string(next.what), next.name);
+    const std::lock_guard lock(m_orders_mutex);
+    if (sent) {
+        m_orders.succeeded(next, clock::now());
+        m_control->want_load(0);
+        log::info(std::string("order carried out: ") + to_string(next.what) + " " + next.name + ", epoch " +
+                  std::to_string(next.fencing));
+    } else if (sent.error().kind == error_kind::conflict) {
+        m_orders.superseded(next);
+        log::warn("order superseded: the engine has seen a newer one than epoch " +
+                  std::to_string(next.fencing));
+    } else {
+        m_process.counters().add("verbena_agent_order_failures_total", {});
+    }
+}
+
 net::task<void> agent_service::watch_tables()
 {
     while (true) {
--- a/src/agent/agent_service.h
+++ b/src/agent/agent_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/admission.h"
+#include "agent/order_planner.h"
 #include "node/control_client.h"
 #include "node/process.h"
 
@@ -73,11 +74,15 @@
     void end_done(const std::shared_ptr<attempt>& value, const answer_end& end);
     void cancel(const std::shared_ptr<attempt>& value, const char* reason);
     time_point run_end(const attempt& value) const;
+    void take_status(const engine_status& status);
     net::task<void> watch_status();
     net::task<void> watch_held();
     net::task<void> watch_tables();
     // Asks entries for the newest confirmed configuration when control has not answered for a while.
     net::task<void> watch_freshness();
+    // Carries out the orders of the configuration.
+    net::task<void> watch_orders();
+    net::task<void> send_order(order next);
     void remember_peer(const std::shared_ptr<net::connection>& peer);
     net::task<void> drain();
 
@@ -90,7 +95,10 @@
     std::shared_ptr<node::control_client> m_control;
     std::atomic<bool> m_leaving{false};
     std::atomic<bool> m_engine_seen{false};
+    incarnation m_engine_incarnation = 0;
     std::string m_address;
+    mutable std::mutex m_orders_mutex;
+    order_planner m_orders;
     // Connections of entries by the incarnation of the entry; last in the lock order.
     std::mutex m_peers_mutex;
     std::map<incarnation, std::weak_ptr<net::connection>> m_peers;
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr const char* line_pattern = "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p %m%n";
+constexpr const char* line_pattern = "%d{yyyy-MM-dd HH:mm:ss.SSS} %p %m%n";
 
 log4cxx::LoggerPtr logger()
 {
--- a/src/node/control_client.cpp
+++ b/src/node/control_client.cpp
@@ -35,6 +35,13 @@
 {
 }
 
+void control_client::want_load(std::uint64_t bytes)
+{
+    if (m_wanted_load.exchange(bytes) != bytes) {
+        m_load_permit = false;
+    }
+}
+
 void control_client::start()
 {
     for (const host_port& member : m_options.members) {
@@ -101,6 +108,8 @@
             poll.announce = nullptr;
         }
     }
+    const std::uint64_t wanted = m_wanted_load;
+    poll.wants_load_bytes = wanted;
     const time_point asked = clock::now();
     poll.nonce = static_cast<std::uint64_t>(asked.time_since_epoch().count());
     const std::uint64_t nonce = poll.nonce;
@@ -117,6 +126,9 @@
         co_return make_error(error_kind::invalid_frame, "unexpected reply to a poll", "check the versions");
     }
     take_reply(name, *reply, asked);
+    if (reply->load_permit() && wanted != 0 && wanted == m_wanted_load) {
+        m_load_permit = true;
+    }
     co_return success();
 }
 
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -31,6 +31,10 @@
     void start();
     void stop() { m_stopping = true; }
 
+    // Asks for a permit to read this many bytes from the weight store; 0 ends the request or the permit.
+    void want_load(std::uint64_t bytes);
+    bool load_permitted() const { return m_load_permit; }
+
     // Sends a key call to the leader, following its hints, and waits for the committed answer. `unavailable`
     // with sent = false proves that no member took the call.
     net::task<result<wire::key_replyT>> call_key(wire::frameT call, milliseconds timeout);
@@ -58,6 +62,8 @@
     announcer m_announce;
     metrics& m_metrics;
     std::atomic<bool> m_stopping{false};
+    std::atomic<std::uint64_t> m_wanted_load{0};
+    std::atomic<bool> m_load_permit{false};
     mutable std::mutex m_mutex;
     std::string m_leader; // frame address of the last known leader
 };
