--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -252,6 +252,7 @@
     reply.revision = found.number;
     reply.config = found.config;
     reply.operator_address = m_settings.operator_listen;
+    reply.applied_revision = m_machine.config().current_revision();
     stream->send(net::make_frame(std::move(reply)));
 }
 
--- a/src/control/raft_host.cpp
+++ b/src/control/raft_host.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/random.h"
+#include "control/bootstrap.h"
 #include "raft/wire_message.h"
 
 #include <charconv>
@@ -13,6 +14,9 @@
 constexpr milliseconds tick_interval{20};
 constexpr milliseconds connect_timeout{500};
 
+// Time for the other members to say that the group exists already.
+constexpr milliseconds bootstrap_timeout{500};
+
 // Pause before the next try to connect to a member.
 constexpr milliseconds reconnect_pause{200};
 
@@ -63,12 +67,27 @@
         log::warn("the data folder is empty: this member waits until an operator adds it");
         return raft::storage::join(*m_disk, settings.cluster, settings.member_id, make_incarnation());
     }
+    return initialise_folder(settings);
+}
+
+result<void> raft_host::initialise_folder(const options& settings)
+{
     BOOST_OUTCOME_TRY(std::vector<raft::member> members, parse_peers(settings.peers));
     const raft::membership group = raft::make_initial_membership(std::move(members));
     if (group.find(settings.member_id) == nullptr) {
         return make_error(error_kind::invalid_settings, "[control] peers does not list this member",
                           "add member_id with its address to peers");
     }
+    std::vector<host_port> others;
+    for (const raft::member& member : group.members) {
+        if (member.id != settings.member_id) {
+            BOOST_OUTCOME_TRY(host_port address, parse_host_port(member.address));
+            others.push_back(std::move(address));
+        }
+    }
+    const net::peer_info self{wire::role::control, "init-" + std::to_string(settings.member_id),
+                              settings.cluster, 1};
+    BOOST_OUTCOME_TRY(check_new_group(others, self, bootstrap_timeout));
     return raft::storage::initialise(*m_disk, settings.cluster, settings.member_id, group);
 }
 
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -92,6 +92,7 @@
 
     result<void> open(const options& settings);
     result<void> prepare_folder(const options& settings);
+    result<void> initialise_folder(const options& settings);
     net::task<void> run_timer();
     net::task<void> connect(raft::member_id id, host_port address);
     void change_membership(const raft::membership_change& change, const member_handler& handler);
