Let refusals of the HTTP server reach the caller

Cause: the timeout of beast::tcp_stream closes the socket, so the 408 after a slow header or body was written to a closed socket. After 400, 413, 431 and 503 the server closed with unread bytes; the kernel then sends a reset, and a caller that is still sending sees a write error.

Ruled out: asio cancellation of the composed read by a parallel timer needs awaitable operators around every read; a socket cancel alone is lost when the timer fires between two reads of one composed operation, so it is repeated every 10 ms until the read has ended.

Change: read_deadline cancels reads and keeps the socket open. After a refusal the server shuts its send side down, then discards at most 1 MiB for at most 2 s and closes. The body reservation is released before that. The grace of the minimum rate is now http_limits::body_rate_grace, so that a test can lower it.

Conclusion: a caller that has sent up to 1 MiB beyond the refusal reads the whole reply and an orderly end.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -12,6 +12,7 @@
 #include <boost/json/value.hpp>
 
 #include <cstdio>
+#include <optional>
 
 namespace verbena::net {
 
@@ -20,12 +21,18 @@
 
 namespace {
 
-// A body below the lowest rate is refused only after this time, so that a pause at the start does no harm.
-constexpr milliseconds body_rate_grace{5'000};
-
 // Bytes read at first for a request; the parser reads on from there.
 constexpr std::size_t first_read_size = 4'096;
 
+// Bounds for reading on after a refusal. Closing a socket with unread bytes makes the kernel send a reset,
+// and a caller that is still sending then loses the reply.
+constexpr std::size_t drain_bytes = 1024 * 1024;
+constexpr milliseconds drain_time{2'000};
+
+// A cancellation has no effect between two reads of one composed operation, so it is repeated at this
+// interval.
+constexpr milliseconds cancel_interval{10};
+
 using body_parser = http::request_parser<http::string_body>;
 
 // Adds to a counter for the life of the object.
@@ -60,30 +67,6 @@
     std::uint64_t m_held = 0;
 };
 
-struct refusal_text {
-    unsigned status;
-    const char* kind;
-    const char* message;
-    const char* remedy;
-};
-
-refusal_text refusal_for(const error_code& failure, bool in_header)
-{
-    if (failure == http::error::header_limit) {
-        return {431, "headers_too_large", "the request headers are too large",
-                "send fewer or shorter headers"};
-    }
-    if (failure == http::error::body_limit) {
-        return {413, "body_too_large", "the request body is too large", "send a shorter prompt"};
-    }
-    if (failure == beast::error::timeout) {
-        return {408, "slow_sender",
-                in_header ? "the headers did not arrive in time" : "the body did not arrive in time",
-                "send the request faster"};
-    }
-    return {400, "malformed_http", "the request is not valid HTTP", "check the client"};
-}
-
 http_request to_request(http::request<http::string_body>&& message)
 {
     http_request request;
@@ -96,6 +79,111 @@
 
 } // namespace
 
+// Ends the reads of a connection at a deadline and leaves the socket open, so that a reply can still be
+// written. The timeout of beast::tcp_stream closes the socket. Used on the strand of the connection.
+class read_deadline {
+public:
+    explicit read_deadline(beast::tcp_stream& stream) : m_state(std::make_shared<state>(stream))
+    {
+        asio::co_spawn(
+            stream.get_executor(), [shared = m_state] { return watch(shared); }, asio::detached);
+    }
+    read_deadline(const read_deadline&) = delete;
+    read_deadline& operator=(const read_deadline&) = delete;
+    ~read_deadline()
+    {
+        m_state->ended = true;
+        m_state->timer.cancel();
+    }
+
+    void set(time_point deadline)
+    {
+        m_state->expired = false;
+        m_state->deadline = deadline;
+        // A later deadline needs no new wait: the watch looks at it when the timer fires.
+        if (deadline < m_state->timer.expiry()) {
+            m_state->timer.cancel();
+        }
+    }
+
+    void clear() { set(time_point::max()); }
+
+    bool expired() const { return m_state->expired; }
+
+private:
+    struct state {
+        explicit state(beast::tcp_stream& read_stream)
+            : stream(read_stream), timer(read_stream.get_executor())
+        {
+        }
+
+        beast::tcp_stream& stream;
+        asio::steady_timer timer;
+        time_point deadline = time_point::max();
+        bool expired = false;
+        bool ended = false;
+    };
+
+    static task<void> watch(std::shared_ptr<state> shared)
+    {
+        while (!shared->ended) {
+            shared->timer.expires_at(shared->deadline);
+            co_await shared->timer.async_wait(no_throw);
+            if (!shared->ended && clock::now() >= shared->deadline) {
+                shared->expired = true;
+                shared->deadline = clock::now() + cancel_interval;
+                error_code ignored;
+                shared->stream.socket().cancel(ignored);
+            }
+        }
+    }
+
+    std::shared_ptr<state> m_state;
+};
+
+struct http_server::connection_state {
+    connection_state(tcp::socket socket, std::size_t buffer_limit)
+        : stream(std::move(socket)), buffer(buffer_limit), deadline(stream)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    read_deadline deadline;
+};
+
+// A request whose body is being received.
+struct http_server::upload {
+    explicit upload(std::atomic<std::uint64_t>& total) : reservation(total) {}
+
+    body_parser parser;
+    body_reservation reservation;
+};
+
+struct http_server::refusal {
+    unsigned status;
+    const char* kind;
+    const char* message;
+    const char* remedy;
+
+    static refusal slow(const char* message)
+    {
+        return {408, "slow_sender", message, "send the request faster"};
+    }
+
+    static refusal for_failure(const error_code& failure)
+    {
+        if (failure == http::error::header_limit) {
+            return {431, "headers_too_large", "the request headers are too large",
+                    "send fewer or shorter headers"};
+        }
+        if (failure == http::error::body_limit) {
+            return {413, "body_too_large", "the request body is too large", "send a shorter prompt"};
+        }
+        return {400, "malformed_http", "the request is not valid HTTP", "check the client"};
+    }
+};
+
 std::string_view http_request::header(std::string_view name) const
 {
     const auto place = headers.find(beast::string_view(name.data(), name.size()));
@@ -277,87 +365,132 @@
     const scoped_count open(m_connections);
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer(m_limits.max_header + 64 * 1024);
-    bool more = true;
-    while (more) {
-        more = co_await serve_one(stream, buffer);
+    connection_state connection(std::move(socket), m_limits.max_header + 64 * 1024);
+    next_step step = next_step::next_request;
+    while (step == next_step::next_request) {
+        step = co_await serve_one(connection);
+    }
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    if (step == next_step::drain_and_close) {
+        co_await drain(connection);
+    }
+}
+
+task<void> http_server::drain(connection_state& connection)
+{
+    connection.stream.expires_never();
+    connection.deadline.set(clock::now() + drain_time);
+    std::vector<char> discarded(first_read_size);
+    std::size_t total = 0;
+    while (total < drain_bytes && !connection.deadline.expired()) {
+        auto [failure, size] = co_await connection.stream.async_read_some(asio::buffer(discarded), no_throw);
+        if (failure) {
+            co_return;
+        }
+        total += size;
     }
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-task<bool> http_server::refuse(beast::tcp_stream& stream, unsigned status, const char* kind,
-                               const char* message, const char* remedy)
+task<http_server::next_step> http_server::refuse(connection_state& connection, refusal text)
 {
-    count(kind);
-    http_exchange exchange(*this, stream, http_request{}, false);
-    http_response response = m_handler.refuse(status, kind, message, remedy);
+    count(text.kind);
+    connection.deadline.clear();
+    http_exchange exchange(*this, connection.stream, http_request{}, false);
+    http_response response = m_handler.refuse(text.status, text.kind, text.message, text.remedy);
     const result<void> sent = co_await exchange.reply(std::move(response));
     if (!sent) {
         count("refusal_not_sent");
+        co_return next_step::close;
     }
-    co_return false;
+    co_return next_step::drain_and_close;
 }
 
-task<bool> http_server::serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+task<bool> http_server::wait_request(connection_state& connection)
 {
-    body_parser parser;
+    // A timeout of an earlier write must not close the connection while it is idle.
+    connection.stream.expires_never();
+    if (connection.buffer.size() > 0) {
+        co_return true;
+    }
+    // A request that arrives while the server stops is still answered.
+    connection.deadline.set(clock::now() + m_limits.idle_timeout);
+    auto [failure, size] =
+        co_await connection.stream.async_read_some(connection.buffer.prepare(first_read_size), no_throw);
+    if (failure) {
+        co_return false;
+    }
+    connection.buffer.commit(size);
+    co_return true;
+}
+
+task<http_server::next_step> http_server::serve_one(connection_state& connection)
+{
+    upload received(m_body_bytes);
+    body_parser& parser = received.parser;
     parser.header_limit(m_limits.max_header);
     parser.body_limit(m_limits.max_body);
-    if (buffer.size() == 0) {
-        // Read through the stream, because its timeout does not cover waits on the plain socket. A request
-        // that arrives while the server stops is still answered.
-        stream.expires_after(m_limits.idle_timeout);
-        auto [failure, size] = co_await stream.async_read_some(buffer.prepare(first_read_size), no_throw);
-        if (failure) {
-            co_return false;
-        }
-        buffer.commit(size);
+    const bool arrived = co_await wait_request(connection);
+    if (!arrived) {
+        co_return next_step::close;
     }
-    stream.expires_after(m_limits.header_timeout);
-    auto [header_failure, header_size] = co_await http::async_read_header(stream, buffer, parser, no_throw);
-    if (header_failure == http::error::end_of_stream || header_failure == asio::error::connection_reset) {
-        co_return false;
+    beast::tcp_stream& stream = connection.stream;
+    connection.deadline.set(clock::now() + m_limits.header_timeout);
+    auto [failure, size] = co_await http::async_read_header(stream, connection.buffer, parser, no_throw);
+    if (failure == http::error::end_of_stream || failure == asio::error::connection_reset) {
+        co_return next_step::close;
     }
-    if (header_failure) {
-        const refusal_text text = refusal_for(header_failure, true);
-        co_return co_await refuse(stream, text.status, text.kind, text.message, text.remedy);
+    if (failure) {
+        const refusal text = connection.deadline.expired()
+                                 ? refusal::slow("the headers did not arrive in time")
+                                 : refusal::for_failure(failure);
+        co_return co_await refuse(connection, text);
     }
     const scoped_count active(m_active);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        stream.expires_after(m_limits.write_timeout);
         co_await asio::async_write(stream, asio::buffer(go_on.data(), go_on.size()), no_throw);
+        stream.expires_never();
     }
-    body_reservation reservation(m_body_bytes);
-    const time_point body_start = clock::now();
-    while (!parser.is_done()) {
-        stream.expires_at(
-            std::min(body_start + m_limits.body_timeout, clock::now() + m_limits.header_timeout));
-        auto [failure, size] = co_await http::async_read_some(stream, buffer, parser, no_throw);
-        if (failure) {
-            const refusal_text text = refusal_for(failure, false);
-            co_return co_await refuse(stream, text.status, text.kind, text.message, text.remedy);
-        }
-        const std::uint64_t received = parser.get().body().size();
-        if (reservation.set(received) > m_limits.max_total_body) {
-            co_return co_await refuse(stream, 503, "upload_memory",
-                                      "too many request bodies are being received", "retry after a second");
-        }
-        const auto elapsed = std::chrono::duration_cast<milliseconds>(clock::now() - body_start);
-        if (elapsed > body_rate_grace &&
-            received * 1000 < static_cast<std::uint64_t>(elapsed.count()) * m_limits.min_body_rate) {
-            co_return co_await refuse(stream, 408, "slow_sender", "the body arrives too slowly",
-                                      "send the request faster");
-        }
+    const std::optional<refusal> refused = co_await read_body(connection, received);
+    if (refused) {
+        co_return co_await refuse(connection, *refused);
     }
-    stream.expires_never();
+    connection.deadline.clear();
     const bool keep_alive = parser.get().keep_alive();
     http_exchange exchange(*this, stream, to_request(parser.release()), keep_alive);
     co_await m_handler.handle(exchange);
     if (!exchange.finished()) {
         count("unfinished_answer");
     }
-    co_return exchange.keep_alive() && !m_stopping;
+    co_return exchange.keep_alive() && !m_stopping ? next_step::next_request : next_step::close;
+}
+
+task<std::optional<http_server::refusal>> http_server::read_body(connection_state& connection,
+                                                                 upload& received)
+{
+    const time_point start = clock::now();
+    while (!received.parser.is_done()) {
+        connection.deadline.set(
+            std::min(start + m_limits.body_timeout, clock::now() + m_limits.header_timeout));
+        auto [failure, size] =
+            co_await http::async_read_some(connection.stream, connection.buffer, received.parser, no_throw);
+        if (failure) {
+            co_return connection.deadline.expired() ? refusal::slow("the body did not arrive in time")
+                                                    : refusal::for_failure(failure);
+        }
+        const std::uint64_t bytes = received.parser.get().body().size();
+        if (received.reservation.set(bytes) > m_limits.max_total_body) {
+            co_return refusal{503, "upload_memory", "too many request bodies are being received",
+                              "retry after a second"};
+        }
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(clock::now() - start);
+        if (elapsed > m_limits.body_rate_grace &&
+            bytes * 1000 < static_cast<std::uint64_t>(elapsed.count()) * m_limits.min_body_rate) {
+            co_return refusal::slow("the body arrives too slowly");
+        }
+    }
+    co_return std::nullopt;
 }
 
 } // namespace verbena::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -10,8 +10,7 @@
 
 #include <atomic>
 #include <memory>
-#include <mutex>
-#include <set>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,8 +25,10 @@
     std::uint64_t max_total_body = 512 * 1024 * 1024;
     milliseconds header_timeout{10'000};
     milliseconds body_timeout{60'000};
-    // Upload rate in bytes per second below which a sender is refused after a grace of 5 s.
+    // Upload rate in bytes per second below which a sender is refused.
     std::uint32_t min_body_rate = 4'096;
+    // The rate counts only after this time, so that a pause at the start of a body does no harm.
+    milliseconds body_rate_grace{5'000};
     // A reader that takes no byte for this long is disconnected.
     milliseconds write_timeout{30'000};
     milliseconds idle_timeout{60'000};
@@ -140,12 +141,23 @@
                 http_handler& handler, metrics& counters, std::string name);
 
 private:
+    enum class next_step { next_request, close, drain_and_close };
+
+    struct connection_state;
+    struct refusal;
+    struct upload;
+
     task<void> accept_loop();
     task<void> serve(tcp::socket socket);
-    // Reads and answers one request; false closes the connection.
-    task<bool> serve_one(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer);
-    task<bool> refuse(boost::beast::tcp_stream& stream, unsigned status, const char* kind,
-                      const char* message, const char* remedy);
+    // Reads and answers one request.
+    task<next_step> serve_one(connection_state& connection);
+    // Waits for the first bytes of a request; false when the connection ends instead.
+    task<bool> wait_request(connection_state& connection);
+    // The refusal of a body that is too large, malformed or too slow; nothing when the body is complete.
+    task<std::optional<refusal>> read_body(connection_state& connection, upload& received);
+    task<next_step> refuse(connection_state& connection, refusal text);
+    // Reads and discards what a refused caller still sends.
+    static task<void> drain(connection_state& connection);
     void count(const char* event);
 
     asio::io_context& m_io;
