--- a/src/control/bootstrap.cpp
+++ b/src/control/bootstrap.cpp
@@ -37,10 +37,11 @@
     options.self = self;
     auto pool = std::make_shared<net::peer_pool>(io, options, nullptr);
     result<void> outcome = success();
+    std::size_t pending = peers.size();
     for (const host_port& peer : peers) {
         net::asio::co_spawn(
             io,
-            [&outcome, pool, peer, timeout]() -> net::task<void> {
+            [&outcome, &pending, &io, pool, peer, timeout]() -> net::task<void> {
                 const revision found = co_await applied_revision(pool, peer, timeout);
                 if (found != 0) {
                     outcome = make_error(
@@ -49,10 +50,15 @@
                             " has revision " + std::to_string(found),
                         "start without --init, then remove this member and add it under a new member id");
                 }
+                if (--pending == 0) {
+                    io.stop();
+                }
             },
             net::asio::detached);
     }
-    io.run_for(timeout * 2);
+    if (!peers.empty()) {
+        io.run_for(timeout * 2);
+    }
     for (const auto& open : pool->open_connections()) {
         open->close(make_error(error_kind::unavailable, "the question is answered"));
     }
