Let a joining control member answer its leader

Cause: a member with an empty folder has an empty log and so knows no member's address; its replies to the leader were dropped, and it stayed a learner for ever. Found by replacing a lost member by hand in the demo. Ruled out: giving the addresses in the settings of the new member; they may be old when the group has changed. Change: replies go back on the stream of the leader while the sender's address is not known, and the leader reads it.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -215,7 +215,7 @@
 void control_service::take_message(const std::shared_ptr<net::frame_stream>& stream, const wire::frame& frame)
 {
     if (const wire::raft_message* message = frame.message_as_raft_message()) {
-        m_raft->step(*message);
+        m_raft->step(*message, stream);
     } else if (const wire::poll* poll = frame.message_as_poll()) {
         answer_poll(stream, *poll);
     } else if (const wire::freshness_query* query = frame.message_as_freshness_query()) {
--- a/src/control/raft_host.cpp
+++ b/src/control/raft_host.cpp
@@ -129,10 +129,16 @@
     }
 }
 
-void raft_host::step(const wire::raft_message& message)
+void raft_host::step(const wire::raft_message& message, const std::shared_ptr<net::frame_stream>& stream)
 {
     const result<raft::message> input = raft::from_wire(message);
     if (input && !m_faulted) {
+        // A member that joins has an empty log and knows no addresses; it answers on the stream of the
+        // leader.
+        link& peer = m_links[input.value().from];
+        if (!peer.stream && address_of(input.value().from).empty()) {
+            peer.stream = stream;
+        }
         check(m_replica->step(input.value(), clock::now()));
     }
 }
@@ -177,6 +183,26 @@
     peer.connecting = false;
     peer.not_before = clock::now() + reconnect_pause;
     peer.stream = opened ? opened.value() : nullptr;
+    if (peer.stream) {
+        net::asio::co_spawn(
+            m_strand,
+            [self = shared_from_this(), stream = peer.stream] { return self->read_replies(stream); },
+            net::asio::detached);
+    }
+}
+
+net::task<void> raft_host::read_replies(std::shared_ptr<net::frame_stream> stream)
+{
+    const net::stream_guard guard(stream);
+    while (true) {
+        const result<net::received_frame> next = co_await stream->receive();
+        if (!next) {
+            co_return;
+        }
+        if (const wire::raft_message* message = next.value().frame->message_as_raft_message()) {
+            step(*message, stream);
+        }
+    }
 }
 
 void raft_host::schedule_flush()
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -44,7 +44,8 @@
     control_strand& strand() { return m_strand; }
 
     // All of the following run on the strand.
-    void step(const wire::raft_message& message);
+    // `stream` is where the message came from; replies go back on it while the sender's address is not known.
+    void step(const wire::raft_message& message, const std::shared_ptr<net::frame_stream>& stream);
     std::optional<milliseconds> confirm_age(time_point now) const
     {
         return m_replica->state().confirm_age(now);
@@ -95,6 +96,7 @@
     result<void> initialise_folder(const options& settings);
     net::task<void> run_timer();
     net::task<void> connect(raft::member_id id, host_port address);
+    net::task<void> read_replies(std::shared_ptr<net::frame_stream> stream);
     void change_membership(const raft::membership_change& change, const member_handler& handler);
     void schedule_flush();
     void check(const result<void>& outcome);
--- /dev/null
+++ b/test/control_join_test.cpp
@@ -0,0 +1,153 @@
+#include "control/control_service.h"
+#include "net/http_client.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <thread>
+
+using namespace verbena;
+
+namespace {
+
+// Longest wait for a step that takes well under a second; only a failure takes this long.
+constexpr std::chrono::seconds longest_wait{30};
+
+std::uint16_t free_port()
+{
+    net::asio::io_context io;
+    net::tcp::acceptor acceptor(io, net::tcp::endpoint(net::asio::ip::make_address("127.0.0.1"), 0));
+    return acceptor.local_endpoint().port();
+}
+
+std::string local(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+// Processes end without running the destructors of suspended coroutines, and so do members here.
+void keep(std::unique_ptr<node::process> process)
+{
+    static auto* kept = new std::vector<std::unique_ptr<node::process>>;
+    kept->push_back(std::move(process));
+}
+
+// A control member with its own data folder and worker.
+class member {
+public:
+    member(std::uint64_t id, bool initialise) : m_frames(free_port()), m_calls(free_port())
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "verbena-join-XXXXXX").string();
+        BOOST_TEST_REQUIRE(mkdtemp(pattern.data()) != nullptr);
+        m_folder = pattern;
+        settings::node_settingsT node;
+        node.name = "control-" + std::to_string(id);
+        node.cluster = "test";
+        node.workers = 1;
+        auto process = node::process::create(node);
+        BOOST_TEST_REQUIRE(process.has_value());
+        m_process = std::move(process.value());
+        settings::control_settingsT control;
+        control.listen = local(m_frames);
+        control.operator_listen = local(m_calls);
+        control.data = m_folder;
+        control.member_id = id;
+        control.peers = std::to_string(id) + "=" + local(m_frames);
+        auto service = control::control_service::create(*m_process, control, initialise);
+        BOOST_TEST_REQUIRE(service.has_value());
+        m_service = service.value();
+        m_service->start();
+        m_thread = std::thread([this] { m_process->io().run(); });
+    }
+    member(const member&) = delete;
+    member& operator=(const member&) = delete;
+    ~member()
+    {
+        m_process->io().stop();
+        m_thread.join();
+        keep(std::move(m_process));
+        std::filesystem::remove_all(m_folder);
+    }
+
+    std::string frames() const { return local(m_frames); }
+
+    boost::json::value call(const std::string& name, const std::string& body) const
+    {
+        net::asio::io_context io;
+        std::string reply = "{}";
+        net::http_call request;
+        request.target = "/operator/v1/" + name;
+        request.body = body;
+        const host_port address{"127.0.0.1", m_calls};
+        net::asio::co_spawn(
+            io,
+            [&]() -> net::task<void> {
+                auto answer = co_await net::fetch_http(address, std::move(request), milliseconds(5'000));
+                if (answer) {
+                    reply = answer.value().body;
+                }
+            },
+            net::asio::detached);
+        io.run();
+        boost::system::error_code failure;
+        return boost::json::parse(reply, failure);
+    }
+
+private:
+    std::uint16_t m_frames;
+    std::uint16_t m_calls;
+    std::string m_folder;
+    std::unique_ptr<node::process> m_process;
+    std::shared_ptr<control::control_service> m_service;
+    std::thread m_thread;
+};
+
+bool is_voter(const boost::json::value& status, std::int64_t id)
+{
+    const auto* members = status.is_object() ? status.get_object().if_contains("members") : nullptr;
+    if (members == nullptr) {
+        return false;
+    }
+    for (const auto& item : members->get_array()) {
+        if (item.at("id").to_number<std::int64_t>() == id) {
+            return !item.at("learner").get_bool();
+        }
+    }
+    return false;
+}
+
+template <typename Check>
+bool eventually(Check check)
+{
+    const time_point limit = clock::now() + longest_wait;
+    while (clock::now() < limit) {
+        if (check()) {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    return false;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(control_join)
+
+// Guards against a joining member that never catches up: its log is empty, so it knows no address to answer
+// to.
+BOOST_AUTO_TEST_CASE(a_member_with_an_empty_folder_joins_and_becomes_a_voter)
+{
+    const member first(1, true);
+    const member second(2, false);
+    const std::string add = "{\"id\": 2, \"address\": \"" + second.frames() + "\"}";
+    BOOST_TEST(eventually([&] {
+        const auto reply = first.call("add_member", add);
+        const auto* outcome = reply.is_object() ? reply.get_object().if_contains("result") : nullptr;
+        return outcome != nullptr && *outcome == "accepted";
+    }));
+    BOOST_TEST(eventually([&] { return is_voter(first.call("status", "{}"), 2); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
