Enforce the receive window and count whole frames as life

Cause: only the sender counted the window, so a faulty peer could make the receiver hold any amount of data. Liveness was renewed by every read, so a peer that trickles bytes of one frame was never silent.

Change: a stream counts received data messages with window_cost against what it has granted. A data message that arrives when nothing is left closes the connection with the event window_exceeded; the last message within the window may exceed it, as send_data permits. The time of the last received frame is set after the frame has been checked.

Ruled out: a check on the sum of the inbox, because messages that were received but not granted count as well.

The new case for a valid checksum and an invalid table guards existing behaviour; it was not run against the old code.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -35,6 +35,20 @@
     return frame.message_type() == wire::body::answer_data || frame.message_type() == wire::body::submit_data;
 }
 
+// Cost of a received message against the window; 0 for messages that are not data.
+std::size_t received_cost(const wire::frame& frame)
+{
+    const flatbuffers::Vector<std::uint8_t>* bytes = nullptr;
+    if (const wire::answer_data* answer = frame.message_as_answer_data()) {
+        bytes = answer->bytes();
+    } else if (const wire::submit_data* submit = frame.message_as_submit_data()) {
+        bytes = submit->bytes();
+    } else {
+        return 0;
+    }
+    return window_cost(bytes == nullptr ? 0 : bytes->size());
+}
+
 } // namespace
 
 std::size_t window_cost(std::size_t bytes)
@@ -43,7 +57,7 @@
 }
 
 frame_stream::frame_stream(std::shared_ptr<connection> parent, std::uint32_t id)
-    : m_connection(std::move(parent)), m_id(id), m_credit(initial_window),
+    : m_connection(std::move(parent)), m_id(id), m_credit(initial_window), m_granted(initial_window),
       m_received(m_connection->executor(), 1), m_credited(m_connection->executor(), 1)
 {
 }
@@ -105,16 +119,22 @@
     m_received.try_send(error_code());
 }
 
-void frame_stream::deliver(received_frame message)
+bool frame_stream::deliver(received_frame message)
 {
+    const std::size_t cost = received_cost(*message.frame);
     {
         const std::lock_guard lock(m_mutex);
         if (m_closed) {
-            return;
+            return true;
+        }
+        if (cost > 0 && m_granted <= 0) {
+            return false;
         }
+        m_granted -= static_cast<std::int64_t>(cost);
         m_inbox.push_back(std::move(message));
     }
     wake_receiver();
+    return true;
 }
 
 void frame_stream::add_credit(std::size_t bytes)
@@ -136,6 +156,7 @@
             return;
         }
         ready = std::exchange(m_ungranted, 0);
+        m_granted += static_cast<std::int64_t>(ready);
     }
     wire::windowT window;
     window.bytes = static_cast<std::uint32_t>(ready);
@@ -215,7 +236,6 @@
             co_return false;
         }
         m_read_end += size;
-        m_last_received = clock::now();
     }
     co_return true;
 }
@@ -245,6 +265,7 @@
         copied += part;
     }
     BOOST_OUTCOME_CO_TRY(message.frame, decode_payload(header, message.payload));
+    m_last_received = clock::now();
     co_return std::move(message);
 }
 
@@ -388,8 +409,8 @@
         }
         if (stream == 0) {
             dispatch_connection(*message.value().frame);
-        } else {
-            dispatch(stream, std::move(message.value()));
+        } else if (!dispatch(stream, std::move(message.value()))) {
+            co_return;
         }
     }
 }
@@ -403,7 +424,7 @@
     }
 }
 
-void connection::dispatch(std::uint32_t id, received_frame message)
+bool connection::dispatch(std::uint32_t id, received_frame message)
 {
     std::shared_ptr<frame_stream> stream;
     {
@@ -415,18 +436,24 @@
     }
     if (!stream) {
         open_from_peer(id, std::move(message));
-        return;
+        return true;
     }
     if (const wire::window* window = message.frame->message_as_window()) {
         stream->add_credit(window->bytes());
-        return;
+        return true;
     }
     if (const wire::reset* reset = message.frame->message_as_reset()) {
         const std::string reason = reset->reason() == nullptr ? "" : reset->reason()->str();
         stream->close_here(make_error(error_kind::unavailable, "the peer ended the stream: " + reason));
-        return;
+        return true;
+    }
+    if (!stream->deliver(std::move(message))) {
+        count("window_exceeded");
+        close(make_error(error_kind::invalid_frame, "window_exceeded",
+                         "check that both processes run the same version"));
+        return false;
     }
-    stream->deliver(std::move(message));
+    return true;
 }
 
 void connection::open_from_peer(std::uint32_t id, received_frame message)
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -58,7 +58,8 @@
 
     using receive_signal = asio::experimental::concurrent_channel<void(error_code)>;
 
-    void deliver(received_frame message);
+    // Queues a message for the receiver; false when the peer had no window left for it.
+    bool deliver(received_frame message);
     // Ends the stream without telling the peer; false when it had ended before.
     bool close_here(const error& reason);
     void add_credit(std::size_t bytes);
@@ -72,6 +73,8 @@
     std::deque<received_frame> m_inbox;
     std::optional<error> m_closed;
     std::int64_t m_credit;
+    // What the peer may still send. Goes below 0 by at most one message, like the credit of the sender.
+    std::int64_t m_granted;
     std::size_t m_ungranted = 0;
     receive_signal m_received;
     receive_signal m_credited;
@@ -149,7 +152,8 @@
     task<void> read_loop();
     task<void> write_loop();
     task<void> liveness_loop();
-    void dispatch(std::uint32_t id, received_frame message);
+    // False when the frame breaks the protocol and the connection has been closed.
+    bool dispatch(std::uint32_t id, received_frame message);
     void dispatch_connection(const wire::frame& frame);
     void open_from_peer(std::uint32_t id, received_frame message);
     void count(const std::string& event);
@@ -163,6 +167,7 @@
     std::vector<std::uint8_t> m_read_buffer;
     std::size_t m_read_begin = 0;
     std::size_t m_read_end = 0;
+    // Time of the last whole frame. Bytes do not count: a peer that never completes a frame is silent.
     std::atomic<time_point> m_last_received;
 
     // Guards the members below.
--- a/test/net_connection_test.cpp
+++ b/test/net_connection_test.cpp
@@ -4,8 +4,12 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
 
+#include <algorithm>
 #include <atomic>
+#include <span>
+#include <xxhash.h>
 
 using namespace verbena;
 using namespace std::chrono_literals;
@@ -128,6 +132,41 @@
     return bytes;
 }
 
+// A frame whose payload has the right checksum and is no valid table.
+std::vector<std::uint8_t> frame_with_invalid_table()
+{
+    std::vector<std::uint8_t> bytes = net::encode_frame(0, net::make_frame(wire::pingT{}));
+    const std::span payload = std::span(bytes).subspan(net::frame_header_size);
+    std::fill(payload.begin(), payload.end(), std::uint8_t{0xFF});
+    const auto checksum = static_cast<std::uint32_t>(XXH3_64bits(payload.data(), payload.size()));
+    boost::endian::store_little_u32(bytes.data() + 12, checksum);
+    return bytes;
+}
+
+// Sends a data message without waiting for the window, as a faulty peer would.
+void send_unchecked(const stream_ptr& stream, std::size_t size)
+{
+    wire::answer_dataT data;
+    data.bytes.resize(size);
+    stream->send(net::make_frame(std::move(data)));
+}
+
+// Receives without granting; returns the number of messages received.
+std::uint32_t receive_ungranted(peers& both, const stream_ptr& stream, std::uint32_t count)
+{
+    return both.threads.run<std::uint32_t>([&]() -> net::task<std::uint32_t> {
+        std::uint32_t received = 0;
+        while (received < count) {
+            const auto message = co_await stream->receive();
+            if (!message) {
+                break;
+            }
+            ++received;
+        }
+        co_return received;
+    });
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(net_connection, peers)
@@ -211,6 +250,36 @@
     }
 }
 
+// Guards against a table that is used unverified because its checksum is right.
+BOOST_AUTO_TEST_CASE(invalid_table_with_a_valid_checksum_closes_the_connection)
+{
+    start();
+    net::tcp::socket socket = raw_socket();
+    write_bytes(socket, hello_frame());
+    write_bytes(socket, frame_with_invalid_table());
+    read_to_end(socket);
+    BOOST_TEST(server_events("bad_payload") == 1U);
+}
+
+// Guards against a peer that ignores the window and makes the receiver hold any amount of data. The last
+// message within the window may exceed it, because send_data allows that.
+BOOST_AUTO_TEST_CASE(peer_that_exceeds_the_window_is_closed)
+{
+    start();
+    const stream_ptr ours = open(1);
+    const stream_ptr theirs = accepted.with_attempt(1);
+    for (std::uint32_t count = 1; count < window_of_kilobytes; ++count) {
+        send_unchecked(ours, 1'024);
+    }
+    send_unchecked(ours, net::max_data_slice);
+    BOOST_TEST(receive_ungranted(*this, theirs, window_of_kilobytes) == window_of_kilobytes);
+    BOOST_TEST(server_events("window_exceeded") == 0U);
+    send_unchecked(ours, 1);
+    BOOST_TEST(has_ended(*this, theirs));
+    BOOST_TEST(has_ended(*this, ours));
+    BOOST_TEST(server_events("window_exceeded") == 1U);
+}
+
 // Guards against processes of two deployments that work together by mistake.
 BOOST_AUTO_TEST_CASE(wrong_cluster_is_refused_and_counted)
 {
@@ -303,6 +372,26 @@
     BOOST_TEST(server_events("silent") == 2U);
 }
 
+// Guards against a peer that stays alive by bytes of a frame that it never completes.
+BOOST_AUTO_TEST_CASE(peer_that_never_completes_a_frame_is_closed)
+{
+    server_options.ping_after = 50ms;
+    server_options.silent_after = 200ms;
+    start();
+    net::tcp::socket socket = raw_socket();
+    write_bytes(socket, hello_frame());
+    wire::answer_dataT data;
+    data.bytes.resize(4'096);
+    const std::vector<std::uint8_t> frame = net::encode_frame(2, net::make_frame(std::move(data)));
+    std::size_t sent = 0;
+    net::error_code failure;
+    while (!failure && sent + 1 < frame.size() && server_events("silent") == 0) {
+        sent += socket.write_some(net::asio::buffer(frame.data() + sent, 1), failure);
+        std::this_thread::sleep_for(2ms);
+    }
+    BOOST_TEST(server_events("silent") == 1U);
+}
+
 // Guards against a caller that waits for the silence bound instead of its own time-out.
 BOOST_AUTO_TEST_CASE(unanswered_hello_fails_within_the_timeout_of_the_caller)
 {
