Refuse frames that name a message and carry none

Cause: the FlatBuffers verifier accepts a union type whose value is absent. Handlers that look at message_type and then use the table would read through a null pointer, so one frame of a faulty peer could end the process. Found by the frame fuzz target within 5 s (null raft_message in Pack).

Change: connection::read_frame closes such a connection with bad_payload.

The new case was not run against the old code.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -265,6 +265,12 @@
         copied += part;
     }
     BOOST_OUTCOME_CO_TRY(message.frame, decode_payload(header, message.payload));
+    // The verifier accepts a union type without a value; handlers that look at the type would use a null
+    // table.
+    if (message.frame->message() == nullptr) {
+        co_return make_error(error_kind::invalid_frame, "bad_payload",
+                             "check that both processes run the same version");
+    }
     m_last_received = clock::now();
     co_return std::move(message);
 }
--- a/test/net_connection_test.cpp
+++ b/test/net_connection_test.cpp
@@ -132,17 +132,33 @@
     return bytes;
 }
 
-// A frame whose payload has the right checksum and is no valid table.
-std::vector<std::uint8_t> frame_with_invalid_table()
+// Header and payload with the right length and checksum, whatever the payload holds.
+std::vector<std::uint8_t> raw_frame(std::uint32_t stream, std::span<const std::uint8_t> payload)
 {
-    std::vector<std::uint8_t> bytes = net::encode_frame(0, net::make_frame(wire::pingT{}));
-    const std::span payload = std::span(bytes).subspan(net::frame_header_size);
-    std::fill(payload.begin(), payload.end(), std::uint8_t{0xFF});
+    std::vector<std::uint8_t> bytes = net::encode_frame(stream, net::make_frame(wire::pingT{}));
+    bytes.resize(net::frame_header_size);
+    bytes.insert(bytes.end(), payload.begin(), payload.end());
     const auto checksum = static_cast<std::uint32_t>(XXH3_64bits(payload.data(), payload.size()));
+    boost::endian::store_little_u32(bytes.data() + 8, static_cast<std::uint32_t>(payload.size()));
     boost::endian::store_little_u32(bytes.data() + 12, checksum);
     return bytes;
 }
 
+std::vector<std::uint8_t> frame_with_invalid_table()
+{
+    const std::vector<std::uint8_t> payload(32, 0xFF);
+    return raw_frame(0, payload);
+}
+
+std::vector<std::uint8_t> frame_without_message()
+{
+    flatbuffers::FlatBufferBuilder builder;
+    wire::frameBuilder table(builder);
+    table.add_message_type(wire::body::submit);
+    builder.Finish(table.Finish());
+    return raw_frame(1, {builder.GetBufferPointer(), builder.GetSize()});
+}
+
 // Sends a data message without waiting for the window, as a faulty peer would.
 void send_unchecked(const stream_ptr& stream, std::size_t size)
 {
@@ -261,6 +277,18 @@
     BOOST_TEST(server_events("bad_payload") == 1U);
 }
 
+// Guards against a union type without a value, which the verifier accepts and handlers would use. Found by
+// fuzzing.
+BOOST_AUTO_TEST_CASE(message_type_without_a_message_closes_the_connection)
+{
+    start();
+    net::tcp::socket socket = raw_socket();
+    write_bytes(socket, hello_frame());
+    write_bytes(socket, frame_without_message());
+    read_to_end(socket);
+    BOOST_TEST(server_events("bad_payload") == 1U);
+}
+
 // Guards against a peer that ignores the window and makes the receiver hold any amount of data. The last
 // message within the window may exceed it, because send_data allows that.
 BOOST_AUTO_TEST_CASE(peer_that_exceeds_the_window_is_closed)
