--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -184,15 +184,6 @@
     }
 };
 
-std::string_view http_request::header(std::string_view name) const
-{
-    const auto place = headers.find(beast::string_view(name.data(), name.size()));
-    if (place == headers.end()) {
-        return {};
-    }
-    return {place->value().data(), place->value().size()};
-}
-
 http_response http_handler::refuse(unsigned status, const std::string& kind, const std::string& message,
                                    const std::string& remedy)
 {
