--- a/bench/serving/serving_bench.py
+++ b/bench/serving/serving_bench.py
@@ -3,7 +3,8 @@
 
 Starts three control members, one entry and two agents with simulated engines on 127.0.0.1:22000-22999, prints one JSON
 line per figure, and ends the processes it started.
-Usage: python3 bench/serving/serving_bench.py [--binaries build] [--parts ttft,tokens,rate,idle]
+Usage: python3 bench/serving/serving_bench.py [--binaries build] [--parts ttft,tokens,rate,idle] [--decode_ms 2]
+       [--tokens 400]
 """
 import argparse
 import json
@@ -26,8 +27,9 @@
 
 
 class Deployment:
-    def __init__(self, binaries, folder):
+    def __init__(self, binaries, folder, decode_ms=2):
         self.binaries, self.folder, self.processes = binaries, folder, {}
+        self.decode_ms = decode_ms
 
     def start(self, name, *command):
         log = open(f"{self.folder}/{name}.log", "w")
@@ -63,8 +65,8 @@
 
     def start_all(self):
         self.start_control()
-        self.engine("fast", ENGINE, 2, 256, "fast")
-        self.engine("direct", DIRECT_ENGINE, 2, 256, "fast")
+        self.engine("fast", ENGINE, self.decode_ms, 256, "fast")
+        self.engine("direct", DIRECT_ENGINE, self.decode_ms, 256, "fast")
         self.engine("slow", SLOW_ENGINE, 600_000, 4096, "slow")
         self.agent("agent-fast", AGENT, ENGINE, "fast")
         self.agent("agent-slow", SLOW_AGENT, SLOW_ENGINE, "slow")
@@ -200,7 +202,7 @@
     report(measure="time_per_token_us", direct_p50=round(direct, 1), added_p50=round(proxied - direct, 1))
 
 
-def measure_rate(deployment, streams=256, tokens=400):
+def measure_rate(deployment, tokens, streams=256):
     names = ("entry", "agent-fast", "fast")
     selector = selectors.DefaultSelector()
     opened = [Stream(ENTRY, "fast", 100, tokens) for _ in range(streams)]
@@ -258,14 +260,16 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--binaries", default="build")
     parser.add_argument("--parts", default="ttft,tokens,rate,idle")
+    parser.add_argument("--decode_ms", type=float, default=2, help="time of one decode step of the fast engine")
+    parser.add_argument("--tokens", type=int, default=400, help="tokens of each stream of the part rate")
     options = parser.parse_args()
     parts = options.parts.split(",")
     with tempfile.TemporaryDirectory(prefix="serving-bench-") as folder:
-        deployment = Deployment(os.path.abspath(options.binaries), folder)
+        deployment = Deployment(os.path.abspath(options.binaries), folder, options.decode_ms)
         try:
             deployment.start_all()
             if "rate" in parts:
-                measure_rate(deployment)
+                measure_rate(deployment, options.tokens)
             if "tokens" in parts:
                 measure_tokens()
             if "ttft" in parts:
