--- a/bench/serving/control_bench.py
+++ b/bench/serving/control_bench.py
@@ -4,6 +4,7 @@
 Starts three control members on 127.0.0.1:22000-22999 and 10, 50 and 100 agents, prints one JSON line per figure, and
 ends the processes it started. Bytes are TCP payload in both directions as `ss` shows them, without packet headers.
 Usage: python3 bench/serving/control_bench.py [--binaries build] [--agents 10,50,100] [--seconds 10] [--changes 10]
+       [--teams 1]
 """
 import argparse
 import json
@@ -68,7 +69,9 @@
            leader_rss_kib=deployment.resident_kib(leader))
 
 
-def measure_changes(count, changes):
+def measure_changes(deployment, names, changes):
+    count, pids = len(names), {deployment.processes[name].pid for name in names}
+    sent, start = control_bytes(pids), time.monotonic()
     leader = call(1, "status", {})["leader"]
     accepted, in_force = [], []
     for i in range(changes):
@@ -83,7 +86,9 @@
                 raise RuntimeError("a change is not confirmed within 10 s")
             time.sleep(0.01)
         in_force.append(1000 * (time.perf_counter() - accept_time))
-    report(measure="change", agents=count, changes=changes, accept_ms_p50=round(percentile(accepted, 0.5), 1),
+    sent = control_bytes(pids) - sent
+    report(measure="change", agents=count, changes=changes, wall_s=round(time.monotonic() - start, 2),
+           agent_bytes_per_change=round(sent / count / changes), accept_ms_p50=round(percentile(accepted, 0.5), 1),
            accept_ms_max=round(max(accepted), 1), confirmed_ms_p50=round(percentile(in_force, 0.5)),
            confirmed_ms_max=round(max(in_force)))
 
@@ -107,10 +112,11 @@
     parser.add_argument("--binaries", default="build")
     parser.add_argument("--agents", default="10,50,100")
     parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--teams", type=int, default=1, help="teams in the configuration")
     parser.add_argument("--changes", type=int, default=10)
     options = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="control-bench-") as folder:
-        deployment, names = Deployment(os.path.abspath(options.binaries), folder), []
+        deployment, names = Deployment(os.path.abspath(options.binaries), folder, teams=options.teams), []
         try:
             deployment.start_control()
             for count in (int(part) for part in options.agents.split(",")):
@@ -118,7 +124,7 @@
                 wait_for(lambda: confirmed(1, 1, count))
                 time.sleep(2)
                 measure_steady(deployment, names, options.seconds)
-                measure_changes(count, options.changes)
+                measure_changes(deployment, names, options.changes)
             measure_change_rate()
         finally:
             deployment.stop()
--- a/bench/serving/serving_bench.py
+++ b/bench/serving/serving_bench.py
@@ -27,9 +27,9 @@
 
 
 class Deployment:
-    def __init__(self, binaries, folder, decode_ms=2):
+    def __init__(self, binaries, folder, decode_ms=2, teams=1):
         self.binaries, self.folder, self.processes = binaries, folder, {}
-        self.decode_ms = decode_ms
+        self.decode_ms, self.teams = decode_ms, teams
 
     def start(self, name, *command):
         log = open(f"{self.folder}/{name}.log", "w")
@@ -77,7 +77,8 @@
 
     def configure(self):
         change = {"request_id": "bench-1", "expected_revision": 0, "replace_all": {
-            "teams": [{"name": "bench", "keys": ["bench-key"], "weight": 100, "max_outstanding": 100000}],
+            "teams": [{"name": "bench", "keys": ["bench-key"], "weight": 100, "max_outstanding": 100000}] +
+                     [{"name": f"team-{i}", "keys": [f"key-of-team-{i:020d}"]} for i in range(1, self.teams)],
             "services": [{"name": name, "kind": "model", "models": [name]} for name in ("fast", "slow")] +
                         [{"name": "desk", "kind": "plain", "paths": [{"prefix": "/orders", "repeatable": False}]}],
             "failure_domains": [], "endpoints": []}}
