Wrap long lines of the serving benchmarks

Ruled out: a change of behaviour; only line breaks differ. Conclusion: both scripts parse; they were not run again for this change.

--- a/bench/serving/control_bench.py
+++ b/bench/serving/control_bench.py
@@ -63,7 +63,8 @@
     wall = time.monotonic() - begin
     sent = control_bytes(pids) - sent
     used = {name: (deployment.cpu(name) - cpu[name]) / wall for name in watched}
-    report(measure="steady", agents=len(names), agent_core_percent=round(100 * statistics.mean(used[n] for n in names), 3),
+    report(measure="steady", agents=len(names),
+           agent_core_percent=round(100 * statistics.mean(used[n] for n in names), 3),
            agent_rss_kib=round(statistics.mean(deployment.resident_kib(n) for n in names)),
            agent_bytes_per_s=round(sent / wall / len(names)), leader_core_percent=round(100 * used[leader], 2),
            leader_rss_kib=deployment.resident_kib(leader))
--- a/bench/serving/serving_bench.py
+++ b/bench/serving/serving_bench.py
@@ -248,7 +248,8 @@
                     print("first refusal:", refused[0])
         for name, values in points.items():
             values.append((count, deployment.resident_kib(name)))
-        report(measure="idle", streams=count, with_first_token=readable - len(refused), refused=len(refused), **{n: v[-1][1] for n, v in points.items()})
+        report(measure="idle", streams=count, with_first_token=readable - len(refused), refused=len(refused),
+               **{name: values[-1][1] for name, values in points.items()})
     for name, values in points.items():
         used = values[1:]
         slope = (used[-1][1] - used[0][1]) / (used[-1][0] - used[0][0])
