--- a/bench/fault_matrix/run.py
+++ b/bench/fault_matrix/run.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -118,6 +119,10 @@
         evidence.records = read_all(self.deployment.folder)
         evidence.changes = self.deployment.changes
         evidence.down = {name: process.down for name, process in self.deployment.processes.items()}
+        dump = [{name: value for name, value in vars(request).items() if name not in ("prompt", "text")}
+                for request in evidence.requests]
+        (self.deployment.folder / "requests.json").write_text(json.dumps(
+            {"fault_at": self.fault_at, "ended_at": self.ended_at, "requests": dump}, indent=0))
         found = invariants.check_all(evidence)
         for name, violations in self.extra.items():
             found[name] = found[name] + violations
@@ -191,6 +196,8 @@
     options = parser.parse_args()
     if options.selftest:
         sys.exit(subprocess.call([sys.executable, str(pathlib.Path(__file__).with_name("selftest.py"))]))
+    # So that a runner that is told to stop ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     names = options.rows.split(",")
     unknown = [name for name in names if name not in ROWS]
     if unknown:
--- a/bench/fault_matrix/selftest.py
+++ b/bench/fault_matrix/selftest.py
@@ -181,6 +181,8 @@
         evidence.revisions.append((101.0, "control-1", "entry-1", 0))
         evidence.restarts["entry-1"] = [100.8]
         self.assertEqual(invariants.g10_configuration(evidence), [])
+        evidence.restarts["entry-1"] = [90.0, 101.2]
+        self.only("G10", evidence)
 
     def test_spans_end_with_an_overload_a_fault_and_a_kill(self):
         facts = [fact("started", 1.0, id="a"), fact("overload", 2.0, reason="cold"), fact("started", 3.0, id="b"),
