--- a/bench/fault_matrix/selftest.py
+++ b/bench/fault_matrix/selftest.py
@@ -67,6 +67,13 @@
         evidence.requests.append(chat(ended=0))
         self.only("G1", evidence)
 
+    def test_g1_reports_a_connection_lost_without_an_error_unless_its_entry_was_down(self):
+        evidence = sound()
+        evidence.requests.append(chat(done=False, whole=False, text="", broken="RemoteDisconnected"))
+        self.only("G1", evidence)
+        evidence.down["entry-1"] = [[100.1, 102.0]]
+        self.assertEqual(invariants.g1_deadline(evidence), [])
+
     def test_g2_reports_a_request_that_the_engine_lists_after_the_drain(self):
         evidence = sound()
         evidence.held["engine-1"] = ["b-1"]
@@ -181,6 +188,8 @@
         evidence.revisions.append((101.0, "control-1", "entry-1", 0))
         evidence.restarts["entry-1"] = [100.8]
         self.assertEqual(invariants.g10_configuration(evidence), [])
+        evidence.restarts["entry-1"] = [90.0, 101.2]
+        self.only("G10", evidence)
 
     def test_spans_end_with_an_overload_a_fault_and_a_kill(self):
         facts = [fact("started", 1.0, id="a"), fact("overload", 2.0, reason="cold"), fact("started", 3.0, id="b"),
