--- a/src/agent/agent_service.h
+++ b/src/agent/agent_service.h
@@ -39,6 +39,7 @@
     void serve_query(const std::shared_ptr<net::frame_stream>& stream, const wire::attempt_query& query);
     net::task<result<std::string>> receive_body(std::shared_ptr<net::frame_stream> stream,
                                                 std::uint32_t length);
+    bool serves_model(const std::string& model) const;
     std::optional<refusal> check_identity(const wire::submitT& submit, time_point received) const;
     void send_refused(const std::shared_ptr<net::frame_stream>& stream, const attempt_id& id,
                       const refusal& reason);
--- a/src/agent/answer_log.cpp
+++ b/src/agent/answer_log.cpp
@@ -71,6 +71,18 @@
     signal();
 }
 
+void answer_log::refuse(wire::refusal reason, std::string message)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_state != state::open) {
+            return;
+        }
+        m_reason = reason;
+    }
+    fail(attempt_outcome::not_run, std::move(message));
+}
+
 answer_log::slice answer_log::read(std::uint64_t offset, std::size_t limit) const
 {
     const std::lock_guard lock(m_mutex);
@@ -83,6 +95,7 @@
     view.hash = m_hash;
     view.tokens = m_tokens;
     view.outcome = m_outcome;
+    view.reason = m_reason;
     view.message = m_message;
     if (offset < m_bytes.size()) {
         view.bytes = m_bytes.substr(offset, limit);
--- a/src/agent/answer_log.h
+++ b/src/agent/answer_log.h
@@ -2,6 +2,7 @@
 
 #include "base/types.h"
 #include "net/asio.h"
+#include "wire_generated.h"
 
 #include <boost/asio/experimental/concurrent_channel.hpp>
 
@@ -17,7 +18,7 @@
 // exact byte. One writer (the engine's reader) and one reader at a time. Thread-safe.
 class answer_log {
 public:
-    enum class state : std::uint8_t { open, done, failed, refused };
+    enum class state : std::uint8_t { open, done, failed };
 
     // What a reader finds at its offset.
     struct slice {
@@ -31,6 +32,7 @@
         std::uint64_t hash = 0;
         std::uint32_t tokens = 0;
         attempt_outcome outcome = attempt_outcome::unknown;
+        wire::refusal reason = wire::refusal::none;
         std::string message;
     };
 
@@ -48,6 +50,8 @@
     void append(std::string_view bytes);
     void finish(std::uint32_t tokens);
     void fail(attempt_outcome outcome, std::string message);
+    // The attempt left the queue unrun; the entry is told as if it had never been admitted.
+    void refuse(wire::refusal reason, std::string message);
 
     // Bytes from `offset` on, at most `limit`, with the state.
     slice read(std::uint64_t offset, std::size_t limit) const;
@@ -74,6 +78,7 @@
     std::uint64_t m_hash = 0;
     std::uint32_t m_tokens = 0;
     attempt_outcome m_outcome = attempt_outcome::unknown;
+    wire::refusal m_reason = wire::refusal::none;
     std::string m_message;
     std::shared_ptr<std::atomic<std::uint64_t>> m_held;
 };
--- a/src/agent/engine_runner.cpp
+++ b/src/agent/engine_runner.cpp
@@ -31,7 +31,7 @@
     admission::work work = m_admission.take_work(state(), clock::now());
     for (const auto& [value, reason] : work.refused) {
         count("dropped_from_queue", value->submit);
-        value->log.fail(attempt_outcome::not_run, reason.message);
+        value->log.refuse(reason.reason, reason.message);
     }
     for (const auto& value : work.dispatch) {
         net::asio::co_spawn(
@@ -96,8 +96,14 @@
     }
     value->log.set_head(stream->status(), stream->content_type());
     const bool events = model && is_event_stream(*stream);
-    const result<answer_end> end = events ? co_await read_events(value, std::move(stream))
-                                          : co_await read_answer(value, std::move(stream));
+    // GCC 12 copies the result of a conditional expression with co_await bit by bit and destroys the
+    // original.
+    result<answer_end> end = answer_end{};
+    if (events) {
+        end = co_await read_events(value, std::move(stream));
+    } else {
+        end = co_await read_answer(value, std::move(stream));
+    }
     if (!end) {
         end_failed(value, attempt_outcome::unknown, end.error().message);
         co_await cancel_at_engine(value);
--- a/src/agent/entry_streams.cpp
+++ b/src/agent/entry_streams.cpp
@@ -1,6 +1,8 @@
 #include "agent/agent_service.h"
 #include "node/freshness.h"
 
+#include <algorithm>
+
 namespace verbena::agent {
 
 namespace {
@@ -66,12 +68,23 @@
     stream->close(ended("unexpected first message"));
 }
 
+bool agent_service::serves_model(const std::string& model) const
+{
+    const std::lock_guard lock(m_orders_mutex);
+    const std::vector<std::string>& models = m_orders.models();
+    return std::find(models.begin(), models.end(), model) != models.end();
+}
+
 std::optional<refusal> agent_service::check_identity(const wire::submitT& submit, time_point received) const
 {
     if (submit.agent_incarnation != 0 && submit.agent_incarnation != m_process.self_incarnation()) {
         return refusal{wire::refusal::wrong_incarnation, "the endpoint's process has restarted",
                        milliseconds(0)};
     }
+    if (m_settings.kind != "plain" && !serves_model(submit.model)) {
+        return refusal{wire::refusal::model_not_loaded, "the endpoint has not loaded the model",
+                       milliseconds(0)};
+    }
     if (!submit.repeatable && submit.agent_incarnation == 0) {
         return refusal{wire::refusal::bad_request,
                        "a request that may not be repeated must name the incarnation", milliseconds(0)};
@@ -236,6 +249,10 @@
         stream->send(net::make_frame(std::move(end)));
         return;
     }
+    if (view.reason != wire::refusal::none) {
+        send_refused(stream, value->id, refusal{view.reason, view.message, milliseconds(0)});
+        return;
+    }
     wire::failedT failed;
     failed.id = to_wire_pointer(value->id.request);
     failed.attempt = value->id.number;
--- a/src/agent/order_planner.cpp
+++ b/src/agent/order_planner.cpp
@@ -70,7 +70,7 @@
     if (!desired->checks_fencing && now - m_started < predecessor_wait) {
         return std::nullopt;
     }
-    const std::optional<order> step = plan(*desired);
+    std::optional<order> step = plan(*desired);
     if (!step || step->what != order::action::load_model) {
         return step;
     }
--- a/src/base/ini.cpp
+++ b/src/base/ini.cpp
@@ -3,6 +3,8 @@
 #include <cxxtools/iniparser.h>
 #include <cxxtools/utf8codec.h>
 
+#include <exception>
+
 namespace verbena {
 
 namespace {
@@ -51,14 +53,36 @@
     int m_key_line = 0;
 };
 
+// Line in which the decoder first fails. It can tell only from the bytes that follow, so the text is tried up
+// to the end of each line.
+int line_of_invalid_text(std::string_view text)
+{
+    int line = 1;
+    for (std::size_t end = text.find('\n'); end != std::string_view::npos; end = text.find('\n', end + 1)) {
+        try {
+            cxxtools::Utf8Codec::decode(text.data(), static_cast<unsigned>(end + 1));
+        } catch (const std::exception&) {
+            return line;
+        }
+        ++line;
+    }
+    return line;
+}
+
 } // namespace
 
 ini_document parse_ini(std::string_view text)
 {
+    cxxtools::String decoded;
+    try {
+        decoded = cxxtools::Utf8Codec::decode(text.data(), static_cast<unsigned>(text.size()));
+    } catch (const std::exception&) {
+        ini_document invalid;
+        invalid.error_line = line_of_invalid_text(text);
+        return invalid;
+    }
     collector events;
     cxxtools::IniParser parser(events);
-    const cxxtools::String decoded =
-        cxxtools::Utf8Codec::decode(text.data(), static_cast<unsigned>(text.size()));
     for (const cxxtools::Char c : decoded) {
         if (parser.parse(c) || events.document().error_line != 0) {
             return std::move(events.document());
--- a/src/entry/endpoint_choice.cpp
+++ b/src/entry/endpoint_choice.cpp
@@ -1,5 +1,7 @@
 #include "entry/endpoint_choice.h"
 
+#include <algorithm>
+
 namespace verbena::entry {
 
 namespace {
@@ -76,6 +78,22 @@
     upsert(endpoint);
 }
 
+std::vector<std::string> endpoint_choice::without_model(const caller_request& request) const
+{
+    std::vector<std::string> names;
+    if (request.plain) {
+        return names;
+    }
+    for (const auto& [name, endpoint] : m_endpoints) {
+        const std::vector<std::string>& models = endpoint.announcement.models;
+        if (endpoint.announcement.service == request.service &&
+            std::find(models.begin(), models.end(), request.model) == models.end()) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 policy::route_request endpoint_choice::to_route(const caller_request& request,
                                                 const std::vector<std::string>& tried)
 {
@@ -92,7 +110,9 @@
                                                      const std::vector<std::string>& tried, time_point now)
 {
     const std::lock_guard lock(m_mutex);
-    const std::optional<std::string> name = m_router.pick(to_route(request, tried), now, m_random);
+    std::vector<std::string> excluded = without_model(request);
+    excluded.insert(excluded.end(), tried.begin(), tried.end());
+    const std::optional<std::string> name = m_router.pick(to_route(request, excluded), now, m_random);
     if (!name) {
         return std::nullopt;
     }
--- a/src/entry/endpoint_choice.h
+++ b/src/entry/endpoint_choice.h
@@ -65,6 +65,8 @@
     };
 
     void upsert(const known_endpoint& endpoint);
+    // Endpoints of the request's service that have not loaded its model.
+    std::vector<std::string> without_model(const caller_request& request) const;
     static policy::route_request to_route(const caller_request& request,
                                           const std::vector<std::string>& tried);
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -178,6 +178,23 @@
     stream->close(make_error(error_kind::invalid_frame, "unexpected first message"));
 }
 
+net::http_response entry_service::refuse(unsigned status, const std::string& kind, const std::string& message,
+                                         const std::string& remedy)
+{
+    return to_response(caller_error{status, kind, message, remedy, attempt_outcome::unknown});
+}
+
+net::task<void> entry_service::refuse_early(net::http_exchange& exchange, caller_error failure,
+                                            const std::string& team)
+{
+    if (!exchange.request().header("Idempotency-Key").empty()) {
+        // The record of the key was not read, so an earlier call with it may have run.
+        failure.outcome = attempt_outcome::unknown;
+        failure.remedy += "; an earlier call with this key may have run: keep the key when you send it again";
+    }
+    co_await reply_error(exchange, failure, team);
+}
+
 net::task<void> entry_service::reply_error(net::http_exchange& exchange, const caller_error& failure,
                                            const std::string& team)
 {
@@ -235,7 +252,7 @@
     const time_point now = clock::now();
     const std::shared_ptr<const node::config_snapshot> config = m_config.current();
     if (!config || !m_config.is_fresh(now)) {
-        co_await reply_error(exchange, stale_configuration(), "");
+        co_await refuse_early(exchange, stale_configuration(), "");
         co_return;
     }
     if (exchange.request().target == "/v1/models") {
@@ -247,7 +264,7 @@
     parse_result parsed =
         parse_caller_request(exchange.request(), *config, options, m_choice.next_request_id(), now);
     if (!parsed) {
-        co_await reply_error(exchange, parsed.error(), "");
+        co_await refuse_early(exchange, parsed.error(), "");
         co_return;
     }
     const caller_request request = std::move(parsed.value());
@@ -256,12 +273,7 @@
         refused = m_choice.admit(request, now);
     }
     if (refused) {
-        if (!request.repeatable) {
-            // Nothing is known here about earlier calls with this key.
-            refused->outcome = attempt_outcome::unknown;
-            refused->remedy = "send the request again with the same key";
-        }
-        co_await reply_error(exchange, *refused, request.team);
+        co_await refuse_early(exchange, *refused, request.team);
         co_return;
     }
     auto watch = std::make_shared<caller_watch>();
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -23,6 +23,11 @@
 
     net::task<void> handle(net::http_exchange& exchange) override;
 
+    // A request that is refused while it is read may carry the key of an earlier call, so the outcome is
+    // unknown.
+    net::http_response refuse(unsigned status, const std::string& kind, const std::string& message,
+                              const std::string& remedy) override;
+
     // Agents ask for the newest confirmed configuration on the connections that this entry has opened.
     void on_stream(const std::shared_ptr<net::frame_stream>& stream, net::received_frame first) override;
 
@@ -34,6 +39,8 @@
                                    std::shared_ptr<caller_watch> watch);
     net::task<void> serve_plain(net::http_exchange& exchange, const caller_request& request,
                                 std::shared_ptr<caller_watch> watch);
+    // Refuses before the record of an idempotency key was read.
+    net::task<void> refuse_early(net::http_exchange& exchange, caller_error failure, const std::string& team);
     net::task<void> reply_error(net::http_exchange& exchange, const caller_error& failure,
                                 const std::string& team);
     std::optional<caller_error> check_size(const caller_request& request) const;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -273,12 +273,22 @@
 task<bool> http_exchange::wait_closed(std::shared_ptr<bool> ended)
 {
     beast::tcp_stream& stream = m_stream;
-    auto [failure] = co_await stream.socket().async_wait(tcp::socket::wait_read, no_throw);
-    if (*ended || failure) {
-        co_return !*ended && failure != asio::error::operation_aborted;
+    while (true) {
+        auto [failure] = co_await stream.socket().async_wait(tcp::socket::wait_read, no_throw);
+        if (*ended || failure) {
+            co_return !*ended && failure != asio::error::operation_aborted;
+        }
+        // A wake-up can be left over from request bytes that have been read since, so only a peek tells.
+        char byte = 0;
+        error_code result;
+        stream.socket().non_blocking(true, result);
+        const std::size_t size =
+            stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, result);
+        if (result == asio::error::would_block || result == asio::error::try_again) {
+            continue;
+        }
+        co_return size == 0;
     }
-    error_code ignored;
-    co_return stream.socket().available(ignored) == 0;
 }
 
 void http_exchange::cancel_wait()
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -62,6 +62,13 @@
     BOOST_TEST(contains(missing, "[node] cluster is missing"), missing);
 }
 
+// Guards against a crash on a settings file that is not text.
+BOOST_AUTO_TEST_CASE(invalid_utf8_is_an_error_of_its_line)
+{
+    const std::string message = message_of("[node]\nname = \xfa\xff\xff\xff\n");
+    BOOST_TEST(contains(message, "a.ini:2: not a valid INI line"), message);
+}
+
 BOOST_AUTO_TEST_CASE(addresses_are_checked)
 {
     BOOST_TEST(parse_host_port("127.0.0.1:80").value().port == 80);
