--- a/src/agent/admission.cpp
+++ b/src/agent/admission.cpp
@@ -141,8 +141,10 @@
     if (outcome.refused) {
         return outcome;
     }
-    if (m_answer_bytes->load() > m_options.answer_memory) {
-        outcome.refused = refusal{wire::refusal::memory, "answers wait for slow readers", retry_hint()};
+    if (m_answer_bytes->load() + value->body.size() > m_options.answer_memory) {
+        outcome.refused =
+            refusal{wire::refusal::memory, "requests and answers fill the memory of the endpoint's process",
+                    retry_hint()};
         return outcome;
     }
     policy::queued_request request = to_queued(value->submit, value->id, value->arrived);
@@ -155,6 +157,7 @@
         outcome.refused = refusal{wire::refusal::closed, "the attempt was closed", milliseconds(0)};
         return outcome;
     }
+    *m_answer_bytes += value->body.size();
     const double weight = std::max<std::uint32_t>(value->submit.weight, 1);
     m_shares.set_weight(request.team, weight);
     m_queue.set_weight(request.team, weight);
@@ -163,8 +166,7 @@
     request.request = value->urgency;
     const policy::push_verdict verdict = m_queue.push(request, m_memory, now);
     if (verdict != policy::push_verdict::queued) {
-        value->phase = attempt_phase::ended;
-        value->ended = now;
+        end_attempt(*value, now);
         value->log.fail(attempt_outcome::not_run, policy::to_string(verdict));
         const bool large = verdict == policy::push_verdict::too_large;
         outcome.refused =
@@ -197,8 +199,7 @@
     for (const policy::queued_request& request : dropped) {
         const std::shared_ptr<attempt> value = m_table.find(request.attempt);
         if (value) {
-            value->phase = attempt_phase::ended;
-            value->ended = now;
+            end_attempt(*value, now);
             taken.refused.emplace_back(value, closed ? *closed : late);
         }
     }
@@ -225,6 +226,14 @@
     value->prefill = m_queue.prefilled(value->id, now);
 }
 
+void admission::end_attempt(attempt& value, time_point now)
+{
+    value.phase = attempt_phase::ended;
+    value.ended = now;
+    *m_answer_bytes -= value.body.size();
+    value.body = std::string();
+}
+
 void admission::released(const std::shared_ptr<attempt>& value)
 {
     const std::lock_guard lock(m_mutex);
@@ -235,9 +244,7 @@
                       time_point now)
 {
     const std::lock_guard lock(m_mutex);
-    value->phase = attempt_phase::ended;
-    value->ended = now;
-    value->body.clear();
+    end_attempt(*value, now);
     if (sample) {
         // Time behind other prompts in the engine is not this prompt's cost.
         sample->prefill = value->prefill.value_or(sample->prefill);
@@ -253,8 +260,7 @@
     if (!m_queue.remove(value->id)) {
         return false;
     }
-    value->phase = attempt_phase::ended;
-    value->ended = now;
+    end_attempt(*value, now);
     return true;
 }
 
--- a/src/agent/admission.h
+++ b/src/agent/admission.h
@@ -127,6 +127,8 @@
                                      time_point arrival) const;
     policy::backlog backlog_of(const policy::queued_request& request, time_point now) const;
     milliseconds retry_hint() const;
+    // Marks the attempt as ended and frees its request body.
+    void end_attempt(attempt& value, time_point now);
 
     admission_options m_options;
     mutable std::mutex m_mutex;
@@ -136,6 +138,7 @@
     policy::admission_queue m_queue;
     attempt_table m_table;
     policy::team_shares m_shares;
+    // Request bodies and answers that this process holds.
     std::shared_ptr<std::atomic<std::uint64_t>> m_answer_bytes =
         std::make_shared<std::atomic<std::uint64_t>>(0);
     time_point m_expired{};
--- a/test/agent_admission_test.cpp
+++ b/test/agent_admission_test.cpp
@@ -264,6 +264,31 @@
     BOOST_TEST(f.table.load().free_tokens == 100'000U);
 }
 
+// Guards against queued bodies and unread answers that fill the memory of the agent.
+BOOST_AUTO_TEST_CASE(held_bytes_are_bounded_and_freed)
+{
+    net::asio::io_context io;
+    agent::admission_options options;
+    options.answer_memory = 10'000;
+    admission table(options);
+    const auto make = [&](std::uint64_t number, std::size_t size) {
+        return std::make_shared<attempt>(attempt_id{request_id{2, number}, 1}, make_submit(100, 10),
+                                         std::string(size, 'x'), start, io.get_executor(),
+                                         table.answer_counter());
+    };
+    const auto first = make(1, 6'000);
+    BOOST_TEST(table.enqueue(first, serving(), start).added);
+    const auto refused = table.enqueue(make(2, 6'000), serving(), start);
+    BOOST_TEST_REQUIRE(refused.refused.has_value());
+    BOOST_TEST((refused.refused->reason == wire::refusal::memory));
+    BOOST_TEST(table.cancel_queued(first, start));
+    BOOST_TEST(table.held_answer_bytes() == 0U);
+    const auto answered = make(3, 100);
+    BOOST_TEST(table.enqueue(answered, serving(), start).added);
+    answered->log.append(std::string(9'950, 'y'));
+    BOOST_TEST(!table.enqueue(make(4, 100), serving(), start).added);
+}
+
 // Guards against a reservation that can never complete.
 BOOST_AUTO_TEST_CASE(a_prompt_that_can_never_fit_is_refused_with_the_size_that_does)
 {
