--- a/test/control_bootstrap_test.cpp
+++ b/test/control_bootstrap_test.cpp
@@ -53,7 +53,8 @@
 
 BOOST_AUTO_TEST_SUITE(control_bootstrap)
 
-// Guards against a member with a lost disk that is initialised again under its old id and votes as if it knew its past.
+// Guards against a member with a lost disk that is initialised again under its old id and votes as if it knew
+// its past.
 BOOST_AUTO_TEST_CASE(an_existing_group_refuses_initialisation)
 {
     const member fresh(0);
