--- a/bench/fault_matrix/deployment.py
+++ b/bench/fault_matrix/deployment.py
@@ -218,14 +218,19 @@
         weight = 100 + self.revision % 50
         return self.change({"put_team": {"name": "clerks", "keys": [TEAM_KEY], "weight": weight}}, what, seconds)
 
+    def statuses(self):
+        """Status of each member that answers; a member with an empty folder knows no leader and no revision."""
+        replies = [self.operator("status", member=number, timeout=1.0) for number in range(1, MEMBERS + 2)]
+        return [reply for status, reply in replies if status == 200]
+
     def leader(self):
-        status, reply = self.operator("status")
-        return int(reply.get("leader", 0)) if status == 200 else 0
+        """Leader of the newest term that a member names; 0 when none is known."""
+        known = [(int(reply.get("term", 0)), int(reply.get("leader", 0))) for reply in self.statuses()]
+        return max([pair for pair in known if pair[1]], default=(0, 0))[1]
 
     def sync_revision(self):
-        """Reads the revision in force again, after a change with an unknown outcome."""
-        status, reply = self.operator("status")
-        self.revision = int(reply.get("revision", 0)) if status == 200 else self.revision
+        """Reads the newest revision again, after a change with an unknown outcome."""
+        self.revision = max([int(reply.get("revision", 0)) for reply in self.statuses()], default=self.revision)
         return self.revision
 
     def endpoints(self):
--- a/bench/fault_matrix/rows.py
+++ b/bench/fault_matrix/rows.py
@@ -216,7 +216,7 @@
     deployment.launch_control(4)
     deployment.operator("add_member", {"id": 4, "address": "127.0.0.1:21104"})
     deployment.wait_until(lambda: any(int(member["id"]) == 4 and not member.get("learner")
-                                      for member in deployment.operator("status")[1]["members"]),
+                                      for reply in deployment.statuses() for member in reply.get("members", [])),
                           10, "member 4 votes")
 
 
