Let an entry be ready only once it knows the endpoints

Ruled out: one reply for both, which could pass the frame bound. Conclusion: the readiness gap is closed.

--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -106,19 +106,24 @@
                    [self = shared_from_this()] { return static_cast<double>(self->m_config.held()); });
 }
 
+bool entry_service::can_serve(time_point now) const
+{
+    return m_config.is_fresh(now) && m_directory.loaded();
+}
+
 net::task<void> entry_service::refresh()
 {
     bool ready = false;
     while (!m_stopping) {
         const time_point now = clock::now();
         m_choice.apply(m_config.current(), now);
-        const bool fresh = m_config.is_fresh(now);
-        if (fresh != ready) {
-            ready = fresh;
-            log::info(fresh ? "ready: the configuration is confirmed"
-                            : "not ready: no confirmed configuration");
+        const bool able = can_serve(now);
+        if (able != ready) {
+            ready = able;
+            log::info(able ? "ready: configuration confirmed, endpoints known"
+                           : "not ready: no confirmed configuration");
         }
-        m_process.set_ready(fresh && !m_stopping);
+        m_process.set_ready(able && !m_stopping);
         co_await net::sleep_for(refresh_interval);
     }
     m_process.set_ready(false);
@@ -223,7 +228,7 @@
 {
     if (exchange.request().target == "/ready") {
         net::http_response response;
-        const bool ready = m_config.is_fresh(clock::now()) && !m_stopping;
+        const bool ready = can_serve(clock::now()) && !m_stopping;
         response.status = ready ? 200 : 503;
         response.content_type = "text/plain";
         response.body = ready ? "ready\n" : "not ready\n";
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -45,6 +45,7 @@
                                 const std::string& team);
     std::optional<caller_error> check_size(const caller_request& request) const;
     void count_end(const caller_request& request, const dispatch_result& outcome);
+    bool can_serve(time_point now) const;
     net::task<void> refresh();
     // Asks agents for the newest confirmed configuration when control has not answered for a while.
     net::task<void> ask_peers();
--- a/src/node/directory_view.cpp
+++ b/src/node/directory_view.cpp
@@ -1,5 +1,6 @@
 #include "node/directory_view.h"
 
+#include <algorithm>
 #include <set>
 
 namespace verbena::node {
@@ -79,6 +80,13 @@
     return place == m_merged.end() ? std::nullopt : std::optional<announcement>(place->second);
 }
 
+bool directory_view::loaded() const
+{
+    const std::lock_guard lock(m_mutex);
+    return std::any_of(m_members.begin(), m_members.end(),
+                       [](const auto& item) { return item.second.at.epoch != 0; });
+}
+
 std::size_t directory_view::size() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/node/directory_view.h
+++ b/src/node/directory_view.h
@@ -41,6 +41,10 @@
     std::optional<announcement> find(const std::string& endpoint) const;
     std::size_t size() const;
 
+    // True once a member has given its whole list. An entry that is ready before would refuse for want of
+    // endpoints.
+    bool loaded() const;
+
 private:
     struct member_list {
         position at;
--- a/test/node_view_test.cpp
+++ b/test/node_view_test.cpp
@@ -88,6 +88,18 @@
     BOOST_TEST(!view.current());
 }
 
+// Guards against an entry that is ready before it knows any endpoint.
+BOOST_AUTO_TEST_CASE(the_directory_is_loaded_with_the_first_whole_list)
+{
+    node::directory_view view([](const std::string&, const wire::announcementT*) {});
+    BOOST_TEST(!view.loaded());
+    const wire::poll_replyT nothing;
+    view.apply("m1", nothing);
+    BOOST_TEST(!view.loaded(), "a reply that carries no list");
+    view.apply("m1", listing(1, true, {}));
+    BOOST_TEST(view.loaded());
+}
+
 // Guards against one member that hears no agents emptying the view of all endpoints.
 BOOST_AUTO_TEST_CASE(an_endpoint_stays_while_any_member_lists_it)
 {
