--- a/src/control/change.cpp
+++ b/src/control/change.cpp
@@ -74,7 +74,7 @@
                           request.put_service != nullptr,        !request.remove_service.empty(),
                           request.put_failure_domain != nullptr, !request.remove_failure_domain.empty(),
                           request.put_endpoint != nullptr,       !request.remove_endpoint.empty(),
-                          request.replace_all != nullptr};
+                          request.replace_all != nullptr,        request.publish != nullptr};
     return static_cast<int>(std::count(std::begin(given), std::end(given), true));
 }
 
@@ -99,7 +99,10 @@
 result<void> replace(op::configT& next, const op::change_requestT& request)
 {
     BOOST_OUTCOME_TRY(check_replace_revision(request));
+    // The published document has its own numbers and is changed by publish only.
+    std::unique_ptr<op::publicationT> published = std::move(next.published);
     next = *request.replace_all;
+    next.published = std::move(published);
     if (has_null(next.teams) || has_null(next.services) || has_null(next.failure_domains) ||
         has_null(next.endpoints)) {
         return invalid("replace_all holds an empty object", "remove the null from the list");
@@ -130,7 +133,9 @@
     if (request.replace_all) {
         return replace(next, request);
     }
-    if (request.put_team) {
+    if (request.publish) {
+        next.published = std::make_unique<op::publicationT>(*request.publish);
+    } else if (request.put_team) {
         put(next.teams, *request.put_team);
     } else if (request.put_service) {
         put(next.services, *request.put_service);
@@ -189,6 +194,9 @@
 
 std::string summarize(const op::change_requestT& request)
 {
+    if (request.publish) {
+        return "publish version " + std::to_string(request.publish->version);
+    }
     if (request.put_team) {
         return "put team " + request.put_team->name;
     }
--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -137,9 +137,15 @@
                            "use a new request id for each change"),
                 nullptr};
     }
-    if (request.expected_revision != current) {
+    if (!request.any_revision && request.expected_revision != current) {
         return {conflict_reply(request.expected_revision, current), nullptr};
     }
+    if (request.publish && m_current->published &&
+        m_current->published->version >= request.publish->version) {
+        return {make_reply(op::change_result::accepted, current,
+                           "version " + std::to_string(m_current->published->version) + " is held", ""),
+                nullptr};
+    }
     auto next = edit(*m_current, request);
     if (!next) {
         return {make_reply(op::change_result::invalid, current, next.error().message, next.error().remedy),
@@ -235,6 +241,10 @@
         revert(*config, (*item)->touched);
     }
     config->revision = number;
+    if (number != current_revision()) {
+        // The history keeps no published documents.
+        config->published = nullptr;
+    }
     return config;
 }
 
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -1,10 +1,13 @@
 #include "control/control_service.h"
 
 #include "base/log.h"
+#include "base/random.h"
 #include "node/control_client.h"
 
 #include <boost/asio/experimental/concurrent_channel.hpp>
 
+#include <xxhash.h>
+
 namespace verbena::control {
 
 namespace {
@@ -19,27 +22,54 @@
 
 constexpr std::string_view call_prefix = "/operator/v1/";
 
+// Oldest confirmation under which the published document is shown; half of the time in which a change has to
+// be in force.
+constexpr milliseconds max_read_age{1'000};
+
 wall_time wall_now()
 {
     return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
 }
 
+change_outcome to_outcome(const result<std::vector<std::uint8_t>>& committed)
+{
+    change_outcome outcome;
+    const auto reply =
+        committed ? parse_change_reply(committed.value()) : result<op::change_replyT>(committed.error());
+    if (!reply) {
+        outcome.state = reply.error().kind == error_kind::too_large ? change_outcome::kind::invalid
+                                                                    : change_outcome::kind::unavailable;
+        outcome.message = reply.error().message;
+        outcome.remedy = reply.error().remedy;
+        return outcome;
+    }
+    outcome.state = reply.value().result == op::change_result::accepted ? change_outcome::kind::accepted
+                                                                        : change_outcome::kind::invalid;
+    outcome.message = reply.value().message;
+    outcome.remedy = reply.value().remedy;
+    return outcome;
+}
+
 } // namespace
 
-result<std::shared_ptr<control_service>>
-control_service::create(node::process& process, const settings::control_settingsT& settings, bool initialise)
+result<std::shared_ptr<control_service>> control_service::create(node::process& process,
+                                                                 const settings::control_settingsT& settings,
+                                                                 bool initialise,
+                                                                 std::shared_ptr<call_front> front)
 {
-    if (settings.member_id == 0) {
-        return make_error(error_kind::invalid_settings, "[control] member_id is missing",
-                          "set it to a number from 1");
+    if (settings.member_id == 0 && initialise) {
+        return make_error(error_kind::invalid_settings, "--init needs [control] member_id",
+                          "set it to a number from 1, or set bootstrap in place of --init");
     }
-    auto service = std::make_shared<control_service>(process, settings);
+    auto service = std::make_shared<control_service>(process, settings, std::move(front));
     BOOST_OUTCOME_TRY(service->open(initialise));
     return service;
 }
 
-control_service::control_service(node::process& process, const settings::control_settingsT& settings)
-    : m_process(process), m_settings(settings), m_directory(process.self_incarnation())
+control_service::control_service(node::process& process, const settings::control_settingsT& settings,
+                                 std::shared_ptr<call_front> front)
+    : m_process(process), m_settings(settings), m_directory(process.self_incarnation()),
+      m_front(std::move(front))
 {
 }
 
@@ -62,6 +92,10 @@
     options.data_folder = m_settings.data;
     options.peers = m_settings.peers;
     options.initialise = initialise;
+    options.address = frames;
+    options.form_group = m_settings.bootstrap == "true";
+    options.tolerated_losses = m_settings.tolerated_losses;
+    BOOST_OUTCOME_TRY(options.first_members, node::control_members(m_process.settings()));
     BOOST_OUTCOME_TRY(
         m_raft, raft_host::create(m_process.io(), options, m_machine, m_pool, [this](const error& cause) {
             log::failure("the member stops: " + describe(cause));
@@ -132,6 +166,7 @@
     self.confirmed_age = confirmed_age(now);
     self.is_leader = m_raft->is_leader();
     self.leader = m_raft->leader_address();
+    self.members = m_raft->member_addresses();
     return self;
 }
 
@@ -220,6 +255,8 @@
         answer_poll(stream, *poll);
     } else if (const wire::freshness_query* query = frame.message_as_freshness_query()) {
         answer_freshness(stream, *query);
+    } else if (const wire::join_request* request = frame.message_as_join_request()) {
+        stream->send(net::make_frame(m_raft->join(*request)));
     } else if (const wire::key_bind* bind = frame.message_as_key_bind()) {
         wire::key_bindT request;
         bind->UnPackTo(&request);
@@ -291,11 +328,127 @@
     co_return std::move(reply);
 }
 
+net::task<change_outcome> control_service::change(op::change_requestT request)
+{
+    using channel = net::asio::experimental::concurrent_channel<void(net::error_code, change_outcome)>;
+    auto answers = std::make_shared<channel>(co_await net::asio::this_coro::executor, 1);
+    net::asio::post(m_raft->strand(), [self = shared_from_this(), answers, request = std::move(request)] {
+        const auto answer = [answers](change_outcome outcome) {
+            answers->try_send(net::error_code(), std::move(outcome));
+        };
+        if (!self->m_raft->is_leader()) {
+            change_outcome outcome;
+            outcome.leader = self->m_raft->leader_operator_address();
+            outcome.state =
+                outcome.leader.empty() ? change_outcome::kind::unavailable : change_outcome::kind::elsewhere;
+            outcome.message = "no leader is known";
+            outcome.remedy = "send the call again after a second";
+            answer(std::move(outcome));
+            return;
+        }
+        self->m_raft->propose(
+            make_command(request, wall_now()),
+            [answer](const result<std::vector<std::uint8_t>>& committed) { answer(to_outcome(committed)); });
+    });
+    auto [failure, outcome] = co_await answers->async_receive(net::no_throw);
+    co_return std::move(outcome);
+}
+
+net::task<change_outcome> control_service::publish(std::uint64_t version, std::string content)
+{
+    const std::span<const char> text(content);
+    op::change_requestT request;
+    request.any_revision = true;
+    // The id is the same for a resend, which then gets the first answer.
+    request.request_id =
+        "publish-" + std::to_string(version) + "-" + std::to_string(XXH3_64bits(text.data(), text.size()));
+    request.publish = std::make_unique<op::publicationT>();
+    request.publish->version = version;
+    request.publish->content.assign(text.begin(), text.end());
+    co_return co_await change(std::move(request));
+}
+
+net::task<change_outcome> control_service::set_domain(std::string name, op::admin_state state)
+{
+    op::change_requestT request;
+    request.any_revision = true;
+    request.request_id = "domain-" + std::to_string(make_incarnation());
+    request.put_failure_domain = std::make_unique<op::failure_domainT>();
+    request.put_failure_domain->name = std::move(name);
+    request.put_failure_domain->state = state;
+    co_return co_await change(std::move(request));
+}
+
+published_copy control_service::copy_published(time_point now) const
+{
+    published_copy copy;
+    const std::optional<milliseconds> age = confirmed_age(now);
+    copy.current = age && *age <= max_read_age;
+    const auto config = m_machine.config().current();
+    if (copy.current && config->published) {
+        copy.version = config->published->version;
+        copy.content.assign(config->published->content.begin(), config->published->content.end());
+    }
+    return copy;
+}
+
+net::task<published_copy> control_service::read_published()
+{
+    using channel = net::asio::experimental::concurrent_channel<void(net::error_code, published_copy)>;
+    auto answers = std::make_shared<channel>(co_await net::asio::this_coro::executor, 1);
+    net::asio::post(m_raft->strand(), [self = shared_from_this(), answers] {
+        answers->try_send(net::error_code(), self->copy_published(clock::now()));
+    });
+    auto [failure, copy] = co_await answers->async_receive(net::no_throw);
+    co_return std::move(copy);
+}
+
+// An endpoint that hears an acknowledgement counts on the entries to know; so it is given only while most of
+// them poll this member.
+bool control_service::take_announcement(const wire::announcementT& announcement, time_point now)
+{
+    if (!m_polls.most_entries_listen(now)) {
+        return false;
+    }
+    const bool taken = announcement.gone ? m_directory.announce_gone(announcement, now)
+                                         : m_directory.announce(announcement, now);
+    m_process.counters().add("verbena_control_announcements_total", {{"taken", taken ? "true" : "false"}});
+    return true;
+}
+
+net::task<bool> control_service::announce(wire::announcementT announcement)
+{
+    using channel = net::asio::experimental::concurrent_channel<void(net::error_code, bool)>;
+    auto answers = std::make_shared<channel>(co_await net::asio::this_coro::executor, 1);
+    net::asio::post(m_raft->strand(), [self = shared_from_this(), answers, value = std::move(announcement)] {
+        answers->try_send(net::error_code(), self->take_announcement(value, clock::now()));
+    });
+    auto [failure, taken] = co_await answers->async_receive(net::no_throw);
+    co_return taken;
+}
+
+void control_service::reload(const settings_root& root)
+{
+    const result<std::vector<host_port>> members = node::control_members(*root.node);
+    if (!members) {
+        log::warn("reload: " + describe(members.error()));
+        return;
+    }
+    net::asio::post(m_raft->strand(), [self = shared_from_this(), value = members.value()] {
+        self->m_raft->set_first_members(value);
+    });
+}
+
 net::task<void> control_service::handle(net::http_exchange& exchange)
 {
     net::http_response response;
     const std::string& target = exchange.request().target;
-    if (exchange.request().method != "POST" || !target.starts_with(call_prefix)) {
+    if (target == "/metrics") {
+        response.content_type = "text/plain; version=0.0.4";
+        response.body = m_process.counters().render();
+    } else if (m_front && !target.starts_with(call_prefix)) {
+        response = co_await m_front->handle(exchange.request(), *this);
+    } else if (exchange.request().method != "POST" || !target.starts_with(call_prefix)) {
         response = refuse(404, "not_found", "there is no such call",
                           "POST /operator/v1/<call>, see docs/operators.md");
     } else {
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/public_calls.h"
 #include "control/raft_host.h"
 #include "node/config_view.h"
 #include "node/process.h"
@@ -10,12 +11,16 @@
 // it.
 class control_service : public net::connection_handler,
                         public net::http_handler,
+                        public public_calls,
                         public std::enable_shared_from_this<control_service> {
 public:
-    static result<std::shared_ptr<control_service>>
-    create(node::process& process, const settings::control_settingsT& settings, bool initialise);
+    static result<std::shared_ptr<control_service>> create(node::process& process,
+                                                           const settings::control_settingsT& settings,
+                                                           bool initialise,
+                                                           std::shared_ptr<call_front> front = nullptr);
 
-    control_service(node::process& process, const settings::control_settingsT& settings);
+    control_service(node::process& process, const settings::control_settingsT& settings,
+                    std::shared_ptr<call_front> front);
 
     void start();
 
@@ -25,6 +30,14 @@
     void on_stream(const std::shared_ptr<net::frame_stream>& stream, net::received_frame first) override;
     net::task<void> handle(net::http_exchange& exchange) override;
 
+    net::task<change_outcome> publish(std::uint64_t version, std::string content) override;
+    net::task<change_outcome> set_domain(std::string name, op::admin_state state) override;
+    net::task<published_copy> read_published() override;
+    net::task<bool> announce(wire::announcementT announcement) override;
+
+    // Takes over seeds from reloaded settings.
+    void reload(const settings_root& root);
+
 private:
     result<void> open(bool initialise);
     net::task<void> serve_stream(std::shared_ptr<net::frame_stream> stream, net::received_frame first);
@@ -40,6 +53,9 @@
     net::task<void> expire_directory();
     net::task<void> hand_over();
     net::task<operator_reply> run_call(std::string call, std::string body);
+    net::task<change_outcome> change(op::change_requestT request);
+    published_copy copy_published(time_point now) const;
+    bool take_announcement(const wire::announcementT& announcement, time_point now);
 
     node::process& m_process;
     settings::control_settingsT m_settings;
@@ -48,6 +64,7 @@
     poll_service m_polls;
     std::shared_ptr<net::peer_pool> m_pool;
     std::shared_ptr<raft_host> m_raft;
+    std::shared_ptr<call_front> m_front;
     std::unique_ptr<operator_service> m_operator;
     std::shared_ptr<net::frame_server> m_frames;
     std::shared_ptr<net::http_server> m_http;
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -1,6 +1,7 @@
 #include "control/directory.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace verbena::control {
 
@@ -17,6 +18,26 @@
     return bytes;
 }
 
+// Endpoints that announce themselves say when they started and count their announcements, so that a late one
+// can be told. Agents do neither.
+bool is_older(const wire::announcementT& given, const wire::announcementT& held)
+{
+    return std::tie(given.born_ms, given.sequence) < std::tie(held.born_ms, held.sequence);
+}
+
+// Whether only the counters that run with each announcement differ. The remaining cold time runs down as the
+// receivers expect, unless it has grown.
+bool is_repetition(const wire::announcementT& given, const wire::announcementT& held)
+{
+    if (given.cold_ms > held.cold_ms) {
+        return false;
+    }
+    wire::announcementT copy = given;
+    copy.sequence = held.sequence;
+    copy.cold_ms = held.cold_ms;
+    return copy == held;
+}
+
 } // namespace
 
 directory::directory(std::uint64_t epoch, const directory_limits& limits) : m_epoch(epoch), m_limits(limits)
@@ -34,17 +55,19 @@
             return false;
         }
         entry added{announcement, now, 0, 0};
-        m_next_expiry = std::min(m_next_expiry, now + m_limits.lease);
+        m_next_expiry = std::min(m_next_expiry, now + lease_of(added));
         touch(announcement.endpoint,
               m_entries.emplace(announcement.endpoint, std::move(added)).first->second);
         return true;
     }
     entry& known = position->second;
-    if (announcement.incarnation == known.replaced) {
+    if (announcement.incarnation == known.replaced || is_older(announcement, known.announcement)) {
         return false;
     }
     known.heard = now;
-    if (known.announcement == announcement) {
+    if (is_repetition(announcement, known.announcement)) {
+        known.announcement.sequence = announcement.sequence;
+        known.announcement.cold_ms = announcement.cold_ms;
         return true;
     }
     if (announcement.incarnation != known.announcement.incarnation) {
@@ -55,6 +78,29 @@
     return true;
 }
 
+bool directory::announce_gone(const wire::announcementT& announcement, time_point now)
+{
+    const auto position = m_entries.find(announcement.endpoint);
+    if (position == m_entries.end()) {
+        // Only the start time tells which of several starts under one name has ended.
+        return announcement.born_ms != 0 && announce(announcement, now);
+    }
+    wire::announcementT ended = position->second.announcement;
+    if (announcement.born_ms != 0 && announcement.born_ms < ended.born_ms) {
+        return false;
+    }
+    ended.gone = true;
+    ended.leaving = true;
+    ended.sequence = announcement.sequence;
+    ended.born_ms = std::max(ended.born_ms, announcement.born_ms);
+    return announce(ended, now);
+}
+
+milliseconds directory::lease_of(const entry& value) const
+{
+    return value.announcement.born_ms != 0 ? m_limits.self_announced_lease : m_limits.lease;
+}
+
 void directory::expire(time_point now)
 {
     if (now < m_next_expiry) {
@@ -63,7 +109,7 @@
     m_next_expiry = time_point::max();
     for (auto position = m_entries.begin(); position != m_entries.end();) {
         const auto next = std::next(position);
-        const time_point end = position->second.heard + m_limits.lease;
+        const time_point end = position->second.heard + lease_of(position->second);
         if (end <= now) {
             remove(position);
         } else {
--- a/src/control/directory.h
+++ b/src/control/directory.h
@@ -15,6 +15,8 @@
 struct directory_limits {
     // An endpoint that was not heard for this long is gone. Agents poll every 500 ms.
     milliseconds lease = std::chrono::seconds(3);
+    // The same for endpoints that announce themselves, every second or two and at times seconds late.
+    milliseconds self_announced_lease = std::chrono::seconds(8);
     // Endpoints held; the size of two years is 1,400.
     std::size_t endpoints = 10'000;
     // Estimated bytes of one announcement.
@@ -53,6 +55,10 @@
     // large, the directory is full, or it is a late one of the process that the current one replaced.
     bool announce(const wire::announcementT& announcement, time_point now);
 
+    // Notes that an endpoint has said that it ends. It stays listed as gone for its lease, so that what other
+    // members still list loses against it.
+    bool announce_gone(const wire::announcementT& announcement, time_point now);
+
     // Removes endpoints whose lease ended. Cheap to call with every poll.
     void expire(time_point now);
 
@@ -73,6 +79,7 @@
         incarnation replaced = 0;
     };
 
+    milliseconds lease_of(const entry& value) const;
     void touch(const std::string& name, entry& changed);
     void remove(std::map<std::string, entry>::iterator position);
     void forget_old_removals();
--- a/src/control/poll_service.cpp
+++ b/src/control/poll_service.cpp
@@ -11,6 +11,15 @@
 
 constexpr std::size_t max_process_name = 64;
 
+// An entry that has not polled for this long is not named to the others; it polls twice a second.
+constexpr milliseconds entry_lease{5'000};
+
+// Three missed polls make an entry one that does not listen.
+constexpr milliseconds listening_time{1'500};
+
+// Entries that stopped this long ago no longer count among those that should listen.
+constexpr milliseconds known_entry_time{10'000};
+
 void add_directory(const directory_delta& delta, wire::poll_replyT& reply)
 {
     reply.directory_epoch = delta.epoch;
@@ -87,6 +96,10 @@
         reply.leader = member.leader;
         reply.load_permit = member.is_leader && permit(poll, process, now);
     }
+    if (poll.role == wire::role::entry) {
+        reply.members = member.members;
+        reply.entries = entry_addresses(now);
+    }
     endpoints.expire(now);
     // A configuration and a directory part may not fit one frame together, so the directory waits.
     if (poll.role == wire::role::entry && reply.config.empty()) {
@@ -140,9 +153,35 @@
     process.process = poll.incarnation;
     process.confirmed = poll.revision;
     process.heard = now;
+    process.frame_address =
+        poll.frame_address.size() <= max_process_name ? poll.frame_address : std::string();
     return &process;
 }
 
+bool poll_service::most_entries_listen(time_point now) const
+{
+    std::size_t known = 0;
+    std::size_t listening = 0;
+    for (const auto& [key, process] : m_processes) {
+        if (process.role == wire::role::entry && now - process.heard < known_entry_time) {
+            ++known;
+            listening += now - process.heard < listening_time ? 1 : 0;
+        }
+    }
+    return known != 0 && listening * 2 > known;
+}
+
+std::vector<std::string> poll_service::entry_addresses(time_point now) const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [key, process] : m_processes) {
+        if (!process.frame_address.empty() && now - process.heard < entry_lease) {
+            addresses.push_back(process.frame_address);
+        }
+    }
+    return addresses;
+}
+
 void poll_service::forget(time_point now)
 {
     std::erase_if(m_processes,
--- a/src/control/poll_service.h
+++ b/src/control/poll_service.h
@@ -32,6 +32,8 @@
     bool is_leader = false;
     // Address of the leader for other processes; empty when unknown.
     std::string leader;
+    // Frame addresses of all members.
+    std::vector<std::string> members;
 };
 
 // Token bucket for loads from the weight store. A grant may take the bucket below zero, so that a load larger
@@ -58,6 +60,8 @@
     incarnation process = 0;
     revision confirmed = 0;
     time_point heard;
+    // Where other entries reach it; empty for other roles.
+    std::string frame_address;
     // Bytes of the permit that the process holds; 0 when it holds none.
     std::uint64_t granted_bytes = 0;
 };
@@ -81,11 +85,15 @@
     // Processes heard within `forget_after`, by role and name.
     std::vector<std::unique_ptr<op::process_statusT>> processes(time_point now) const;
 
+    // Whether more than half of the entries heard within the last minute poll this member now.
+    bool most_entries_listen(time_point now) const;
+
     std::size_t size() const { return m_processes.size(); }
 
 private:
     using process_key = std::pair<wire::role, std::string>;
 
+    std::vector<std::string> entry_addresses(time_point now) const;
     process_record* note(const wire::pollT& poll, time_point now);
     void forget(time_point now);
     bool permit(const wire::pollT& poll, process_record* process, time_point now);
--- a/src/control/raft_host.cpp
+++ b/src/control/raft_host.cpp
@@ -38,6 +38,12 @@
     return members;
 }
 
+error not_member()
+{
+    return make_error(error_kind::not_leader, "this process is not a member of the group yet",
+                      "send the call to another control member");
+}
+
 } // namespace
 
 result<std::shared_ptr<raft_host>> raft_host::create(net::asio::io_context& io, const options& settings,
@@ -94,8 +100,18 @@
 result<void> raft_host::open(const options& settings)
 {
     BOOST_OUTCOME_TRY(m_disk, raft::posix_disk::open(settings.data_folder));
+    m_heard_group = clock::now();
+    if (settings.member_id == 0) {
+        BOOST_OUTCOME_TRY(find_member_id());
+        return m_options.member_id == 0 ? result<void>(success()) : open_replica();
+    }
     BOOST_OUTCOME_TRY(prepare_folder(settings));
-    BOOST_OUTCOME_TRY(auto files, raft::storage::open(*m_disk, settings.cluster, settings.member_id));
+    return open_replica();
+}
+
+result<void> raft_host::open_replica()
+{
+    BOOST_OUTCOME_TRY(auto files, raft::storage::open(*m_disk, m_options.cluster, m_options.member_id));
     BOOST_OUTCOME_TRY(m_replica, raft::replica::open(std::move(files), m_machine, *this, raft::options{},
                                                      random_engine(make_incarnation()), clock::now()));
     return success();
@@ -111,7 +127,16 @@
 {
     bool led = false;
     while (!m_faulted) {
-        check(m_replica->tick(clock::now()));
+        const time_point now = clock::now();
+        if (m_replica) {
+            check(m_replica->tick(now));
+            replace_silent_members(now);
+        }
+        if (knows_leader()) {
+            m_heard_group = now;
+        } else if (m_options.member_id == 0 || now - m_heard_group > seek_after) {
+            seek_in_background();
+        }
         if (is_leader() != led) {
             led = is_leader();
             const std::string term = std::to_string(m_replica->state().term());
@@ -135,6 +160,9 @@
     if (input && !m_faulted) {
         // A member that joins has an empty log and knows no addresses; it answers on the stream of the
         // leader.
+        if (!m_replica) {
+            return;
+        }
         link& peer = m_links[input.value().from];
         if (!peer.stream && address_of(input.value().from).empty()) {
             peer.stream = stream;
@@ -145,13 +173,13 @@
 
 std::string raft_host::address_of(raft::member_id id) const
 {
-    const raft::member* found = m_replica->state().membership().find(id);
+    const raft::member* found = m_replica ? m_replica->state().membership().find(id) : nullptr;
     return found == nullptr ? std::string() : found->address;
 }
 
 std::string raft_host::leader_address() const
 {
-    return address_of(m_replica->state().leader());
+    return m_replica ? address_of(m_replica->state().leader()) : std::string();
 }
 
 void raft_host::send(raft::message output)
@@ -228,6 +256,10 @@
                                "send the call again with the same request id"));
         }
     };
+    if (!m_replica) {
+        handler(not_member());
+        return;
+    }
     const auto accepted = m_replica->propose(std::move(command), done);
     if (!accepted) {
         handler(accepted.error());
@@ -246,6 +278,10 @@
                                "read the status before sending the call again"));
         }
     };
+    if (!m_replica) {
+        handler(not_member());
+        return;
+    }
     const auto accepted = m_replica->change_membership(change, clock::now(), done);
     if (!accepted) {
         handler(accepted.error());
@@ -266,7 +302,7 @@
 
 void raft_host::transfer_leadership()
 {
-    const result<void> begun = m_replica->transfer_leadership(clock::now());
+    const result<void> begun = m_replica ? m_replica->transfer_leadership(clock::now()) : success();
     if (!begun) {
         log::warn("leadership is not handed over: " + describe(begun.error()));
     }
@@ -274,8 +310,11 @@
 
 op::status_replyT raft_host::status() const
 {
-    const raft::core_status state = m_replica->state().status(clock::now());
     op::status_replyT reply;
+    if (!m_replica) {
+        return reply;
+    }
+    const raft::core_status state = m_replica->state().status(clock::now());
     reply.leader = state.leader;
     reply.term = state.term;
     reply.commit_index = state.commit;
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -15,6 +15,15 @@
 
 using control_strand = net::asio::strand<net::asio::io_context::executor_type>;
 
+// A member that knows no leader for this long asks whether it is still in the group; several elections fit.
+inline constexpr milliseconds seek_after{3'000};
+
+// A voter that is not needed is removed after this silence; longer than an election and a restart.
+inline constexpr milliseconds silent_voter_limit{2'500};
+
+// A learner that is silent for this long is given up.
+inline constexpr milliseconds silent_learner_limit{10'000};
+
 // Runs the Raft member of this process: its files, its timer and its messages to the other members.
 // Everything runs on one strand, which serialises the member with the users of its state.
 class raft_host : public replicated_log,
@@ -29,6 +38,13 @@
         // empty.
         std::string peers;
         bool initialise = false;
+        // Frame address of this member. With member id 0 the member forms a group with `first_members` if
+        // `form_group` is set, and otherwise asks them for an id.
+        host_port address;
+        std::vector<host_port> first_members;
+        bool form_group = false;
+        // Members that may be lost at the same time; more than twice as many and one are not needed.
+        std::size_t tolerated_losses = 1;
     };
 
     // Opens the data folder. `on_fault` is called once when the member has to stop.
@@ -48,16 +64,38 @@
     void step(const wire::raft_message& message, const std::shared_ptr<net::frame_stream>& stream);
     std::optional<milliseconds> confirm_age(time_point now) const
     {
-        return m_replica->state().confirm_age(now);
+        return m_replica ? m_replica->state().confirm_age(now) : std::nullopt;
     }
     // Frame address of the leader; empty when it is not known or this member is the leader.
     std::string leader_address() const;
-    bool knows_leader() const { return m_replica->state().leader() != 0; }
-    void set_leader_operator_address(std::string address) { m_leader_operator = std::move(address); }
+    bool knows_leader() const { return m_replica && m_replica->state().leader() != 0; }
+
+    // Answers a process that asks to become a member; 0 when it has to ask again, here or at the leader.
+    wire::join_replyT join(const wire::join_request& request);
+
+    // Frame addresses of all members.
+    std::vector<std::string> member_addresses() const;
+
+    // Where to ask for membership besides the members of the log.
+    void set_first_members(std::vector<host_port> addresses)
+    {
+        m_options.first_members = std::move(addresses);
+    }
+    void set_leader_operator_address(std::string address)
+    {
+        m_leader_operator = std::move(address);
+        m_leader_operator_of = leader_address();
+    }
     void transfer_leadership();
 
-    bool is_leader() const override { return m_replica->state().role() == raft::role::leader; }
-    std::string leader_operator_address() const override { return is_leader() ? "" : m_leader_operator; }
+    bool is_leader() const override { return m_replica && m_replica->state().role() == raft::role::leader; }
+    // Empty until the present leader has told its address.
+    std::string leader_operator_address() const override
+    {
+        const bool known =
+            !is_leader() && !leader_address().empty() && leader_address() == m_leader_operator_of;
+        return known ? m_leader_operator : std::string();
+    }
     void propose(std::vector<std::uint8_t> command, proposal_handler handler) override;
     void add_member(std::uint64_t id, const std::string& address, member_handler handler) override;
     void remove_member(std::uint64_t id, member_handler handler) override;
@@ -92,12 +130,21 @@
     };
 
     result<void> open(const options& settings);
+    result<void> open_replica();
     result<void> prepare_folder(const options& settings);
+    // Chooses the id of a member whose settings name none; 0 while the group has not given one.
+    result<void> find_member_id();
+    result<void> form_group();
+    net::task<void> seek_membership();
+    net::task<std::optional<wire::join_replyT>> ask_membership(host_port address, std::uint64_t folder);
+    result<void> become_member(raft::member_id id, raft::folder_id folder);
+    void replace_silent_members(time_point now);
     result<void> initialise_folder(const options& settings);
     net::task<void> run_timer();
     net::task<void> connect(raft::member_id id, host_port address);
     net::task<void> read_replies(std::shared_ptr<net::frame_stream> stream);
     void change_membership(const raft::membership_change& change, const member_handler& handler);
+    void seek_in_background();
     void schedule_flush();
     void check(const result<void>& outcome);
     std::string address_of(raft::member_id id) const;
@@ -111,7 +158,13 @@
     std::unique_ptr<raft::posix_disk> m_disk;
     std::unique_ptr<raft::replica> m_replica;
     std::map<raft::member_id, link> m_links;
+    // On the leader: since when a member has not answered.
+    std::map<raft::member_id, time_point> m_silent_since;
+    time_point m_heard_group;
+    std::size_t m_next_asked = 0;
+    bool m_seeking = false;
     std::string m_leader_operator;
+    std::string m_leader_operator_of; // frame address of the leader that told it
     bool m_flush_scheduled = false;
     bool m_faulted = false;
 };
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -62,7 +62,7 @@
 result<void> entry_service::open()
 {
     BOOST_OUTCOME_TRY(const host_port address, parse_host_port(m_settings.listen));
-    BOOST_OUTCOME_TRY(const std::vector<host_port> members, parse_host_ports(m_process.settings().control));
+    BOOST_OUTCOME_TRY(const std::vector<host_port> members, node::control_members(m_process.settings()));
     metrics& counters = m_process.counters();
     net::connection_options connections;
     connections.self = net::peer_info{wire::role::entry, m_process.settings().name,
--- /dev/null
+++ b/src/forward/endpoint_call.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "forward/dialect.h"
+#include "net/asio.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <memory>
+#include <string>
+
+namespace verbena::forward {
+
+// One request to an endpoint on a connection of its own, so that left-over, late or crossed bytes of another
+// request cannot reach it. Used by one coroutine; close() may be called from the same strand meanwhile.
+class endpoint_call : public std::enable_shared_from_this<endpoint_call> {
+public:
+    explicit endpoint_call(const net::asio::any_io_executor& executor);
+
+    // Until this succeeds the endpoint has seen nothing of the request.
+    net::task<result<void>> connect(host_port address, milliseconds timeout);
+
+    // Writes in the background, because an endpoint may answer before it has read the body.
+    void send(std::string head, std::string body);
+
+    net::task<result<answer_terms>> read_head(const dialect& words, time_point deadline);
+
+    // The next bytes of the body; empty when it is complete. An answer without a length is complete when the
+    // endpoint closes the connection in order.
+    net::task<result<std::string>> read_some(time_point deadline);
+
+    // Pending calls fail.
+    void close();
+
+private:
+    static net::task<void> write(std::shared_ptr<endpoint_call> self, std::string head, std::string body);
+    void arm(time_point deadline);
+
+    net::tcp::socket m_socket;
+    net::asio::steady_timer m_timer;
+    std::shared_ptr<bool> m_expired = std::make_shared<bool>(false);
+    boost::beast::flat_buffer m_buffer;
+    boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
+};
+
+} // namespace verbena::forward
--- /dev/null
+++ b/src/forward/event_reader.cpp
@@ -0,0 +1,62 @@
+#include "forward/event_reader.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace verbena::forward {
+
+namespace {
+
+// End of the first event in the text, behind its empty line; npos when there is none.
+std::size_t end_of_event(std::string_view text, std::size_t from)
+{
+    for (std::size_t line = text.find('\n', from); line != std::string_view::npos;
+         line = text.find('\n', line + 1)) {
+        std::size_t next = line + 1;
+        if (next < text.size() && text[next] == '\r') {
+            ++next;
+        }
+        if (next < text.size() && text[next] == '\n') {
+            return next + 1;
+        }
+    }
+    return std::string_view::npos;
+}
+
+std::optional<std::uint64_t> read_id(std::string_view event)
+{
+    constexpr std::string_view field = "id:";
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        if (line.starts_with(field)) {
+            line.remove_prefix(field.size());
+            line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+            std::uint64_t id = 0;
+            const auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
+            return parsed.ec == std::errc() ? std::optional<std::uint64_t>(id) : std::nullopt;
+        }
+        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<stream_event> event_reader::next()
+{
+    const std::size_t end = end_of_event(m_buffer, m_searched);
+    if (end == std::string_view::npos) {
+        // The empty line may begin with the last two bytes.
+        m_searched = m_buffer.size() < 2 ? 0 : m_buffer.size() - 2;
+        return std::nullopt;
+    }
+    stream_event event;
+    event.text = m_buffer.substr(0, end);
+    event.id = read_id(event.text);
+    m_buffer.erase(0, end);
+    m_searched = 0;
+    return event;
+}
+
+} // namespace verbena::forward
--- /dev/null
+++ b/src/forward/fleet.cpp
@@ -0,0 +1,468 @@
+#include "forward/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace verbena::forward {
+
+namespace {
+
+// An endpoint that no control member lists stays in use for this long: control members that have just
+// started list nothing until the next announcements, and calls to an endpoint that is really gone fail fast
+// and without harm.
+constexpr milliseconds unlisted_grace{5'000};
+
+// Pause after a connection was refused or timed out, doubled with each further one.
+constexpr milliseconds first_avoidance{300};
+constexpr milliseconds longest_avoidance{3'000};
+
+// Weight of the newest answer in the share of failures, and how fast the share is forgotten.
+constexpr double failure_weight = 0.25;
+constexpr double failure_half_life_s = 3;
+
+// Weight of the newest measurement in the pace of an endpoint, and how fast a deviation is forgotten.
+constexpr double pace_weight = 0.5;
+constexpr double pace_half_life_s = 4;
+constexpr double slowest_pace = 16;
+
+// Time of a request to a plain service that is assumed for the comparison of queues.
+constexpr double plain_request_ms = 40;
+
+constexpr milliseconds cold_window{1'000};
+
+constexpr std::uint8_t phase_started = 0;
+constexpr std::uint8_t phase_answering = 1;
+constexpr std::uint8_t phase_ended = 2;
+
+double seconds(clock::duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+milliseconds to_ms(double value)
+{
+    constexpr double longest = 1e9;
+    return milliseconds(static_cast<std::int64_t>(std::min(value, longest)));
+}
+
+policy::endpoint_work to_work(const wire::dispatch_noteT& note, time_point now)
+{
+    policy::endpoint_work work;
+    work.read_ms = note.read_us / 1000.0;
+    work.context_tokens = note.share_tokens;
+    work.held_tokens = note.held_tokens;
+    work.reads_for_other = note.reads_for_other;
+    work.due = now + milliseconds(note.first_event_ms);
+    work.pause = milliseconds(note.pause_ms);
+    work.value = note.value;
+    return work;
+}
+
+} // namespace
+
+const char* to_string(dispatch_refusal::reason value)
+{
+    switch (value) {
+    case dispatch_refusal::reason::no_endpoint:
+        return "no_endpoint";
+    case dispatch_refusal::reason::too_late:
+        return "too_late";
+    case dispatch_refusal::reason::too_large:
+        return "too_large";
+    }
+    return "unknown";
+}
+
+fleet::fleet(incarnation self, std::string own_domain, double cold_share, note_listener on_note)
+    : m_self(self), m_own_domain(std::move(own_domain)), m_cold_share(cold_share),
+      m_on_note(std::move(on_note))
+{
+}
+
+void fleet::on_endpoint(const std::string& name, const wire::announcementT* value)
+{
+    const time_point now = clock::now();
+    const std::lock_guard lock(m_mutex);
+    if (value == nullptr) {
+        const auto found = m_endpoints.find(name);
+        if (found != m_endpoints.end() && found->second.listed) {
+            found->second.listed = false;
+            found->second.unlisted_since = now;
+        }
+        std::erase_if(m_endpoints, [now](const auto& item) {
+            return !item.second.listed && now - item.second.unlisted_since > unlisted_grace &&
+                   item.second.load.requests() == 0;
+        });
+        return;
+    }
+    const result<host_port> address = parse_host_port(value->address);
+    endpoint_state& state = m_endpoints[name];
+    if (value->born_ms != state.info.born_ms || value->address != state.info.address) {
+        // A new start knows nothing of what was given to the former one.
+        state = endpoint_state{};
+    }
+    state.info = *value;
+    state.listed = true;
+    state.cold_until = now + milliseconds(value->cold_ms);
+    if (address) {
+        state.address = address.value();
+    }
+    state.misdirected = false;
+}
+
+void fleet::set_domains_out(std::set<std::string> domains)
+{
+    const std::lock_guard lock(m_mutex);
+    m_domains_out = std::move(domains);
+}
+
+bool fleet::usable_state(const endpoint_state& state, time_point now) const
+{
+    const bool listed = state.listed || now - state.unlisted_since < unlisted_grace;
+    return listed && !state.info.leaving && !state.info.gone && !state.misdirected &&
+           state.address.port != 0 && !m_domains_out.contains(state.info.failure_domain);
+}
+
+bool fleet::is_usable(const std::string& endpoint, time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_endpoints.find(endpoint);
+    return found != m_endpoints.end() && usable_state(found->second, now);
+}
+
+bool fleet::cold_full(endpoint_state& state, const route::service_rule& service, time_point now) const
+{
+    if (now >= state.cold_until || service.cold_rate <= 0) {
+        return false;
+    }
+    while (!state.sent.empty() && now - state.sent.front() > cold_window) {
+        state.sent.pop_front();
+    }
+    return static_cast<double>(state.sent.size()) + 1 > service.cold_rate * m_cold_share;
+}
+
+double fleet::pace_of(const endpoint_state& state, time_point now) const
+{
+    const double kept = std::exp2(-seconds(now - state.pace_at) / pace_half_life_s);
+    return 1 + (state.pace - 1) * kept;
+}
+
+double fleet::failures_of(const endpoint_state& state, time_point now) const
+{
+    return state.failure_share * std::exp2(-seconds(now - state.failure_at) / failure_half_life_s);
+}
+
+// Endpoints that were not reachable lately are used only when there are no others, so that an outage of many
+// does not leave a service without endpoints.
+std::vector<fleet::endpoint_state*> fleet::candidates(const dispatch_request& request, time_point now)
+{
+    std::map<std::string, std::uint64_t> newest_at_address;
+    for (const auto& [name, state] : m_endpoints) {
+        std::uint64_t& born = newest_at_address[state.info.address];
+        born = std::max(born, state.info.born_ms);
+    }
+    std::vector<endpoint_state*> reachable;
+    std::vector<endpoint_state*> avoided;
+    for (auto& [name, state] : m_endpoints) {
+        if (state.info.service != request.service->name || request.excluded.contains(name) ||
+            !usable_state(state, now) || cold_full(state, *request.service, now) ||
+            newest_at_address[state.info.address] != state.info.born_ms) {
+            continue;
+        }
+        (now < state.avoid_until ? avoided : reachable).push_back(&state);
+    }
+    return reachable.empty() ? avoided : reachable;
+}
+
+dispatch_result fleet::dispatch(const dispatch_request& request, time_point now)
+{
+    dispatch_result outcome;
+    std::vector<wire::dispatch_noteT> notes;
+    {
+        const std::lock_guard lock(m_mutex);
+        const std::vector<endpoint_state*> found = candidates(request, now);
+        if (found.empty()) {
+            return outcome;
+        }
+        outcome = request.service->engine ? dispatch_model(request, found, now)
+                                          : dispatch_plain(request, found, now);
+        if (outcome.choice) {
+            notes = m_own[outcome.choice->number].notes;
+        }
+    }
+    emit(notes);
+    return outcome;
+}
+
+dispatch_result fleet::dispatch_model(const dispatch_request& request,
+                                      const std::vector<endpoint_state*>& found, time_point now)
+{
+    const policy::engine_cost cost(*request.service->engine);
+    std::vector<policy::placement_candidate> candidates;
+    candidates.reserve(found.size());
+    for (const endpoint_state* state : found) {
+        policy::placement_candidate candidate;
+        candidate.load = &state->load;
+        candidate.pace = pace_of(*state, now);
+        candidate.failure_share = failures_of(*state, now);
+        candidate.other_domain = state->info.failure_domain != m_own_domain;
+        candidate.slots = state->info.slots;
+        candidate.takes_parts = state->load.parts() < state->info.slots && candidate.failure_share < 0.2;
+        candidates.push_back(candidate);
+    }
+    policy::placement_options options;
+    options.most_parts = request.alone ? 1 : options.most_parts;
+    const auto placed = policy::place(request.model, cost, candidates, now, options);
+    dispatch_result outcome;
+    if (!placed) {
+        outcome.refusal.why = dispatch_refusal::reason::too_large;
+        return outcome;
+    }
+    const milliseconds predicted = to_ms(placed->first_event_ms);
+    const bool outlasts = request.model.patience > milliseconds::zero() && predicted > request.model.patience;
+    if (outlasts || predicted > request.time_left) {
+        outcome.refusal = {dispatch_refusal::reason::too_late, predicted};
+        return outcome;
+    }
+    dispatch_choice choice;
+    choice.first_event = predicted;
+    std::vector<endpoint_state*> parts;
+    for (std::size_t i = 0; i < placed->parts.size(); ++i) {
+        endpoint_state* state = found[placed->parts[i]];
+        parts.push_back(state);
+        choice.endpoints.push_back({state->info.endpoint, state->address, placed->reserved_tokens[i]});
+    }
+    take(choice, request, parts, now);
+    outcome.choice = std::move(choice);
+    return outcome;
+}
+
+dispatch_result fleet::dispatch_plain(const dispatch_request& request,
+                                      const std::vector<endpoint_state*>& found, time_point now)
+{
+    endpoint_state* best = nullptr;
+    double best_cost = 0;
+    for (endpoint_state* state : found) {
+        const auto slots = std::max<double>(state->info.slots, 1);
+        const auto requests = static_cast<double>(state->load.requests());
+        double cost =
+            plain_request_ms * (1 + std::max(0.0, requests - slots + 1) / slots) * pace_of(*state, now);
+        cost += plain_request_ms * (requests / slots + 10 * failures_of(*state, now));
+        cost += state->info.failure_domain == m_own_domain ? 0 : plain_request_ms / 8;
+        if (best == nullptr || cost < best_cost) {
+            best = state;
+            best_cost = cost;
+        }
+    }
+    dispatch_choice choice;
+    choice.first_event = to_ms(best_cost);
+    choice.endpoints.push_back({best->info.endpoint, best->address, 0});
+    take(choice, request, {best}, now);
+    dispatch_result outcome;
+    outcome.choice = std::move(choice);
+    return outcome;
+}
+
+void fleet::take(dispatch_choice& choice, const dispatch_request& request,
+                 const std::vector<endpoint_state*>& parts, time_point now)
+{
+    choice.number = m_next_number++;
+    own_dispatch& own = m_own[choice.number];
+    std::uint64_t reserved = 0;
+    for (const chosen_endpoint& endpoint : choice.endpoints) {
+        reserved += endpoint.reserved_tokens;
+    }
+    const std::uint64_t needed = std::uint64_t{request.model.prompt_tokens} + request.model.output_tokens;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        wire::dispatch_noteT note;
+        note.number = choice.number;
+        note.endpoint = choice.endpoints[i].name;
+        note.reads_for_other = i != 0;
+        note.share_tokens = static_cast<std::uint32_t>(request.model.prompt_tokens / parts.size());
+        const std::uint64_t held =
+            i != 0 ? choice.endpoints[i].reserved_tokens : needed - std::min(needed, reserved);
+        note.held_tokens = static_cast<std::uint32_t>(held);
+        note.first_event_ms = static_cast<std::uint32_t>(request.model.objective.count());
+        note.pause_ms = static_cast<std::uint32_t>(request.model.pause.count());
+        note.value = static_cast<float>(request.model.value);
+        if (request.service->engine) {
+            const policy::engine_cost cost(*request.service->engine);
+            note.read_us =
+                static_cast<std::uint32_t>(cost.read_ms(request.model.prompt_tokens, parts.size()) * 1000);
+        }
+        parts[i]->load.start({m_self, choice.number}, to_work(note, now), pace_of(*parts[i], now), now);
+        if (i == 0) {
+            parts[i]->sent.push_back(now);
+        }
+        own.notes.push_back(std::move(note));
+    }
+}
+
+void fleet::advance(std::uint64_t number, std::uint8_t phase, time_point now)
+{
+    std::vector<wire::dispatch_noteT> notes;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_own.find(number);
+        if (found == m_own.end() || found->second.phase >= phase) {
+            return;
+        }
+        found->second.phase = phase;
+        for (wire::dispatch_noteT& note : found->second.notes) {
+            note.phase = phase;
+            apply_note(m_self, note, now);
+        }
+        notes = found->second.notes;
+        if (phase == phase_ended) {
+            m_own.erase(found);
+        }
+    }
+    emit(notes);
+}
+
+void fleet::first_event(std::uint64_t number, time_point now)
+{
+    advance(number, phase_answering, now);
+}
+
+void fleet::end(std::uint64_t number, time_point now)
+{
+    advance(number, phase_ended, now);
+}
+
+void fleet::emit(const std::vector<wire::dispatch_noteT>& notes)
+{
+    for (const wire::dispatch_noteT& note : notes) {
+        m_on_note(note);
+    }
+}
+
+void fleet::apply_note(incarnation entry, const wire::dispatch_noteT& note, time_point now)
+{
+    const auto found = m_endpoints.find(note.endpoint);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    endpoint_state& state = found->second;
+    const policy::work_key key{entry, note.number};
+    const double pace = pace_of(state, now);
+    if (note.phase == phase_ended) {
+        state.load.end(key, pace, now);
+        return;
+    }
+    if (note.phase == phase_answering && entry == m_self) {
+        state.load.first_event(key, pace, now);
+        return;
+    }
+    if (entry != m_self && note.phase == phase_started) {
+        state.load.start(key, to_work(note, now), pace, now);
+        if (!note.reads_for_other) {
+            state.sent.push_back(now);
+        }
+        return;
+    }
+    state.load.first_event(key, pace, now);
+}
+
+void fleet::apply_notes(const wire::load_notesT& notes, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (notes.whole) {
+        for (auto& [name, state] : m_endpoints) {
+            state.load.forget(notes.incarnation, pace_of(state, now), now);
+        }
+    }
+    for (const auto& note : notes.notes) {
+        if (notes.whole && note->phase == phase_answering) {
+            wire::dispatch_noteT started = *note;
+            started.phase = phase_started;
+            apply_note(notes.incarnation, started, now);
+        }
+        apply_note(notes.incarnation, *note, now);
+    }
+}
+
+void fleet::forget_entry(incarnation entry, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto& [name, state] : m_endpoints) {
+        state.load.forget(entry, pace_of(state, now), now);
+    }
+}
+
+std::vector<wire::dispatch_noteT> fleet::own_notes() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<wire::dispatch_noteT> notes;
+    for (const auto& [number, own] : m_own) {
+        notes.insert(notes.end(), own.notes.begin(), own.notes.end());
+    }
+    return notes;
+}
+
+void fleet::note_health(const std::string& endpoint, attempt_health health, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end() || health == attempt_health::neutral) {
+        return;
+    }
+    endpoint_state& state = found->second;
+    if (health == attempt_health::misdirected) {
+        state.misdirected = true;
+        return;
+    }
+    if (health == attempt_health::unreachable) {
+        const auto pause = first_avoidance * (1U << std::min(state.unreachable, 6U));
+        state.avoid_until = now + std::min<milliseconds>(pause, longest_avoidance);
+        ++state.unreachable;
+        return;
+    }
+    state.unreachable = 0;
+    state.avoid_until = {};
+    const double failed = health == attempt_health::failed ? 1 : 0;
+    const double held = failures_of(state, now);
+    state.failure_share = held + (failed - held) * failure_weight;
+    state.failure_at = now;
+}
+
+void fleet::note_pace(const std::string& endpoint, double pace, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    endpoint_state& state = found->second;
+    const double held = pace_of(state, now);
+    state.pace = held + (std::clamp(pace, 1.0, slowest_pace) - held) * pace_weight;
+    state.pace_at = now;
+}
+
+double fleet::pass_ms(const std::string& endpoint, const route::engine_rule& engine) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return 0;
+    }
+    const policy::endpoint_load& load = found->second.load;
+    return policy::engine_cost(engine).pass_ms(load.writers(), load.context_tokens());
+}
+
+std::size_t fleet::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_endpoints.size();
+}
+
+std::size_t fleet::usable(const std::string& service, time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return static_cast<std::size_t>(
+        std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
+            return item.second.info.service == service && usable_state(item.second, now);
+        }));
+}
+
+} // namespace verbena::forward
--- /dev/null
+++ b/src/forward/forward_service.cpp
@@ -0,0 +1,417 @@
+#include "forward/forward_service.h"
+
+#include "base/event_log.h"
+#include "base/log.h"
+#include "node/freshness.h"
+
+#include <algorithm>
+
+namespace verbena::forward {
+
+namespace {
+
+constexpr milliseconds refresh_interval{100};
+constexpr milliseconds drain_interval{20};
+
+// Left of the time for a planned stop when open answers are given up.
+constexpr milliseconds stop_reserve{300};
+
+// Share of the common retry budget that this entry uses; the rest covers what the others count differently.
+constexpr double budget_share = 0.8;
+
+// Entries that are assumed to share the budget's fixed part before the others are known.
+constexpr double assumed_entries = 10;
+
+// Longest time that a caller is kept waiting when nothing else bounds it.
+constexpr milliseconds longest_wait{3'600'000};
+
+// Callers that come before this entry knows the configuration try another one, or this one a little later.
+constexpr milliseconds unready_return{300};
+
+policy::retry_budget_options to_budget(const settings::entry_settingsT& settings)
+{
+    policy::retry_budget_options options;
+    options.share = settings.retry_ratio / 1000.0 * budget_share;
+    options.least = static_cast<std::uint32_t>(settings.retry_slack * budget_share / assumed_entries);
+    return options;
+}
+
+std::uint32_t to_u32(milliseconds value)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(value.count(), 0));
+}
+
+} // namespace
+
+result<std::shared_ptr<forward_service>> forward_service::create(node::process& process,
+                                                                 const settings::entry_settingsT& settings,
+                                                                 platform_words words)
+{
+    auto service = std::make_shared<forward_service>(process, settings, std::move(words));
+    BOOST_OUTCOME_TRY(service->open());
+    return service;
+}
+
+forward_service::forward_service(node::process& process, const settings::entry_settingsT& settings,
+                                 platform_words words)
+    : m_process(process), m_settings(settings), m_words(std::move(words)),
+      m_config(milliseconds(settings.freshness)),
+      m_fleet(process.self_incarnation(), process.settings().failure_domain,
+              settings.cold_overage / 1000.0 * budget_share,
+              [this](wire::dispatch_noteT note) {
+                  if (m_share) {
+                      m_share->add(std::move(note));
+                  }
+              }),
+      m_directory([this](const std::string& name, const wire::announcementT* value) {
+          m_fleet.on_endpoint(name, value);
+          event::endpoint_stateT line;
+          line.endpoint = name;
+          line.state =
+              value == nullptr
+                  ? "unlisted"
+                  : (value->gone ? "gone" : (value->leaving ? "leaving" : (value->cold ? "cold" : "ready")));
+          if (value != nullptr) {
+              line.service = value->service;
+              line.domain = value->failure_domain;
+              line.address = value->address;
+              line.born_ms = value->born_ms;
+              line.sequence = value->sequence;
+          }
+          event_log::write(line);
+      }),
+      m_budget(to_budget(settings))
+{
+}
+
+result<void> forward_service::open()
+{
+    BOOST_OUTCOME_TRY(const host_port address, parse_host_port(m_settings.listen));
+    BOOST_OUTCOME_TRY(const std::vector<host_port> members, node::control_members(m_process.settings()));
+    metrics& counters = m_process.counters();
+    net::connection_options connections;
+    connections.self = net::peer_info{wire::role::entry, m_process.settings().name,
+                                      m_process.settings().cluster, m_process.self_incarnation()};
+    connections.counters = &counters;
+    // Silence between our processes has to be noticed well within the freshness bound.
+    connections.ping_after = milliseconds(500);
+    connections.silent_after = milliseconds(1'500);
+    m_pool = std::make_shared<net::peer_pool>(m_process.io(), connections, nullptr);
+    node::control_client::options options;
+    options.members = members;
+    options.self = connections.self;
+    options.interval = milliseconds(300);
+    options.reply_timeout = milliseconds(800);
+    options.frame_address = m_settings.peer_listen;
+    m_control = std::make_shared<node::control_client>(m_process.io(), std::move(options), m_pool, m_config,
+                                                       &m_directory, nullptr, counters);
+    if (!m_settings.peer_listen.empty()) {
+        load_share::options share;
+        BOOST_OUTCOME_TRY(share.listen, parse_host_port(m_settings.peer_listen));
+        share.connections = connections;
+        BOOST_OUTCOME_TRY(m_share, load_share::create(m_process.io(), std::move(share), m_fleet, m_config,
+                                                      [this] { return m_control->entries(clock::now()); }));
+    }
+    net::http_limits limits;
+    limits.max_header = m_settings.max_header;
+    limits.max_body = m_settings.max_body;
+    limits.header_timeout = milliseconds(m_settings.header_timeout);
+    limits.body_timeout = milliseconds(m_settings.body_timeout);
+    limits.min_body_rate = m_settings.min_body_rate;
+    limits.write_timeout = milliseconds(m_settings.reader_timeout);
+    limits.max_connections = m_settings.max_connections;
+    limits.max_total_body = m_settings.total_buffer;
+    BOOST_OUTCOME_TRY(m_server, net::http_server::create(m_process.io(), address, limits, *this, counters,
+                                                         std::string("callers")));
+    return success();
+}
+
+void forward_service::start()
+{
+    m_control->start();
+    m_server->start();
+    if (m_share) {
+        m_share->start();
+    }
+    net::asio::co_spawn(
+        net::asio::make_strand(m_process.io()), [self = shared_from_this()] { return self->refresh(); },
+        net::asio::detached);
+    net::asio::co_spawn(
+        net::asio::make_strand(m_process.io()), [self = shared_from_this()] { return self->ask_peers(); },
+        net::asio::detached);
+    metrics& counters = m_process.counters();
+    const auto self = shared_from_this();
+    counters.gauge("verbena_forward_active_requests", {},
+                   [self] { return static_cast<double>(self->m_server->active()); });
+    counters.gauge("verbena_forward_endpoints", {},
+                   [self] { return static_cast<double>(self->m_fleet.size()); });
+    counters.gauge("verbena_forward_peers", {},
+                   [self] { return static_cast<double>(self->m_share ? self->m_share->peers() : 0); });
+    counters.gauge("verbena_config_revision", {},
+                   [self] { return static_cast<double>(self->m_config.held()); });
+    counters.gauge("verbena_log_lines_left_out", {},
+                   [] { return static_cast<double>(event_log::left_out()); });
+}
+
+bool forward_service::can_serve(time_point now) const
+{
+    return m_config.is_fresh(now) && m_directory.loaded();
+}
+
+std::shared_ptr<const route::table> forward_service::rules()
+{
+    const std::shared_ptr<const node::config_snapshot> config = m_config.current();
+    const std::lock_guard lock(m_rules_mutex);
+    if (!config || config->number() <= m_rules.number) {
+        return m_rules.table;
+    }
+    m_rules.number = config->number();
+    std::set<std::string> out;
+    for (const auto& domain : config->document().failure_domains) {
+        if (domain->state != op::admin_state::in) {
+            out.insert(domain->name);
+        }
+    }
+    const auto domains_out = static_cast<std::uint32_t>(out.size());
+    m_fleet.set_domains_out(std::move(out));
+    const auto& published = config->document().published;
+    if (published && (!m_rules.table || published->version > m_rules.table->version())) {
+        const std::string content(published->content.begin(), published->content.end());
+        result<route::document> document = m_words.documents->decode(content);
+        const auto table = document ? route::table::create(std::move(document.value()))
+                                    : result<std::shared_ptr<const route::table>>(document.error());
+        if (table) {
+            m_rules.table = table.value();
+            apply_limits(*m_rules.table);
+        } else {
+            // Control members check what is published, so this takes a member of another version.
+            log::failure("the published configuration cannot be read: " + describe(table.error()));
+        }
+    }
+    event::configuration_in_forceT line;
+    line.revision = m_rules.number;
+    line.domains_out = domains_out;
+    if (m_rules.table) {
+        line.version = m_rules.table->version();
+        line.routes = static_cast<std::uint32_t>(m_rules.table->rules().routes.size());
+        line.services = static_cast<std::uint32_t>(m_rules.table->rules().services.size());
+    }
+    event_log::write(line);
+    return m_rules.table;
+}
+
+void forward_service::apply_limits(const route::table& table)
+{
+    const route::caller_limits& rules = table.rules().limits;
+    net::http_limits limits = m_server->limits();
+    limits.max_header = rules.max_header_bytes;
+    limits.max_body = rules.max_body_bytes;
+    limits.header_timeout = rules.header_timeout;
+    limits.idle_timeout = rules.idle_timeout;
+    m_server->set_limits(limits);
+}
+
+net::task<void> forward_service::refresh()
+{
+    bool ready = false;
+    while (!m_stopping) {
+        const bool able = can_serve(clock::now()) && rules() != nullptr;
+        if (able != ready) {
+            ready = able;
+            event_log::write(event::dependencyT{{},
+                                                "control",
+                                                able ? "regained" : "lost",
+                                                able ? "the configuration is confirmed"
+                                                     : "no member has confirmed the configuration lately"});
+        }
+        m_process.set_ready(able && !m_stopping);
+        co_await net::sleep_for(refresh_interval);
+    }
+    m_process.set_ready(false);
+}
+
+net::task<void> forward_service::ask_peers()
+{
+    while (!m_stopping) {
+        co_await net::sleep_for(refresh_interval * 3);
+        const std::optional<milliseconds> age = m_config.age(clock::now());
+        if (!m_share || (age && *age < node::ask_peers_after)) {
+            continue;
+        }
+        const std::vector<std::string> known = m_control->entries(clock::now());
+        for (std::size_t i = 0; i < std::min(known.size(), node::peers_asked); ++i) {
+            const result<host_port> address = parse_host_port(known[m_turn++ % known.size()]);
+            if (!address) {
+                continue;
+            }
+            auto opened = co_await m_pool->get(address.value(), refresh_interval * 3);
+            if (opened) {
+                net::asio::co_spawn(
+                    net::asio::make_strand(m_process.io()),
+                    [self = shared_from_this(), peer = opened.value()] {
+                        return node::ask_freshness(peer, self->m_config);
+                    },
+                    net::asio::detached);
+            }
+        }
+    }
+}
+
+void forward_service::stop()
+{
+    m_stopping = true;
+    m_process.set_ready(false);
+    m_server->close_after_answers();
+    net::asio::co_spawn(
+        net::asio::make_strand(m_process.io()), [self = shared_from_this()] { return self->drain(); },
+        net::asio::detached);
+}
+
+net::task<void> forward_service::drain()
+{
+    const time_point end = clock::now() + milliseconds(m_settings.grace) - stop_reserve;
+    co_await net::sleep_for(milliseconds(m_process.settings().stop_delay));
+    m_server->stop_accepting();
+    while (m_server->active() != 0 && clock::now() < end) {
+        co_await net::sleep_for(drain_interval);
+    }
+    m_control->stop();
+    if (m_share) {
+        m_share->stop();
+    }
+    co_await net::sleep_for(drain_interval * 2);
+    event_log::write(event::process_stateT{{},
+                                           "entry",
+                                           m_process.settings().name,
+                                           "stopped",
+                                           VERBENA_VERSION,
+                                           "open requests: " + std::to_string(m_server->active())});
+    m_process.finish();
+}
+
+void forward_service::reload(const settings_root& root)
+{
+    const result<std::vector<host_port>> members = node::control_members(*root.node);
+    if (!members) {
+        log::warn("reload: " + describe(members.error()));
+        return;
+    }
+    m_control->set_seeds(members.value());
+}
+
+net::http_response forward_service::refuse(unsigned status, const std::string& kind,
+                                           const std::string& message, const std::string&)
+{
+    return m_words.requests->refusal(status, kind, message, milliseconds::zero());
+}
+
+std::optional<forward_service::early_refusal> forward_service::check_team(const route::table& table,
+                                                                          routed_request& out) const
+{
+    out.priority = out.route->priority;
+    if (table.rules().teams.empty()) {
+        return std::nullopt;
+    }
+    const route::team_rule* team = out.terms.key.empty() ? nullptr : table.find_team(out.terms.key);
+    if (team == nullptr) {
+        if (out.route->open) {
+            return std::nullopt;
+        }
+        return early_refusal{401, "unknown_key", "the key is missing or not known", milliseconds::zero()};
+    }
+    out.team = team->name;
+    out.priority = team->priority.value_or(out.priority);
+    return std::nullopt;
+}
+
+std::optional<forward_service::early_refusal> forward_service::admit(const net::http_request& request,
+                                                                     routed_request& out)
+{
+    out.arrived = clock::now();
+    out.rules = rules();
+    if (!out.rules || !can_serve(out.arrived)) {
+        return early_refusal{503, "not_ready", "this entry has no confirmed configuration", unready_return};
+    }
+    result<caller_terms> terms = m_words.requests->read_request(request);
+    if (!terms) {
+        return early_refusal{400, "malformed_request", terms.error().message, milliseconds::zero()};
+    }
+    out.terms = std::move(terms.value());
+    out.route = out.rules->find_route(request.header("Host"), request.target);
+    if (out.route == nullptr) {
+        return early_refusal{404, "no_route", "no route begins this path at this host", milliseconds::zero()};
+    }
+    if (std::optional<early_refusal> refused = check_team(*out.rules, out)) {
+        return refused;
+    }
+    const std::uint64_t draw = std::hash<std::string>{}(out.terms.id);
+    out.service = out.rules->find_service(route::table::choose_service(*out.route, draw));
+    out.config_version = out.rules->version();
+    out.config_age = m_config.age(out.arrived).value_or(longest_wait);
+    const milliseconds wait =
+        std::min({out.route->timeout, out.terms.patience.value_or(longest_wait), longest_wait});
+    out.deadline = out.arrived + wait;
+    return std::nullopt;
+}
+
+net::task<void> forward_service::refuse_early(net::http_exchange& exchange, early_refusal refusal,
+                                              const std::string& id)
+{
+    event::refusedT line;
+    line.request = id;
+    line.status = refusal.status;
+    line.reason = refusal.type;
+    line.retry_after_ms = to_u32(refusal.retry_after);
+    const std::optional<milliseconds> age = m_config.age(clock::now());
+    line.config_age_ms = to_u32(age.value_or(longest_wait));
+    event_log::write(line);
+    m_process.counters().add("verbena_forward_early_refusals_total", {{"reason", refusal.type}});
+    net::http_response response =
+        m_words.requests->refusal(refusal.status, refusal.type, refusal.message, refusal.retry_after);
+    (void)co_await exchange.reply(std::move(response));
+}
+
+net::task<void> forward_service::handle(net::http_exchange& exchange)
+{
+    routed_request request;
+    std::optional<early_refusal> refused = admit(exchange.request(), request);
+    if (refused) {
+        const std::string id = request.terms.id;
+        co_await refuse_early(exchange, std::move(*refused), id);
+        co_return;
+    }
+    co_await serve(exchange, std::move(request));
+}
+
+net::task<void> forward_service::serve(net::http_exchange& exchange, routed_request request)
+{
+    const run_context context{m_fleet, *m_words.requests, m_budget, m_process.counters(),
+                              milliseconds(m_settings.stall)};
+    const time_point deadline = request.deadline;
+    auto run = std::make_shared<request_run>(context, exchange, std::move(request));
+    auto ended = std::make_shared<bool>(false);
+    const auto executor = co_await net::asio::this_coro::executor;
+    net::asio::co_spawn(
+        executor,
+        [&exchange, run, ended]() -> net::task<void> {
+            const bool left = co_await exchange.wait_closed(ended);
+            if (left) {
+                run->leave();
+            }
+        },
+        net::asio::detached);
+    net::asio::steady_timer timer(executor, deadline + drain_interval);
+    timer.async_wait([ended, run, &exchange](const net::error_code& failure) {
+        if (!failure && !*ended && exchange.started()) {
+            // A write to a caller that reads nothing would outlast the deadline.
+            run->leave();
+            exchange.cancel_wait();
+        }
+    });
+    co_await run->run(executor);
+    *ended = true;
+    timer.cancel();
+    exchange.cancel_wait();
+}
+
+} // namespace verbena::forward
--- /dev/null
+++ b/src/forward/forward_service.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "forward/load_share.h"
+#include "forward/request_run.h"
+#include "node/control_client.h"
+#include "node/process.h"
+#include "route/document_codec.h"
+
+namespace verbena::forward {
+
+// What an adapter brings for the platform that it speaks to.
+struct platform_words {
+    std::shared_ptr<const route::document_codec> documents;
+    std::shared_ptr<const dialect> requests;
+};
+
+// The entry that serves the routes of the published configuration: requests go to endpoints that announce
+// themselves at control members.
+class forward_service : public net::http_handler, public std::enable_shared_from_this<forward_service> {
+public:
+    static result<std::shared_ptr<forward_service>>
+    create(node::process& process, const settings::entry_settingsT& settings, platform_words words);
+
+    forward_service(node::process& process, const settings::entry_settingsT& settings, platform_words words);
+
+    void start();
+
+    // Readiness goes off first; the listener closes after the balancer's poll interval; the process ends
+    // after the last answer or when the time for a planned stop is used up.
+    void stop();
+
+    void reload(const settings_root& root);
+
+    net::task<void> handle(net::http_exchange& exchange) override;
+    net::http_response refuse(unsigned status, const std::string& kind, const std::string& message,
+                              const std::string& remedy) override;
+
+private:
+    // The published configuration as this process obeys it.
+    struct rules_in_force {
+        revision number = 0;
+        std::shared_ptr<const route::table> table;
+    };
+
+    // A request that is refused before it is dispatched.
+    struct early_refusal {
+        unsigned status = 0;
+        std::string type;
+        std::string message;
+        milliseconds retry_after{};
+    };
+
+    result<void> open();
+    bool can_serve(time_point now) const;
+    // Takes over a newer configuration, if there is one, and returns the one in force.
+    std::shared_ptr<const route::table> rules();
+    void apply_limits(const route::table& table);
+    std::optional<early_refusal> admit(const net::http_request& request, routed_request& out);
+    std::optional<early_refusal> check_team(const route::table& table, routed_request& out) const;
+    net::task<void> serve(net::http_exchange& exchange, routed_request request);
+    net::task<void> refuse_early(net::http_exchange& exchange, early_refusal refusal, const std::string& id);
+    net::task<void> refresh();
+    net::task<void> ask_peers();
+    net::task<void> drain();
+    std::size_t entries() const;
+
+    node::process& m_process;
+    settings::entry_settingsT m_settings;
+    platform_words m_words;
+    node::config_view m_config;
+    fleet m_fleet;
+    node::directory_view m_directory;
+    shared_budget m_budget;
+    std::shared_ptr<net::peer_pool> m_pool;
+    std::shared_ptr<node::control_client> m_control;
+    std::shared_ptr<load_share> m_share;
+    std::shared_ptr<net::http_server> m_server;
+    std::mutex m_rules_mutex;
+    rules_in_force m_rules;
+    std::atomic<bool> m_stopping{false};
+    std::atomic<std::uint64_t> m_draw{0};
+    std::size_t m_turn = 0;
+};
+
+} // namespace verbena::forward
--- /dev/null
+++ b/src/forward/request_run.cpp
@@ -0,0 +1,627 @@
+#include "forward/request_run.h"
+
+#include "base/event_log.h"
+
+#include <algorithm>
+
+namespace verbena::forward {
+
+namespace {
+
+constexpr std::size_t largest_answer = 16ULL * 1024 * 1024;
+
+// Endpoints are at most a few milliseconds away; a longer wait only means a lost packet or a dead one.
+constexpr milliseconds connect_timeout{300};
+
+// Attempts that did not run cost little, but an outage must not keep a request turning.
+constexpr std::uint32_t most_attempts = 8;
+
+// A caller of a stream leaves after the longest of these without an event; the platform's pages state them.
+constexpr milliseconds least_patience{2'000};
+constexpr int patience_in_objectives = 4;
+constexpr int patience_in_pauses = 8;
+
+// An endpoint that has not begun to answer after this many times the predicted time, and a fixed part for
+// errors of short predictions, is taken for silent.
+constexpr int silence_in_predictions = 3;
+constexpr milliseconds least_silence{600};
+
+// The same between two events, in pauses.
+constexpr int silence_in_pauses = 4;
+
+// A plain idempotent request is tried elsewhere after this many objectives.
+constexpr int plain_silence_in_objectives = 3;
+
+// Reservations are renewed at a third of their time, so that one lost renewal does no harm and memory is
+// free soon after this process has died.
+constexpr milliseconds reservation_hold{3'000};
+constexpr milliseconds renewal_interval{1'000};
+constexpr milliseconds order_timeout{400};
+
+// Bounds of the time after which a refused caller is asked to return.
+constexpr milliseconds shortest_return{150};
+constexpr milliseconds longest_return{3'000};
+
+// Callers honour a return time up to this share of the time they have left.
+constexpr int return_share = 3;
+
+std::uint32_t to_u32(clock::duration value)
+{
+    return static_cast<std::uint32_t>(
+        std::max<std::int64_t>(std::chrono::duration_cast<milliseconds>(value).count(), 0));
+}
+
+} // namespace
+
+void shared_budget::record_request(const std::string& service, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_budget.record_request("", service, now);
+}
+
+bool shared_budget::try_retry(const std::string& service, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_budget.try_retry("", service, now);
+}
+
+request_run::request_run(run_context context, net::http_exchange& exchange, routed_request request)
+    : m_context(context), m_exchange(exchange), m_request(std::move(request)),
+      m_random(std::hash<std::string>{}(m_request.terms.id))
+{
+    m_answer.last_event = m_request.terms.last_event;
+}
+
+bool request_run::is_idempotent() const
+{
+    return m_request.route->kind == route::request_kind::safe || (is_stream() && m_request.route->resumable);
+}
+
+milliseconds request_run::time_left(time_point now) const
+{
+    return std::max(std::chrono::duration_cast<milliseconds>(m_request.deadline - now), milliseconds::zero());
+}
+
+// Priorities of teams and routes count from 0; each takes the three levels of the engines that lie apart
+// enough for prompts of three lengths.
+std::uint32_t request_run::urgency() const
+{
+    constexpr std::uint32_t levels = 3;
+    constexpr std::uint32_t lowest = 9;
+    const auto length = static_cast<std::uint32_t>(classify(m_request.terms.prompt_tokens));
+    return std::min(m_request.priority * levels + length, lowest);
+}
+
+dispatch_request request_run::to_dispatch(time_point now) const
+{
+    const route::route_rule& route = *m_request.route;
+    dispatch_request request;
+    request.service = m_request.service;
+    request.time_left = time_left(now);
+    request.excluded = m_excluded;
+    request.alone = m_alone;
+    policy::model_request& model = request.model;
+    model.prompt_tokens = m_request.terms.prompt_tokens;
+    model.output_tokens = m_request.terms.output_tokens;
+    model.pause = route.pause;
+    if (is_stream()) {
+        model.patience = std::max(
+            {least_patience, route.objective * patience_in_objectives, route.pause * patience_in_pauses});
+    }
+    // What remains of the objective; a late request is still served as fast as the others allow.
+    const auto used = std::chrono::duration_cast<milliseconds>(now - m_request.arrived);
+    model.objective = std::max(route.objective - used, milliseconds(1));
+    // The work that a caller loses, as a writer's token costs about ten read ones.
+    constexpr double output_weight = 10;
+    model.value = (model.prompt_tokens + output_weight * model.output_tokens) / 1000 + 1;
+    return request;
+}
+
+void request_run::leave()
+{
+    m_left = true;
+    if (m_call) {
+        m_call->close();
+    }
+}
+
+net::task<void> request_run::run(net::asio::any_io_executor executor)
+{
+    m_executor = executor;
+    m_context.budget.record_request(m_request.service->name, clock::now());
+    while (!m_left) {
+        const time_point now = clock::now();
+        if (now >= m_request.deadline) {
+            co_await refuse(m_may_have_run ? 504 : 503, "deadline", milliseconds::zero());
+            co_return;
+        }
+        const dispatch_result found = m_context.endpoints.dispatch(to_dispatch(now), now);
+        if (!found.choice) {
+            co_await refuse_dispatch(found.refusal);
+            co_return;
+        }
+        const attempt_end end = co_await attempt(*found.choice);
+        if (end == attempt_end::answered || end == attempt_end::caller_gone ||
+            !may_retry(end, clock::now())) {
+            co_await finish(end);
+            co_return;
+        }
+    }
+    count_end("caller_left", 0);
+}
+
+bool request_run::may_retry(attempt_end end, time_point now)
+{
+    if (m_left || m_attempts >= most_attempts || now >= m_request.deadline) {
+        return false;
+    }
+    if (end != attempt_end::not_run && !is_idempotent()) {
+        return false;
+    }
+    if (m_runs >= m_request.route->max_attempts) {
+        return false;
+    }
+    // Only what reaches an endpoint after another attempt has counts as a repetition.
+    return !m_arrived_once || m_context.budget.try_retry(m_request.service->name, now);
+}
+
+net::task<request_run::attempt_end> request_run::attempt(dispatch_choice choice)
+{
+    ++m_attempts;
+    m_attempt_began = clock::now();
+    m_sent = false;
+    m_least_interval_ms = 0;
+    event::dispatchedT line;
+    line.request = m_request.terms.id;
+    line.attempt = m_attempts;
+    line.endpoint = choice.endpoints.front().name;
+    line.helpers = static_cast<std::uint32_t>(choice.endpoints.size() - 1);
+    for (const chosen_endpoint& part : choice.endpoints) {
+        line.reserved_tokens += part.reserved_tokens;
+    }
+    line.predicted_ms = to_u32(choice.first_event);
+    line.time_left_ms = to_u32(time_left(m_attempt_began));
+    line.prompt_tokens = m_request.terms.prompt_tokens;
+    line.config_version = m_request.config_version;
+    line.config_age_ms = to_u32(m_request.config_age);
+    event_log::write(line);
+    m_context.counters.add("verbena_forward_attempts_total", {{"service", m_request.service->name}});
+
+    auto ended = std::make_shared<bool>(false);
+    const bool reserved = co_await reserve_all(choice);
+    attempt_end end = attempt_end::not_run;
+    if (reserved && !m_left) {
+        if (line.reserved_tokens != 0) {
+            net::asio::co_spawn(m_executor, renew(ended, choice), net::asio::detached);
+        }
+        end = co_await call_endpoint(choice);
+    } else {
+        note(choice, "not_run", 0, "memory not reserved", attempt_health::neutral);
+    }
+    *ended = true;
+    if (m_call) {
+        m_call->close();
+        m_call = nullptr;
+    }
+    m_context.endpoints.end(choice.number, clock::now());
+    release_all(choice);
+    if (end != attempt_end::answered) {
+        m_excluded.insert(choice.endpoints.front().name);
+    }
+    m_arrived_once = m_arrived_once || m_sent;
+    if (m_sent && end != attempt_end::not_run) {
+        ++m_runs;
+        m_may_have_run = true;
+    }
+    co_return m_left ? attempt_end::caller_gone : end;
+}
+
+net::task<request_run::attempt_end> request_run::call_endpoint(const dispatch_choice& choice)
+{
+    const chosen_endpoint& first = choice.endpoints.front();
+    auto call = std::make_shared<endpoint_call>(m_executor);
+    m_call = call;
+    const result<void> connected = co_await call->connect(first.address, connect_timeout);
+    if (!connected) {
+        note(choice, "not_run", 0, connected.error().message, attempt_health::unreachable);
+        co_return attempt_end::not_run;
+    }
+    const time_point now = clock::now();
+    endpoint_terms terms;
+    terms.endpoint = first.name;
+    terms.team = m_request.team;
+    terms.time_left = time_left(now);
+    terms.urgency = urgency();
+    terms.last_event = m_answer.last_event;
+    for (std::size_t i = 1; i < choice.endpoints.size(); ++i) {
+        const bool holds = choice.endpoints[i].reserved_tokens != 0;
+        terms.helpers.push_back(
+            {choice.endpoints[i].address, holds ? reservation_name(choice, i) : std::string()});
+    }
+    m_sent = true;
+    call->send(m_context.words.endpoint_head(m_exchange.request(), terms), m_exchange.request().body);
+    time_point limit = m_request.deadline;
+    if (is_stream() && is_idempotent()) {
+        const milliseconds stalls = choice.endpoints.size() > 1 ? m_context.stall : milliseconds::zero();
+        limit = std::min(limit, now + choice.first_event * silence_in_predictions + least_silence + stalls);
+    } else if (is_idempotent()) {
+        limit = std::min(
+            limit, now + std::max(m_request.route->objective * plain_silence_in_objectives, milliseconds(1)));
+    }
+    const result<answer_terms> head = co_await call->read_head(m_context.words, limit);
+    if (!head) {
+        const bool silent = head.error().kind == error_kind::timeout;
+        note(choice, silent ? "silent" : "broken", 0, head.error().message,
+             silent ? attempt_health::unreachable : attempt_health::failed);
+        co_return attempt_end::may_have_run;
+    }
+    co_return co_await take_answer(choice, head.value());
+}
+
+net::task<request_run::attempt_end> request_run::take_answer(const dispatch_choice& choice,
+                                                             const answer_terms& head)
+{
+    if (head.not_run) {
+        if (!head.culprit.empty()) {
+            m_context.endpoints.note_health(head.culprit, attempt_health::unreachable, clock::now());
+            m_alone = true;
+        }
+        note(choice, "not_run", head.status,
+             head.misdirected ? "another endpoint has the address" : head.culprit,
+             head.misdirected ? attempt_health::misdirected : attempt_health::neutral);
+        co_return attempt_end::not_run;
+    }
+    if (head.id != m_request.terms.id || head.encoded || !head.sealed) {
+        note(choice, "broken", head.status, "the answer is not that of this request", attempt_health::failed);
+        co_return attempt_end::may_have_run;
+    }
+    const bool good = head.status >= 200 && head.status < 300;
+    if (good && is_stream()) {
+        co_return co_await take_events(choice, head);
+    }
+    co_return co_await take_whole(choice, head);
+}
+
+net::task<request_run::attempt_end> request_run::take_whole(const dispatch_choice& choice,
+                                                            const answer_terms& head)
+{
+    net::http_response response;
+    response.status = head.status;
+    response.content_type = head.content_type;
+    response.headers = head.headers;
+    while (true) {
+        const result<std::string> piece = co_await m_call->read_some(m_request.deadline);
+        if (!piece) {
+            note(choice, "broken", head.status, piece.error().message, attempt_health::failed);
+            co_return attempt_end::may_have_run;
+        }
+        if (piece.value().empty()) {
+            break;
+        }
+        response.body += piece.value();
+        if (response.body.size() > largest_answer) {
+            note(choice, "broken", head.status, "the answer is too large", attempt_health::failed);
+            co_return attempt_end::may_have_run;
+        }
+    }
+    if (head.status >= 500) {
+        note(choice, "refused_by_endpoint", head.status, "", attempt_health::failed);
+        m_failed_answer = std::move(response);
+        co_return attempt_end::failed_answer;
+    }
+    note(choice, "answered", head.status, "", attempt_health::good);
+    m_answer.first_event = clock::now();
+    m_answer.started = true;
+    const unsigned status = response.status;
+    (void)co_await m_exchange.reply(std::move(response));
+    count_end("done", status);
+    co_return attempt_end::answered;
+}
+
+net::task<request_run::attempt_end> request_run::take_events(const dispatch_choice& choice,
+                                                             const answer_terms& head)
+{
+    event_reader reader;
+    bool any = false;
+    const milliseconds stalls =
+        choice.endpoints.size() > 1 ? m_context.stall + milliseconds(200) : milliseconds::zero();
+    const milliseconds silence =
+        std::max({m_request.route->pause * silence_in_pauses, milliseconds(1'000), stalls});
+    while (true) {
+        time_point limit = m_request.deadline;
+        if (is_idempotent()) {
+            const milliseconds first = choice.first_event * silence_in_predictions + least_silence + stalls;
+            limit = std::min(limit, clock::now() + (any ? silence : first));
+        }
+        const result<std::string> piece = co_await m_call->read_some(limit);
+        if (!piece || (piece.value().empty() && reader.rest() != 0)) {
+            const bool silent = !piece && piece.error().kind == error_kind::timeout;
+            note(choice, silent ? "silent" : "broken", head.status,
+                 piece ? "ended within an event" : piece.error().message,
+                 silent ? attempt_health::unreachable : attempt_health::failed);
+            co_return attempt_end::may_have_run;
+        }
+        if (piece.value().empty()) {
+            break;
+        }
+        reader.feed(piece.value());
+        any = true;
+        const bool passed = co_await pass_events(reader, choice, head);
+        if (!passed) {
+            co_return attempt_end::caller_gone;
+        }
+    }
+    if (!m_answer.started) {
+        m_answer.started = true;
+        (void)co_await m_exchange.start_stream(head.status, head.content_type, head.headers);
+    }
+    const result<void> finished = co_await m_exchange.finish();
+    note(choice, "answered", head.status, finished ? "" : finished.error().message, attempt_health::good);
+    if (m_least_interval_ms > 0 && m_request.service->engine) {
+        const std::string& name = choice.endpoints.front().name;
+        const double predicted = m_context.endpoints.pass_ms(name, *m_request.service->engine);
+        if (predicted > 0) {
+            m_context.endpoints.note_pace(name, m_least_interval_ms / predicted, clock::now());
+        }
+    }
+    count_end("done", head.status);
+    co_return attempt_end::answered;
+}
+
+net::task<bool> request_run::pass_events(event_reader& reader, const dispatch_choice& choice,
+                                         const answer_terms& head)
+{
+    while (true) {
+        const std::optional<stream_event> event = reader.next();
+        if (!event) {
+            co_return true;
+        }
+        const bool passed = co_await pass_event(*event, choice, head);
+        if (!passed) {
+            m_left = true;
+            co_return false;
+        }
+    }
+}
+
+net::task<bool> request_run::pass_event(const stream_event& event, const dispatch_choice& choice,
+                                        const answer_terms& head)
+{
+    // A run that goes on behind an event may begin with it again.
+    if (event.id && m_answer.last_event && *event.id <= *m_answer.last_event) {
+        co_return true;
+    }
+    const time_point now = clock::now();
+    if (!m_answer.started) {
+        m_answer.started = true;
+        const result<void> begun =
+            co_await m_exchange.start_stream(head.status, head.content_type, head.headers);
+        if (!begun) {
+            co_return false;
+        }
+    }
+    if (!m_answer.first_event) {
+        m_answer.first_event = now;
+        m_context.counters.observe("verbena_forward_first_event_seconds",
+                                   {{"team", m_request.team}, {"route", m_request.route->name}},
+                                   now - m_request.arrived);
+    }
+    const double interval = std::chrono::duration<double, std::milli>(now - m_last_event_at).count();
+    if (m_last_event_at >= m_attempt_began && interval > 1 &&
+        (m_least_interval_ms <= 0 || interval < m_least_interval_ms)) {
+        m_least_interval_ms = interval;
+    }
+    if (m_last_event_at < m_attempt_began) {
+        m_context.endpoints.first_event(choice.number, now);
+    }
+    m_last_event_at = now;
+    const result<void> written = co_await m_exchange.write(event.text);
+    if (!written) {
+        co_return false;
+    }
+    ++m_answer.events;
+    if (event.id) {
+        m_answer.last_event = event.id;
+    }
+    co_return true;
+}
+
+std::string request_run::reservation_name(const dispatch_choice& choice, std::size_t part) const
+{
+    return m_request.terms.id + "-" + std::to_string(choice.number) + "-" + std::to_string(part);
+}
+
+net::task<bool> request_run::reserve_all(const dispatch_choice& choice)
+{
+    for (std::size_t i = 1; i < choice.endpoints.size(); ++i) {
+        const chosen_endpoint& part = choice.endpoints[i];
+        if (part.reserved_tokens == 0) {
+            continue;
+        }
+        net::http_call call =
+            m_context.words.reserve(reservation_name(choice, i), part.reserved_tokens, reservation_hold);
+        const result<net::http_response> made =
+            co_await net::fetch_http(part.address, std::move(call), order_timeout);
+        if (!made || made.value().status != 200) {
+            m_context.counters.add("verbena_forward_reservations_total", {{"outcome", "refused"}});
+            m_excluded.insert(part.name);
+            co_return false;
+        }
+        m_context.counters.add("verbena_forward_reservations_total", {{"outcome", "held"}});
+    }
+    co_return true;
+}
+
+net::task<void> request_run::renew(std::shared_ptr<bool> ended, dispatch_choice choice)
+{
+    const auto self = shared_from_this();
+    while (true) {
+        co_await net::sleep_for(renewal_interval);
+        for (std::size_t i = 1; i < choice.endpoints.size(); ++i) {
+            const chosen_endpoint& part = choice.endpoints[i];
+            if (*ended) {
+                co_return;
+            }
+            if (part.reserved_tokens != 0) {
+                net::http_call call = m_context.words.reserve(reservation_name(choice, i),
+                                                              part.reserved_tokens, reservation_hold);
+                (void)co_await net::fetch_http(part.address, std::move(call), order_timeout);
+                if (*ended) {
+                    // A renewal that overtook the release holds the memory again.
+                    net::http_call undo = m_context.words.release(reservation_name(choice, i));
+                    (void)co_await net::fetch_http(part.address, std::move(undo), order_timeout);
+                }
+            }
+        }
+    }
+}
+
+// Released in the background: the caller has its answer already. A release that is lost is made up by the end
+// of the hold.
+void request_run::release_all(const dispatch_choice& choice)
+{
+    for (std::size_t i = 1; i < choice.endpoints.size(); ++i) {
+        const chosen_endpoint& part = choice.endpoints[i];
+        if (part.reserved_tokens == 0) {
+            continue;
+        }
+        net::asio::co_spawn(
+            m_executor,
+            [](net::http_call call, host_port address) -> net::task<void> {
+                (void)co_await net::fetch_http(std::move(address), std::move(call), order_timeout);
+            }(m_context.words.release(reservation_name(choice, i)), part.address),
+            net::asio::detached);
+    }
+}
+
+net::task<void> request_run::finish(attempt_end end)
+{
+    if (end == attempt_end::answered) {
+        co_return;
+    }
+    if (end == attempt_end::caller_gone || m_left) {
+        count_end("caller_left", 0);
+        co_return;
+    }
+    if (m_answer.started) {
+        // Without its end the caller sees that the answer broke off.
+        count_end("broken", 0);
+        co_return;
+    }
+    if (m_failed_answer) {
+        const unsigned status = m_failed_answer->status;
+        (void)co_await m_exchange.reply(std::move(*m_failed_answer));
+        count_end("failed_answer", status);
+        co_return;
+    }
+    if (!m_may_have_run) {
+        const dispatch_refusal refusal;
+        co_await refuse(503, "not_run", return_time(refusal, clock::now()));
+        co_return;
+    }
+    const bool late = clock::now() >= m_request.deadline;
+    co_await refuse(late ? 504 : 502, late ? "deadline" : "may_have_run", milliseconds::zero());
+}
+
+// Callers that are refused together come back spread over the time in which places become free.
+milliseconds request_run::return_time(const dispatch_refusal& refusal, time_point now)
+{
+    const milliseconds over = refusal.predicted - m_request.route->objective;
+    const milliseconds base = std::clamp(over, shortest_return, longest_return);
+    std::uniform_real_distribution<double> spread(0.75, 1.5);
+    const auto drawn = std::chrono::duration_cast<milliseconds>(base * spread(m_random));
+    return std::min(drawn, time_left(now) / return_share);
+}
+
+net::task<void> request_run::refuse_dispatch(const dispatch_refusal& refusal)
+{
+    if (m_answer.started) {
+        count_end("broken", 0);
+        co_return;
+    }
+    if (m_failed_answer) {
+        co_await finish(attempt_end::failed_answer);
+        co_return;
+    }
+    if (m_may_have_run) {
+        co_await refuse(502, to_string(refusal.why), milliseconds::zero());
+        co_return;
+    }
+    co_await refuse(503, to_string(refusal.why), return_time(refusal, clock::now()));
+}
+
+net::task<void> request_run::refuse(unsigned status, const std::string& reason, milliseconds retry_after)
+{
+    if (m_answer.started || m_left) {
+        count_end(m_left ? "caller_left" : "broken", 0);
+        co_return;
+    }
+    const time_point now = clock::now();
+    event::refusedT line;
+    line.request = m_request.terms.id;
+    line.route = m_request.route->name;
+    line.team = m_request.team;
+    line.status = status;
+    line.reason = reason;
+    line.retry_after_ms = to_u32(retry_after);
+    line.usable = static_cast<std::uint32_t>(m_context.endpoints.usable(m_request.service->name, now));
+    line.attempts = m_attempts;
+    line.may_have_run = m_may_have_run;
+    line.config_version = m_request.config_version;
+    line.config_age_ms = to_u32(m_request.config_age);
+    event_log::write(line);
+    m_context.counters.add("verbena_forward_refusals_total",
+                           {{"team", m_request.team}, {"route", m_request.route->name}, {"reason", reason}});
+    net::http_response response = m_context.words.refusal(
+        status, reason, m_may_have_run ? "the request may have run" : "the request has not run", retry_after);
+    (void)co_await m_exchange.reply(std::move(response));
+    count_end("refused", status);
+}
+
+void request_run::note(const dispatch_choice& choice, const char* outcome, unsigned status,
+                       const std::string& cause, attempt_health health)
+{
+    const time_point now = clock::now();
+    const std::string& endpoint = choice.endpoints.front().name;
+    if (m_left) {
+        // What the close of the connection looked like says nothing about the endpoint.
+        health = attempt_health::neutral;
+        outcome = "caller_left";
+    }
+    m_context.endpoints.note_health(endpoint, health, now);
+    event::attempt_endedT line;
+    line.request = m_request.terms.id;
+    line.attempt = m_attempts;
+    line.endpoint = endpoint;
+    line.outcome = outcome;
+    line.status = status;
+    line.cause = cause;
+    line.elapsed_ms = to_u32(now - m_attempt_began);
+    line.last_event = m_answer.last_event.value_or(0);
+    event_log::write(line);
+    m_context.counters.add("verbena_forward_attempt_ends_total",
+                           {{"service", m_request.service->name}, {"outcome", outcome}});
+}
+
+void request_run::count_end(const char* outcome, unsigned status)
+{
+    const time_point now = clock::now();
+    event::request_endedT line;
+    line.request = m_request.terms.id;
+    line.route = m_request.route->name;
+    line.team = m_request.team;
+    line.outcome = outcome;
+    line.status = status;
+    line.attempts = m_attempts;
+    line.events = m_answer.events;
+    line.first_event_ms = m_answer.first_event ? to_u32(*m_answer.first_event - m_request.arrived) : 0;
+    line.total_ms = to_u32(now - m_request.arrived);
+    event_log::write(line);
+    const metric_labels labels{{"team", m_request.team}, {"route", m_request.route->name}, {"end", outcome}};
+    m_context.counters.add("verbena_forward_requests_total", labels);
+    m_context.counters.observe("verbena_forward_request_seconds",
+                               {{"team", m_request.team}, {"route", m_request.route->name}},
+                               now - m_request.arrived);
+}
+
+} // namespace verbena::forward
--- a/src/main/roles.cpp
+++ b/src/main/roles.cpp
@@ -1,10 +1,15 @@
 #include "main/roles.h"
 
 #include "agent/agent_service.h"
+#include "base/event_log.h"
 #include "base/log.h"
 #include "control/control_service.h"
 #include "entry/entry_service.h"
+#include "forward/forward_service.h"
 #include "node/process.h"
+#include "platform/configuration.h"
+#include "platform/dialect.h"
+#include "platform/operator_front.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -30,7 +35,7 @@
 
 result<void> check_common(const settings_root& root)
 {
-    BOOST_OUTCOME_TRY(const auto members, parse_host_ports(root.node->control));
+    BOOST_OUTCOME_TRY(const auto members, node::control_members(*root.node));
     if (members.empty() && !root.control) {
         return make_error(error_kind::invalid_settings, "[node] control is empty",
                           "list the frame addresses of the control members");
@@ -38,8 +43,25 @@
     return success();
 }
 
+// Reads the settings again and hands them to a service that can take them over while it runs.
 template <typename Service>
-int run_service(node::process& process, result<std::shared_ptr<Service>> made)
+void reload(Service& service, const std::string& role, const std::string& file)
+{
+    const auto loaded = load_settings(file);
+    if (!loaded) {
+        log::warn("the settings are not taken over: " + describe(loaded.error()));
+        return;
+    }
+    if constexpr (requires { service.reload(*loaded.value()); }) {
+        service.reload(*loaded.value());
+    }
+    event_log::write(
+        event::process_stateT{{}, role, loaded.value()->node->name, "reloaded", VERBENA_VERSION, file});
+}
+
+template <typename Service>
+int run_service(node::process& process, const std::string& role, const std::string& file,
+                result<std::shared_ptr<Service>> made)
 {
     if (!made) {
         return fail(made.error(),
@@ -47,6 +69,9 @@
     }
     const std::shared_ptr<Service> service = made.value();
     service->start();
+    process.on_reload([service, role, file] { reload(*service, role, file); });
+    event_log::write(
+        event::process_stateT{{}, role, process.settings().name, "started", VERBENA_VERSION, file});
     const int code = process.run([service] { service->stop(); });
     // Suspended coroutines still refer to each other and to the io_context. Nothing durable is pending, so
     // the process ends without running their destructors.
@@ -108,13 +133,22 @@
         return fail(process.error(), exit_failure);
     }
     node::process& running = *process.value();
+    event_log::configure(root.node->name);
+    const auto codec = std::make_shared<const platform::configuration_codec>();
+    if (role == "entry" && root.entry->front == "routed") {
+        const forward::platform_words words{codec, std::make_shared<const platform::http_dialect>()};
+        return run_service(running, role, settings_file,
+                           forward::forward_service::create(running, *root.entry, words));
+    }
     if (role == "entry") {
-        return run_service(running, entry::entry_service::create(running, *root.entry));
+        return run_service(running, role, settings_file, entry::entry_service::create(running, *root.entry));
     }
     if (role == "agent") {
-        return run_service(running, agent::agent_service::create(running, *root.agent));
+        return run_service(running, role, settings_file, agent::agent_service::create(running, *root.agent));
     }
-    return run_service(running, control::control_service::create(running, *root.control, initialise));
+    return run_service(running, role, settings_file,
+                       control::control_service::create(running, *root.control, initialise,
+                                                        std::make_shared<platform::operator_front>(codec)));
 }
 
 } // namespace verbena
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -203,7 +203,9 @@
 {
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
     std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reason) + "\r\n";
-    text += "Content-Type: " + std::string(content_type) + "\r\n";
+    if (!content_type.empty()) {
+        text += "Content-Type: " + std::string(content_type) + "\r\n";
+    }
     for (const auto& [name, value] : headers) {
         text += name + ": " + value + "\r\n";
     }
@@ -312,6 +314,18 @@
 {
 }
 
+http_limits http_server::limits() const
+{
+    const std::lock_guard lock(m_limits_mutex);
+    return m_limits;
+}
+
+void http_server::set_limits(const http_limits& limits)
+{
+    const std::lock_guard lock(m_limits_mutex);
+    m_limits = limits;
+}
+
 void http_server::start()
 {
     asio::co_spawn(
@@ -347,7 +361,7 @@
             co_await sleep_for(milliseconds(50));
             continue;
         }
-        if (m_connections >= m_limits.max_connections) {
+        if (m_connections >= limits().max_connections) {
             count("connection_limit");
             continue;
         }
@@ -366,7 +380,7 @@
     const scoped_count open(m_connections);
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    connection_state connection(std::move(socket), m_limits.max_header + 64 * 1024);
+    connection_state connection(std::move(socket), std::max<std::size_t>(limits().max_header, 64 * 1024) * 2);
     next_step step = next_step::next_request;
     while (step == next_step::next_request) {
         step = co_await serve_one(connection);
@@ -414,7 +428,7 @@
         co_return true;
     }
     // A request that arrives while the server stops is still answered.
-    connection.deadline.set(clock::now() + m_limits.idle_timeout);
+    connection.deadline.set(clock::now() + limits().idle_timeout);
     auto [failure, size] =
         co_await connection.stream.async_read_some(connection.buffer.prepare(first_read_size), no_throw);
     if (failure) {
@@ -428,14 +442,15 @@
 {
     upload received(m_body_bytes);
     body_parser& parser = received.parser;
-    parser.header_limit(m_limits.max_header);
-    parser.body_limit(m_limits.max_body);
     const bool arrived = co_await wait_request(connection);
     if (!arrived) {
         co_return next_step::close;
     }
+    const http_limits bounds = limits();
+    parser.header_limit(bounds.max_header);
+    parser.body_limit(bounds.max_body);
     beast::tcp_stream& stream = connection.stream;
-    connection.deadline.set(clock::now() + m_limits.header_timeout);
+    connection.deadline.set(clock::now() + bounds.header_timeout);
     auto [failure, size] = co_await http::async_read_header(stream, connection.buffer, parser, no_throw);
     if (failure == http::error::end_of_stream || failure == asio::error::connection_reset) {
         co_return next_step::close;
@@ -449,7 +464,7 @@
     const scoped_count active(m_active);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
-        stream.expires_after(m_limits.write_timeout);
+        stream.expires_after(bounds.write_timeout);
         co_await asio::async_write(stream, asio::buffer(go_on.data(), go_on.size()), no_throw);
         stream.expires_never();
     }
@@ -464,16 +479,16 @@
     if (!exchange.finished()) {
         count("unfinished_answer");
     }
-    co_return exchange.keep_alive() && !m_stopping ? next_step::next_request : next_step::close;
+    co_return exchange.keep_alive() && !stopping() ? next_step::next_request : next_step::close;
 }
 
 task<std::optional<http_server::refusal>> http_server::read_body(connection_state& connection,
                                                                  upload& received)
 {
     const time_point start = clock::now();
+    const http_limits bounds = limits();
     while (!received.parser.is_done()) {
-        connection.deadline.set(
-            std::min(start + m_limits.body_timeout, clock::now() + m_limits.header_timeout));
+        connection.deadline.set(std::min(start + bounds.body_timeout, clock::now() + bounds.header_timeout));
         auto [failure, size] =
             co_await http::async_read_some(connection.stream, connection.buffer, received.parser, no_throw);
         if (failure) {
@@ -481,13 +496,13 @@
                                                     : refusal::for_failure(failure);
         }
         const std::uint64_t bytes = received.parser.get().body().size();
-        if (received.reservation.set(bytes) > m_limits.max_total_body) {
+        if (received.reservation.set(bytes) > bounds.max_total_body) {
             co_return refusal{503, "upload_memory", "too many request bodies are being received",
                               "retry after a second"};
         }
         const auto elapsed = std::chrono::duration_cast<milliseconds>(clock::now() - start);
-        if (elapsed > m_limits.body_rate_grace &&
-            bytes * 1000 < static_cast<std::uint64_t>(elapsed.count()) * m_limits.min_body_rate) {
+        if (elapsed > bounds.body_rate_grace &&
+            bytes * 1000 < static_cast<std::uint64_t>(elapsed.count()) * bounds.min_body_rate) {
             co_return refusal::slow("the body arrives too slowly");
         }
     }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -133,8 +134,13 @@
     // Exchanges that are being answered.
     std::size_t active() const { return m_active.load(); }
     std::size_t connections() const { return m_connections.load(); }
-    const http_limits& limits() const { return m_limits; }
-    bool stopping() const { return m_stopping.load(); }
+    http_limits limits() const;
+    // Applies to what is read from now on.
+    void set_limits(const http_limits& limits);
+
+    // Open connections close after their next answer; new ones are still taken.
+    void close_after_answers() { m_closing = true; }
+    bool stopping() const { return m_stopping.load() || m_closing.load(); }
     std::uint16_t port() const { return m_port; }
 
     http_server(asio::io_context& io, tcp::acceptor acceptor, const http_limits& limits,
@@ -162,12 +168,14 @@
 
     asio::io_context& m_io;
     tcp::acceptor m_acceptor;
+    mutable std::mutex m_limits_mutex;
     http_limits m_limits;
     http_handler& m_handler;
     metrics& m_metrics;
     std::string m_name;
     std::uint16_t m_port = 0;
     std::atomic<bool> m_stopping{false};
+    std::atomic<bool> m_closing{false};
     std::atomic<std::size_t> m_active{0};
     std::atomic<std::size_t> m_connections{0};
     std::atomic<std::uint64_t> m_body_bytes{0};
--- a/src/node/config_view.cpp
+++ b/src/node/config_view.cpp
@@ -108,7 +108,7 @@
 bool config_view::is_fresh(time_point now) const
 {
     const std::optional<milliseconds> current = age(now);
-    return current && *current < freshness_bound;
+    return current && *current < m_bound;
 }
 
 revision config_view::held() const
--- a/src/node/config_view.h
+++ b/src/node/config_view.h
@@ -55,6 +55,8 @@
 // The configuration that a process holds, and how fresh it is. Thread-safe; first in the lock order.
 class config_view {
 public:
+    explicit config_view(milliseconds bound = freshness_bound) : m_bound(bound) {}
+
     // Takes over a packed op::config unless the held revision is as high. False when the bytes are not valid.
     bool update(std::span<const std::uint8_t> packed);
 
@@ -75,6 +77,7 @@
     std::shared_ptr<const std::vector<std::uint8_t>> packed() const;
 
 private:
+    const milliseconds m_bound;
     mutable std::mutex m_mutex;
     std::shared_ptr<const config_snapshot> m_current;
     std::shared_ptr<const std::vector<std::uint8_t>> m_packed;
--- a/src/node/control_client.cpp
+++ b/src/node/control_client.cpp
@@ -6,6 +6,14 @@
 
 constexpr milliseconds connect_timeout{1'000};
 
+constexpr milliseconds follow_interval{100};
+
+// Without a confirmed reply for this long the members of the settings are asked as well.
+constexpr milliseconds seeds_after{2'000};
+
+// An entry that no member has named for this long is forgotten; members name those heard within 5 s.
+constexpr milliseconds entry_memory{3'000};
+
 // Pause between two tries of a key call while the group elects a leader.
 constexpr milliseconds key_retry_pause{100};
 
@@ -31,10 +39,21 @@
                                std::shared_ptr<net::peer_pool> pool, config_view& config,
                                directory_view* directory, announcer announce, metrics& counters)
     : m_io(io), m_options(std::move(settings)), m_pool(std::move(pool)), m_config(config),
-      m_directory(directory), m_announce(std::move(announce)), m_metrics(counters)
+      m_directory(directory), m_announce(std::move(announce)), m_metrics(counters), m_seeds(m_options.members)
 {
 }
 
+result<std::vector<host_port>> control_members(const settings::node_settingsT& settings)
+{
+    BOOST_OUTCOME_TRY(std::vector<host_port> members, parse_host_ports(settings.control));
+    if (settings.control_port != 0) {
+        for (host_port& member : members) {
+            member.port = static_cast<std::uint16_t>(settings.control_port);
+        }
+    }
+    return members;
+}
+
 void control_client::want_load(std::uint64_t bytes)
 {
     if (m_wanted_load.exchange(bytes) != bytes) {
@@ -44,20 +63,91 @@
 
 void control_client::start()
 {
-    for (const host_port& member : m_options.members) {
-        net::asio::co_spawn(
-            net::asio::make_strand(m_io),
-            [self = shared_from_this(), member] { return self->poll_member(member); }, net::asio::detached);
+    net::asio::co_spawn(
+        net::asio::make_strand(m_io), [self = shared_from_this()] { return self->follow_members(); },
+        net::asio::detached);
+}
+
+void control_client::set_seeds(std::vector<host_port> seeds)
+{
+    const std::lock_guard lock(m_mutex);
+    m_seeds = std::move(seeds);
+}
+
+std::vector<std::string> control_client::entries(time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> found;
+    for (const auto& [address, named] : m_entries) {
+        if (now - named < entry_memory) {
+            found.push_back(address);
+        }
+    }
+    return found;
+}
+
+// The settings' members are asked at the start, and again when none of the others answers.
+void control_client::adopt_wanted(time_point now)
+{
+    m_wanted = m_members;
+    if (m_members.empty() || now - m_last_reply > seeds_after) {
+        for (const host_port& seed : m_seeds) {
+            m_wanted.insert(address_text(seed));
+        }
+    }
+}
+
+bool control_client::is_wanted(const std::string& name) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_wanted.contains(name);
+}
+
+net::task<void> control_client::follow_members()
+{
+    while (!m_stopping) {
+        std::vector<std::string> added;
+        {
+            const std::lock_guard lock(m_mutex);
+            adopt_wanted(clock::now());
+            for (const std::string& name : m_wanted) {
+                if (m_polled.insert(name).second) {
+                    added.push_back(name);
+                }
+            }
+        }
+        for (const std::string& name : added) {
+            const result<host_port> member = parse_host_port(name);
+            if (member) {
+                net::asio::co_spawn(
+                    net::asio::make_strand(m_io),
+                    [self = shared_from_this(), target = member.value()] {
+                        return self->poll_member(target);
+                    },
+                    net::asio::detached);
+            }
+        }
+        co_await net::sleep_for(follow_interval);
     }
 }
 
 net::task<void> control_client::poll_member(host_port member)
 {
     const std::string name = address_text(member);
+    co_await poll_until_unwanted(std::move(member), name);
+    if (m_directory != nullptr) {
+        m_directory->forget_member(name);
+    }
+    const std::lock_guard lock(m_mutex);
+    m_polled.erase(name);
+}
+
+net::task<void> control_client::poll_until_unwanted(host_port member, std::string name)
+{
     std::shared_ptr<net::frame_stream> stream;
     time_point last_answer = clock::now();
     announced told;
-    while (!m_stopping) {
+    while (!m_stopping && is_wanted(name)) {
         const time_point begin = clock::now();
         if (!stream) {
             auto opened = co_await m_pool->open_stream(member, connect_timeout);
@@ -94,6 +184,7 @@
     poll.role = m_options.self.role;
     poll.incarnation = m_options.self.incarnation;
     poll.revision = m_config.held();
+    poll.frame_address = m_options.frame_address;
     if (m_directory != nullptr) {
         const directory_view::position at = m_directory->position_of(name);
         poll.directory_epoch = at.epoch;
@@ -140,10 +231,7 @@
     if (reply.confirmed()) {
         m_config.confirm(reply.revision(), asked - milliseconds(reply.age_ms()));
     }
-    if (reply.leader() != nullptr && reply.leader()->size() != 0) {
-        const std::lock_guard lock(m_mutex);
-        m_leader = reply.leader()->str();
-    }
+    note_group(reply);
     if (m_directory != nullptr) {
         wire::poll_replyT unpacked;
         reply.UnPackTo(&unpacked);
@@ -151,6 +239,31 @@
     }
 }
 
+void control_client::note_group(const wire::poll_reply& reply)
+{
+    const std::lock_guard lock(m_mutex);
+    const time_point now = clock::now();
+    if (reply.leader() != nullptr && reply.leader()->size() != 0) {
+        m_leader = reply.leader()->str();
+    }
+    if (reply.entries() != nullptr) {
+        for (const auto* address : *reply.entries()) {
+            m_entries[address->str()] = now;
+        }
+        std::erase_if(m_entries, [now](const auto& item) { return now - item.second > entry_memory; });
+    }
+    // A member without a quorum may hold an old list.
+    if (reply.confirmed()) {
+        m_last_reply = now;
+        if (reply.members() != nullptr && reply.members()->size() != 0) {
+            m_members.clear();
+            for (const auto* address : *reply.members()) {
+                m_members.insert(address->str());
+            }
+        }
+    }
+}
+
 host_port control_client::next_target(const wire::key_replyT* last, std::size_t attempt) const
 {
     std::string hint;
@@ -166,7 +279,8 @@
             return parsed.value();
         }
     }
-    return m_options.members[attempt % m_options.members.size()];
+    const std::lock_guard lock(m_mutex);
+    return m_seeds[attempt % m_seeds.size()];
 }
 
 net::task<result<wire::key_replyT>> control_client::call_member(host_port member, wire::frameT call,
--- a/src/node/directory_view.cpp
+++ b/src/node/directory_view.cpp
@@ -2,9 +2,20 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace verbena::node {
 
+namespace {
+
+// Endpoints that announce themselves count their announcements; for the others both numbers are 0.
+bool is_newer(const wire::announcementT& given, const wire::announcementT& than)
+{
+    return std::tie(given.born_ms, given.sequence) > std::tie(than.born_ms, than.sequence);
+}
+
+} // namespace
+
 directory_view::position directory_view::position_of(const std::string& member) const
 {
     const std::lock_guard lock(m_mutex);
@@ -16,13 +27,14 @@
 // until then any list is good enough, because the agent refuses what names its former incarnation.
 const directory_view::announcement* directory_view::merged(const std::string& endpoint) const
 {
+    const announcement* newest = nullptr;
     for (const auto& [name, list] : m_members) {
         const auto place = list.endpoints.find(endpoint);
-        if (place != list.endpoints.end()) {
-            return &place->second;
+        if (place != list.endpoints.end() && (newest == nullptr || is_newer(place->second, *newest))) {
+            newest = &place->second;
         }
     }
-    return nullptr;
+    return newest;
 }
 
 void directory_view::apply(const std::string& member, const wire::poll_replyT& reply)
@@ -50,7 +62,10 @@
         for (const std::string& name : touched) {
             // The newest word about an endpoint comes from the member that has just reported a change.
             const auto own = list.endpoints.find(name);
-            const announcement* value = own != list.endpoints.end() ? &own->second : merged(name);
+            const announcement* value = merged(name);
+            if (value != nullptr && own != list.endpoints.end() && !is_newer(*value, own->second)) {
+                value = &own->second;
+            }
             if (value == nullptr) {
                 m_merged.erase(name);
                 changes[name] = std::nullopt;
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -15,7 +15,7 @@
 process::process(settings::node_settingsT settings)
     : m_settings(std::move(settings)), m_io(static_cast<int>(m_settings.workers)),
       m_work(net::asio::make_work_guard(m_io)), m_signals(m_io, SIGTERM, SIGINT),
-      m_incarnation(make_incarnation())
+      m_reload_signals(m_io, SIGHUP), m_incarnation(make_incarnation())
 {
 }
 
@@ -71,9 +71,25 @@
     }
 }
 
+net::task<void> process::wait_for_reload()
+{
+    while (true) {
+        auto [failure, number] = co_await m_reload_signals.async_wait(net::no_throw);
+        if (failure) {
+            co_return;
+        }
+        log::info("reloading settings: signal " + std::to_string(number));
+        if (m_on_reload) {
+            m_on_reload();
+        }
+    }
+}
+
 int process::run(stop_action on_stop)
 {
     m_on_stop = std::move(on_stop);
+    net::asio::co_spawn(
+        m_io, [this] { return wait_for_reload(); }, net::asio::detached);
     net::asio::co_spawn(
         m_io, [this] { return wait_for_signals(); }, net::asio::detached);
     std::vector<std::thread> workers;
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -21,6 +21,9 @@
     // Called once on the first SIGTERM or SIGINT; the process ends when `finish` is called.
     using stop_action = std::function<void()>;
 
+    // Called on SIGHUP: the settings file may have changed.
+    using reload_action = std::function<void()>;
+
     static result<std::unique_ptr<process>> create(const settings::node_settingsT& settings);
 
     net::asio::io_context& io() { return m_io; }
@@ -33,6 +36,7 @@
 
     // Runs the workers until finish(); returns the exit code.
     int run(stop_action on_stop);
+    void on_reload(reload_action action) { m_on_reload = std::move(action); }
     void finish(int exit_code = 0);
 
     explicit process(settings::node_settingsT settings);
@@ -40,18 +44,21 @@
 private:
     net::task<void> handle(net::http_exchange& exchange) override;
     net::task<void> wait_for_signals();
+    net::task<void> wait_for_reload();
     result<void> open_metrics();
 
     settings::node_settingsT m_settings;
     net::asio::io_context m_io;
     net::asio::executor_work_guard<net::asio::io_context::executor_type> m_work;
     net::asio::signal_set m_signals;
+    net::asio::signal_set m_reload_signals;
     metrics m_metrics;
     std::shared_ptr<net::http_server> m_server;
     std::atomic<bool> m_ready{false};
     incarnation m_incarnation;
     std::atomic<int> m_exit_code{0};
     stop_action m_on_stop;
+    reload_action m_on_reload;
 };
 
 } // namespace verbena::node
--- /dev/null
+++ b/src/policy/placement.cpp
@@ -0,0 +1,295 @@
+#include "policy/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+namespace verbena::policy {
+
+namespace {
+
+constexpr std::array<std::size_t, 9> part_counts{1, 2, 3, 4, 6, 8, 11, 14, 17};
+
+// Weight of an endpoint's backlog against a request's objective when endpoints are compared for a part.
+constexpr double backlog_weight = 0.25;
+
+// Weight of the predicted first event against the objective, so that of two choices that are in time the
+// faster one is taken.
+constexpr double speed_weight = 0.2;
+
+// Weight of a longer pass against the tightest pause there, so that work spreads before pauses are broken.
+constexpr double pass_weight = 0.05;
+
+struct scored {
+    std::size_t index = 0;
+    double wait_ms = 0; // until the endpoint can begin to read the part
+    double harm = 0;    // expected loss of others there
+    double score = 0;
+};
+
+class chooser {
+public:
+    chooser(const model_request& request, const engine_cost& cost,
+            const std::vector<placement_candidate>& candidates, time_point now,
+            const placement_options& options)
+        : m_request(request), m_cost(cost), m_candidates(candidates), m_now(now), m_options(options)
+    {
+    }
+
+    std::optional<placement> choose()
+    {
+        std::optional<placement> best;
+        const double whole_ms = m_cost.read_ms(m_request.prompt_tokens);
+        for (const std::size_t parts : part_counts) {
+            const bool allowed =
+                parts == 1 || whole_ms / static_cast<double>(parts) >= m_options.least_part_ms;
+            if (parts > m_options.most_parts || parts > m_candidates.size() || !allowed) {
+                break;
+            }
+            std::optional<placement> found = choose_parts(parts);
+            if (found && (!best || found->expected_loss < best->expected_loss)) {
+                best = std::move(found);
+            }
+        }
+        return best;
+    }
+
+private:
+    std::uint64_t needed_tokens() const
+    {
+        return std::uint64_t{m_request.prompt_tokens} + m_request.output_tokens;
+    }
+
+    std::uint64_t free_tokens(std::size_t index) const
+    {
+        const auto usable = static_cast<std::uint64_t>(static_cast<double>(m_cost.rule().memory_tokens) *
+                                                       m_options.memory_share);
+        const std::uint64_t held = m_candidates[index].load->held_tokens();
+        return held < usable ? usable - held : 0;
+    }
+
+    double pass_ms(const placement_candidate& candidate) const
+    {
+        return m_cost.pass_ms(candidate.load->writers(), candidate.load->context_tokens()) * candidate.pace;
+    }
+
+    // Expected loss of those at the endpoint if it also reads for `part_ms`.
+    double harm(const placement_candidate& candidate, double part_ms) const
+    {
+        const endpoint_load& load = *candidate.load;
+        const double pass = pass_ms(candidate);
+        const double backlog = load.backlog_ms(m_now);
+        const double most_read = m_cost.most_read_in_pass_ms() * candidate.pace;
+        double loss = 0;
+        if (load.writers() != 0 && load.tightest_pause() > milliseconds::zero()) {
+            const double limit = static_cast<double>(load.tightest_pause().count()) * m_options.margin;
+            const double before = pass + std::min(backlog, most_read);
+            const double after = pass + std::min(backlog + part_ms, std::max(most_read, part_ms));
+            if (before <= limit && after > limit) {
+                loss += m_options.late_loss * load.writer_value();
+            }
+            loss += pass_weight * load.writer_value() * std::min((after - before) / limit, 1.0);
+        }
+        if (load.waiting_value() > 0) {
+            const double slack =
+                std::chrono::duration<double, std::milli>(load.earliest_due() - m_now).count();
+            const double before = backlog + pass;
+            if (before <= slack && before + part_ms > slack * m_options.margin) {
+                loss += m_options.late_loss * load.waiting_value();
+            }
+            loss += pass_weight * load.waiting_value() * std::min(part_ms / std::max(slack, 1.0), 1.0);
+        }
+        return loss;
+    }
+
+    // Time until a slot is free, from the mean time that an answer takes there.
+    double slot_wait_ms(const placement_candidate& candidate) const
+    {
+        const endpoint_load& load = *candidate.load;
+        const std::size_t slots = std::max<std::uint32_t>(candidate.slots, 1);
+        if (load.requests() < slots) {
+            return 0;
+        }
+        const double answer =
+            m_cost.write_ms(m_request.output_tokens, load.writers(), load.context_tokens()) * candidate.pace;
+        return answer * static_cast<double>(load.requests() - slots + 1) / static_cast<double>(slots);
+    }
+
+    scored score(std::size_t index, double part_ms) const
+    {
+        const placement_candidate& candidate = m_candidates[index];
+        scored value;
+        value.index = index;
+        const double own_part = part_ms * candidate.pace;
+        value.wait_ms =
+            candidate.load->backlog_ms(m_now) + (candidate.load->writers() != 0 ? pass_ms(candidate) / 2 : 0);
+        value.harm = harm(candidate, own_part);
+        const double objective = std::max<double>(static_cast<double>(m_request.objective.count()), 1);
+        value.score = value.harm +
+                      m_request.value *
+                          (candidate.failure_share + backlog_weight * (value.wait_ms + own_part) / objective);
+        return value;
+    }
+
+    std::optional<placement> choose_parts(std::size_t parts) const
+    {
+        const double part_ms = m_cost.read_ms(m_request.prompt_tokens, parts);
+        std::vector<scored> all;
+        all.reserve(m_candidates.size());
+        for (std::size_t i = 0; i < m_candidates.size(); ++i) {
+            if (parts == 1 || m_candidates[i].takes_parts) {
+                all.push_back(score(i, part_ms));
+            }
+        }
+        if (all.size() < parts) {
+            return std::nullopt;
+        }
+        std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(parts - 1), all.end(),
+                         [](const scored& a, const scored& b) { return a.score < b.score; });
+        if (parts == 1) {
+            return finish_single(all);
+        }
+        all.resize(parts);
+        return finish(all, part_ms);
+    }
+
+    // With one part the choice of the writer is the whole choice, so all candidates are compared in full.
+    std::optional<placement> finish_single(const std::vector<scored>& all) const
+    {
+        std::optional<placement> best;
+        const double part_ms = m_cost.read_ms(m_request.prompt_tokens);
+        for (const scored& value : all) {
+            if (free_tokens(value.index) < needed_tokens() && m_cost.rule().memory_tokens < needed_tokens()) {
+                continue;
+            }
+            std::optional<placement> found = finish({value}, part_ms);
+            if (found && (!best || found->expected_loss < best->expected_loss)) {
+                best = std::move(found);
+            }
+        }
+        return best;
+    }
+
+    // Cost of writing the answer at an endpoint.
+    double writer_cost(std::size_t index) const
+    {
+        const placement_candidate& candidate = m_candidates[index];
+        const double objective = std::max<double>(static_cast<double>(m_request.objective.count()), 1);
+        double loss = m_request.value * slot_wait_ms(candidate) / objective;
+        loss += candidate.other_domain ? m_request.value * m_options.other_domain_cost : 0;
+        const auto memory = static_cast<double>(std::max<std::uint64_t>(m_cost.rule().memory_tokens, 1));
+        const double held = static_cast<double>(candidate.load->held_tokens()) / memory;
+        loss += m_request.value * pass_weight * held;
+        if (free_tokens(index) < needed_tokens()) {
+            loss += m_request.value * m_options.late_loss;
+        }
+        return loss;
+    }
+
+    std::optional<placement> finish(const std::vector<scored>& chosen, double part_ms) const
+    {
+        const auto writer =
+            std::min_element(chosen.begin(), chosen.end(), [this](const scored& a, const scored& b) {
+                return writer_cost(a.index) < writer_cost(b.index);
+            });
+        placement found;
+        found.parts.push_back(writer->index);
+        double read_ms = 0;
+        double harm = 0;
+        double failure = 0;
+        for (const scored& value : chosen) {
+            if (value.index != writer->index) {
+                found.parts.push_back(value.index);
+            }
+            const placement_candidate& candidate = m_candidates[value.index];
+            read_ms = std::max(read_ms, value.wait_ms + part_ms * candidate.pace);
+            harm += value.harm;
+            failure += candidate.failure_share;
+        }
+        if (!reserve(found)) {
+            return std::nullopt;
+        }
+        const placement_candidate& first = m_candidates[writer->index];
+        const double pass = m_cost.pass_ms(first.load->writers() + 1,
+                                           first.load->context_tokens() + m_request.prompt_tokens) *
+                            first.pace;
+        found.first_event_ms = read_ms + slot_wait_ms(first) + pass;
+        found.expected_loss = harm + writer_cost(writer->index) + own_loss(found.first_event_ms, pass) +
+                              m_request.value * (std::min(failure, 1.0) +
+                                                 m_options.exposure * static_cast<double>(chosen.size() - 1));
+        return found;
+    }
+
+    double own_loss(double first_event_ms, double pass) const
+    {
+        const auto objective = static_cast<double>(m_request.objective.count());
+        const auto patience = static_cast<double>(m_request.patience.count());
+        if (patience > 0 && first_event_ms > patience) {
+            return m_request.value * (1 + first_event_ms / patience);
+        }
+        double loss = 0;
+        if (objective > 0) {
+            const double share = first_event_ms / objective;
+            loss += m_request.value * speed_weight * std::min(share, 2.0);
+            loss += share > m_options.margin ? m_request.value * m_options.late_loss : 0;
+        }
+        const auto pause = static_cast<double>(m_request.pause.count());
+        if (pause > 0 && pass > pause) {
+            loss += m_request.value * m_options.late_loss;
+        }
+        return loss;
+    }
+
+    // Spreads a prompt that does not fit the first endpoint over reservations at the others. False when it
+    // does not fit at all.
+    bool reserve(placement& found) const
+    {
+        found.reserved_tokens.assign(found.parts.size(), 0);
+        const std::uint64_t needed = needed_tokens();
+        const std::uint64_t first_free = free_tokens(found.parts.front());
+        if (first_free >= needed || (found.parts.size() == 1 && m_cost.rule().memory_tokens >= needed)) {
+            return true;
+        }
+        if (found.parts.size() == 1) {
+            return false;
+        }
+        // The first endpoint also holds the answer.
+        const std::uint64_t kept =
+            first_free > m_request.output_tokens ? first_free - m_request.output_tokens : 0;
+        const std::uint64_t moved =
+            m_request.prompt_tokens - std::min<std::uint64_t>(m_request.prompt_tokens, kept * 9 / 10);
+        std::uint64_t free_elsewhere = 0;
+        for (std::size_t i = 1; i < found.parts.size(); ++i) {
+            free_elsewhere += free_tokens(found.parts[i]);
+        }
+        if (first_free <= m_request.output_tokens || free_elsewhere < moved) {
+            return false;
+        }
+        std::uint64_t left = moved;
+        for (std::size_t i = 1; i < found.parts.size() && left > 0; ++i) {
+            const double share =
+                static_cast<double>(free_tokens(found.parts[i])) / static_cast<double>(free_elsewhere);
+            const auto wanted = static_cast<std::uint64_t>(share * static_cast<double>(moved)) + 1;
+            found.reserved_tokens[i] = std::min({wanted, left, free_tokens(found.parts[i])});
+            left -= found.reserved_tokens[i];
+        }
+        return left == 0;
+    }
+
+    const model_request& m_request;
+    const engine_cost& m_cost;
+    const std::vector<placement_candidate>& m_candidates;
+    time_point m_now;
+    const placement_options& m_options;
+};
+
+} // namespace
+
+std::optional<placement> place(const model_request& request, const engine_cost& cost,
+                               const std::vector<placement_candidate>& candidates, time_point now,
+                               const placement_options& options)
+{
+    return chooser(request, cost, candidates, now, options).choose();
+}
+
+} // namespace verbena::policy
--- a/src/raft/storage.cpp
+++ b/src/raft/storage.cpp
@@ -82,6 +82,14 @@
     return detail::write_identity(files, identity{cluster, self, folder});
 }
 
+// The identity goes first: a crash in between leaves an empty folder, never one that is missing its log.
+result<void> storage::clear(disk& files)
+{
+    BOOST_OUTCOME_TRYV2(auto&&, files.remove("identity"));
+    BOOST_OUTCOME_TRYV2(auto&&, files.sync_folder());
+    return remove_leftovers(files);
+}
+
 result<std::unique_ptr<storage>> storage::open(disk& files, const std::string& cluster, member_id self)
 {
     std::unique_ptr<storage> opened(new storage(files));
--- a/src/raft/storage.h
+++ b/src/raft/storage.h
@@ -29,6 +29,9 @@
     // Makes the folder that of a member that waits to be added to a group. `folder` is random and not 0.
     static result<void> join(disk& files, const std::string& cluster, member_id self, folder_id folder);
 
+    // Removes what a former member left, so that the folder can join again under a new id.
+    static result<void> clear(disk& files);
+
     // Reads and checks everything. A folder of another cluster or member is refused; a record that a crash
     // cut short at the end of the log is removed; any other damage is an error that names file, offset and
     // remedy.
--- /dev/null
+++ b/src/route/document_codec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "base/error.h"
+#include "route/document.h"
+
+#include <string_view>
+
+namespace verbena::route {
+
+// Reads published documents. Implemented by the adapter of the platform that publishes them.
+class document_codec {
+public:
+    document_codec() = default;
+    document_codec(const document_codec&) = delete;
+    document_codec& operator=(const document_codec&) = delete;
+    virtual ~document_codec() = default;
+
+    // An error names the path of the field that is wrong and the remedy.
+    virtual result<document> decode(std::string_view content) const = 0;
+};
+
+} // namespace verbena::route
--- a/test.sh
+++ b/test.sh
@@ -2,6 +2,6 @@
 # Builds everything and runs the tests. The test command of the README.
 set -euo pipefail
 cd "$(dirname "$0")"
-cmake -S . -B build -G Ninja >/dev/null
+cmake -S . -B build -G Ninja -DVERBENA_WERROR=ON >/dev/null
 cmake --build build | tail -3
 python3 test/run_ctest.py build
