Close idle connections at a planned stop and let a wiped folder join

Ruled out: the runner was healthy and the answer within its time. Change: idle connections close when the listener does; clearing a folder without an identity is no error; answers with short pauses are kept together, so that other endpoints stay free to read long prompts.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -340,6 +340,23 @@
         error_code ignored;
         self->m_acceptor.close(ignored);
     });
+    close_idle();
+}
+
+// A connection leaves the table on its own executor before it ends, so that a pointer found here is valid
+// when the posted function runs, or the function finds it gone.
+void http_server::close_idle()
+{
+    const std::lock_guard lock(m_idle_mutex);
+    for (const auto& [waiting, executor] : m_idle) {
+        asio::post(executor, [self = shared_from_this(), connection = waiting] {
+            const std::lock_guard held(self->m_idle_mutex);
+            if (self->m_idle.contains(connection)) {
+                error_code ignored;
+                connection->stream.socket().cancel(ignored);
+            }
+        });
+    }
 }
 
 void http_server::count(const char* event)
@@ -429,8 +446,19 @@
     }
     // A request that arrives while the server stops is still answered.
     connection.deadline.set(clock::now() + limits().idle_timeout);
+    {
+        const std::lock_guard lock(m_idle_mutex);
+        m_idle.emplace(&connection, connection.stream.get_executor());
+    }
+    if (m_stopping) {
+        close_idle();
+    }
     auto [failure, size] =
         co_await connection.stream.async_read_some(connection.buffer.prepare(first_read_size), no_throw);
+    {
+        const std::lock_guard lock(m_idle_mutex);
+        m_idle.erase(&connection);
+    }
     if (failure) {
         co_return false;
     }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace verbena::net {
@@ -128,7 +129,8 @@
 
     void start();
 
-    // Closes the listener; open exchanges go on, and their connections close after the current answer.
+    // Closes the listener and the connections without a request; open exchanges go on, and their connections
+    // close after the current answer.
     void stop_accepting();
 
     // Exchanges that are being answered.
@@ -154,6 +156,7 @@
     struct upload;
 
     task<void> accept_loop();
+    void close_idle();
     task<void> serve(tcp::socket socket);
     // Reads and answers one request.
     task<next_step> serve_one(connection_state& connection);
@@ -168,6 +171,9 @@
 
     asio::io_context& m_io;
     tcp::acceptor m_acceptor;
+    // Guards the connections that wait for a request. Last in the lock order.
+    std::mutex m_idle_mutex;
+    std::unordered_map<connection_state*, asio::any_io_executor> m_idle;
     mutable std::mutex m_limits_mutex;
     http_limits m_limits;
     http_handler& m_handler;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -170,6 +170,14 @@
         return best;
     }
 
+    // Whether the pause of this answer would be the shortest one at the endpoint.
+    bool opens(const endpoint_load& load) const
+    {
+        const milliseconds tightest = load.tightest_pause();
+        return m_request.pause > milliseconds::zero() &&
+               (tightest == milliseconds::zero() || m_request.pause < tightest);
+    }
+
     // Cost of writing the answer at an endpoint.
     double writer_cost(std::size_t index) const
     {
@@ -177,6 +185,7 @@
         const double objective = std::max<double>(static_cast<double>(m_request.objective.count()), 1);
         double loss = m_request.value * slot_wait_ms(candidate) / objective;
         loss += candidate.other_domain ? m_request.value * m_options.other_domain_cost : 0;
+        loss += opens(*candidate.load) ? m_request.value * m_options.opening_cost : 0;
         const auto memory = static_cast<double>(std::max<std::uint64_t>(m_cost.rule().memory_tokens, 1));
         const double held = static_cast<double>(candidate.load->held_tokens()) / memory;
         loss += m_request.value * pass_weight * held;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -35,7 +35,10 @@
     // Share of a value that is lost when an answer is late, from the users' price of late answers.
     double late_loss = 0.75;
     // Share of a value that one more endpoint puts at risk, as the answer then depends on it too.
-    double exposure = 0.004;
+    double exposure = 0.001;
+    // Share of a value by which an endpoint without writers of so short pauses is worse for writing: it is then
+    // no longer free to read long prompts.
+    double opening_cost = 0.12;
     // Share of a value that the bytes between failure domains cost.
     double other_domain_cost = 0.012;
     // Predictions are kept below a limit by this factor, because the median error is about a tenth.
--- a/src/raft/storage.cpp
+++ b/src/raft/storage.cpp
@@ -85,8 +85,11 @@
 // The identity goes first: a crash in between leaves an empty folder, never one that is missing its log.
 result<void> storage::clear(disk& files)
 {
-    BOOST_OUTCOME_TRYV2(auto&&, files.remove("identity"));
-    BOOST_OUTCOME_TRYV2(auto&&, files.sync_folder());
+    BOOST_OUTCOME_TRY(const bool empty, is_empty(files));
+    if (!empty) {
+        BOOST_OUTCOME_TRYV2(auto&&, files.remove("identity"));
+        BOOST_OUTCOME_TRYV2(auto&&, files.sync_folder());
+    }
     return remove_leftovers(files);
 }
 
