Give parts of long prompts only to endpoints that have read what they had

Endpoints read parts before everything else and, as it looks from outside, the newest first, so every new part held up what was there. Ruled out: memory (other endpoints wrote these answers), notes between entries (arrivals lay 40 ms apart). Change: a part goes only to an endpoint with under 30 ms left to read; a request that would do better with endpoints that are still reading waits at the entry, and the entries keep one queue, earliest due first.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -33,6 +33,12 @@
 constexpr std::uint8_t phase_started = 0;
 constexpr std::uint8_t phase_answering = 1;
 constexpr std::uint8_t phase_ended = 2;
+constexpr std::uint8_t phase_waiting = 3;
+
+// Bounds of the time between two looks of a waiting request. The predictions that end a wait are as old as
+// the notes of the other entries, a few milliseconds.
+constexpr milliseconds shortest_wait{4};
+constexpr milliseconds longest_wait{40};
 
 double seconds(clock::duration value)
 {
@@ -52,7 +58,9 @@
     work.context_tokens = note.share_tokens;
     work.held_tokens = note.held_tokens;
     work.reads_for_other = note.reads_for_other;
+    work.parts = note.parts;
     work.due = now + milliseconds(note.first_event_ms);
+    work.objective = milliseconds(note.first_event_ms);
     work.pause = milliseconds(note.pause_ms);
     work.value = note.value;
     return work;
@@ -232,11 +240,57 @@
         parts.push_back(state);
         choice.endpoints.push_back({state->info.endpoint, state->address, placed->reserved_tokens[i]});
     }
+    const bool shared = placed->parts.size() > 1;
+    if (shared && (placed->wait_ms > 0 || !is_first_in_queue(request, now))) {
+        outcome.wait = std::clamp(to_ms(placed->wait_ms), shortest_wait, longest_wait);
+        return outcome;
+    }
     take(choice, request, parts, now);
     outcome.choice = std::move(choice);
     return outcome;
 }
 
+// Earliest due first. One that is late already goes behind those that can still be in time.
+bool fleet::is_first_in_queue(const dispatch_request& request, time_point now) const
+{
+    const auto key_of = [now](time_point due) { return std::make_pair(due <= now, due); };
+    const auto own = key_of(now + request.model.objective);
+    for (const auto& [key, waiting] : m_waiting) {
+        const bool is_own = key.entry == m_self && key.number == request.waiting_as;
+        if (!is_own && waiting.service == request.service->name && key_of(waiting.due) < own) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::uint64_t fleet::begin_wait(const dispatch_request& request, time_point now)
+{
+    wire::dispatch_noteT note;
+    {
+        const std::lock_guard lock(m_mutex);
+        note.number = m_next_number++;
+        note.endpoint = request.service->name;
+        note.first_event_ms = static_cast<std::uint32_t>(request.model.objective.count());
+        note.phase = phase_waiting;
+        m_waiting[{m_self, note.number}] = {note.endpoint, now + request.model.objective};
+    }
+    m_on_note(note);
+    return note.number;
+}
+
+void fleet::end_wait(std::uint64_t number)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_waiting.erase({m_self, number});
+    }
+    wire::dispatch_noteT note;
+    note.number = number;
+    note.phase = phase_ended;
+    m_on_note(note);
+}
+
 dispatch_result fleet::dispatch_plain(const dispatch_request& request,
                                       const std::vector<endpoint_state*>& found, time_point now)
 {
@@ -278,6 +332,7 @@
         note.number = choice.number;
         note.endpoint = choice.endpoints[i].name;
         note.reads_for_other = i != 0;
+        note.parts = static_cast<std::uint32_t>(parts.size());
         note.share_tokens = static_cast<std::uint32_t>(request.model.prompt_tokens / parts.size());
         const std::uint64_t held =
             i != 0 ? choice.endpoints[i].reserved_tokens : needed - std::min(needed, reserved);
@@ -339,12 +394,17 @@
 
 void fleet::apply_note(incarnation entry, const wire::dispatch_noteT& note, time_point now)
 {
+    const policy::work_key key{entry, note.number};
+    if (note.phase == phase_waiting) {
+        m_waiting[key] = {note.endpoint, now + milliseconds(note.first_event_ms)};
+        return;
+    }
+    m_waiting.erase(key);
     const auto found = m_endpoints.find(note.endpoint);
     if (found == m_endpoints.end()) {
         return;
     }
     endpoint_state& state = found->second;
-    const policy::work_key key{entry, note.number};
     const double pace = pace_of(state, now);
     if (note.phase == phase_ended) {
         state.load.end(key, pace, now);
@@ -368,6 +428,8 @@
 {
     const std::lock_guard lock(m_mutex);
     if (notes.whole) {
+        std::erase_if(m_waiting,
+                      [&notes](const auto& item) { return item.first.entry == notes.incarnation; });
         for (auto& [name, state] : m_endpoints) {
             state.load.forget(notes.incarnation, pace_of(state, now), now);
         }
@@ -385,6 +447,7 @@
 void fleet::forget_entry(incarnation entry, time_point now)
 {
     const std::lock_guard lock(m_mutex);
+    std::erase_if(m_waiting, [entry](const auto& item) { return item.first.entry == entry; });
     for (auto& [name, state] : m_endpoints) {
         state.load.forget(entry, pace_of(state, now), now);
     }
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -29,6 +29,7 @@
     milliseconds time_left{};
     std::set<std::string> excluded; // endpoints that have had it
     bool alone = false;             // no other endpoint may read parts of the prompt
+    std::uint64_t waiting_as = 0;   // number under which the request waits; 0 = it has not waited
 };
 
 // Where a request goes; the first endpoint answers.
@@ -48,8 +49,10 @@
 
 const char* to_string(dispatch_refusal::reason value);
 
+// A choice, a time to wait for free endpoints before the next try, or a refusal.
 struct dispatch_result {
     std::optional<dispatch_choice> choice;
+    milliseconds wait{};
     dispatch_refusal refusal;
 };
 
@@ -77,6 +80,10 @@
     void first_event(std::uint64_t number, time_point now);
     void end(std::uint64_t number, time_point now);
 
+    // Puts a request into the queue of all entries for free endpoints, and takes it out.
+    std::uint64_t begin_wait(const dispatch_request& request, time_point now);
+    void end_wait(std::uint64_t number);
+
     void note_health(const std::string& endpoint, attempt_health health, time_point now);
 
     // Measured over predicted time between the events of an answer.
@@ -121,6 +128,13 @@
         std::uint8_t phase = 0;
     };
 
+    // A request that waits for free endpoints, at any entry.
+    struct waiting_request {
+        std::string service;
+        time_point due;
+    };
+
+    bool is_first_in_queue(const dispatch_request& request, time_point now) const;
     bool usable_state(const endpoint_state& state, time_point now) const;
     bool cold_full(endpoint_state& state, const route::service_rule& service, time_point now) const;
     double pace_of(const endpoint_state& state, time_point now) const;
@@ -144,6 +158,7 @@
     mutable std::mutex m_mutex;
     std::map<std::string, endpoint_state> m_endpoints;
     std::map<std::uint64_t, own_dispatch> m_own;
+    std::map<policy::work_key, waiting_request> m_waiting;
     std::set<std::string> m_domains_out;
     std::uint64_t m_next_number = 1;
 };
--- a/src/forward/request_run.cpp
+++ b/src/forward/request_run.cpp
@@ -135,7 +135,10 @@
             co_await refuse(m_may_have_run ? 504 : 503, "deadline", milliseconds::zero());
             co_return;
         }
-        const dispatch_result found = m_context.endpoints.dispatch(to_dispatch(now), now);
+        const dispatch_result found = co_await choose();
+        if (m_left) {
+            break;
+        }
         if (!found.choice) {
             co_await refuse_dispatch(found.refusal);
             co_return;
@@ -150,6 +153,29 @@
     count_end("caller_left", 0);
 }
 
+net::task<dispatch_result> request_run::choose()
+{
+    std::uint64_t waiting_as = 0;
+    dispatch_result found;
+    while (true) {
+        const time_point now = clock::now();
+        dispatch_request request = to_dispatch(now);
+        request.waiting_as = waiting_as;
+        found = m_context.endpoints.dispatch(request, now);
+        if (m_left || found.wait == milliseconds::zero()) {
+            break;
+        }
+        if (waiting_as == 0) {
+            waiting_as = m_context.endpoints.begin_wait(request, now);
+        }
+        co_await net::sleep_for(found.wait);
+    }
+    if (waiting_as != 0) {
+        m_context.endpoints.end_wait(waiting_as);
+    }
+    co_return found;
+}
+
 bool request_run::may_retry(attempt_end end, time_point now)
 {
     if (m_left || m_attempts >= most_attempts || now >= m_request.deadline) {
--- a/src/forward/request_run.h
+++ b/src/forward/request_run.h
@@ -82,6 +82,8 @@
     dispatch_request to_dispatch(time_point now) const;
     std::uint32_t urgency() const;
 
+    // Chooses endpoints, after a wait if they are not free yet.
+    net::task<dispatch_result> choose();
     net::task<attempt_end> attempt(dispatch_choice choice);
     net::task<attempt_end> call_endpoint(const dispatch_choice& choice);
     net::task<attempt_end> take_answer(const dispatch_choice& choice, const answer_terms& head);
--- a/src/policy/endpoint_load.cpp
+++ b/src/policy/endpoint_load.cpp
@@ -11,12 +11,18 @@
     return std::chrono::duration_cast<clock::duration>(std::chrono::duration<double, std::milli>(ms));
 }
 
+double ms_until(time_point end, time_point now)
+{
+    return end <= now ? 0 : std::chrono::duration<double, std::milli>(end - now).count();
+}
+
 } // namespace
 
 void endpoint_load::start(const work_key& key, const endpoint_work& work, double pace, time_point now)
 {
     m_works[key] = work;
-    m_read_until = std::max(m_read_until, now) + to_duration(work.answering ? 0 : work.read_ms * pace);
+    const clock::duration reading = to_duration(work.answering ? 0 : work.read_ms * pace);
+    m_read_until = std::max(m_read_until, now) + reading;
     sum_up();
 }
 
@@ -51,10 +57,7 @@
 
 double endpoint_load::backlog_ms(time_point now) const
 {
-    if (m_read_until <= now) {
-        return 0;
-    }
-    return std::chrono::duration<double, std::milli>(m_read_until - now).count();
+    return ms_until(m_read_until, now);
 }
 
 // What is still to be read is never more than the parts of those that have not begun to answer.
@@ -72,11 +75,16 @@
     m_held = 0;
     m_writer_value = 0;
     m_waiting_value = 0;
+    m_waiting_rate = 0;
     m_tightest_pause = milliseconds::zero();
     m_earliest_due = time_point::max();
     for (const auto& [key, work] : m_works) {
         m_held += work.held_tokens;
         m_unread_ms += work.answering ? 0 : work.read_ms;
+        if (!work.answering) {
+            const auto objective = std::max<double>(static_cast<double>(work.objective.count()), 1);
+            m_waiting_rate += work.value / objective / std::max<std::uint32_t>(work.parts, 1);
+        }
         if (work.reads_for_other) {
             continue;
         }
--- a/src/policy/endpoint_load.h
+++ b/src/policy/endpoint_load.h
@@ -23,8 +23,10 @@
     std::uint64_t context_tokens = 0; // context that its steps cost while it is written
     std::uint64_t held_tokens = 0;    // memory
     bool reads_for_other = false;     // another endpoint writes the answer
+    std::uint32_t parts = 1;          // endpoints that read the prompt
     time_point due;                   // latest first event that is in time
     milliseconds pause{};             // longest pause between events that is in time; 0 = none
+    milliseconds objective{};  // to the first event, when the work was given
     double value = 0;
     bool answering = false; // its first event has been seen
 };
@@ -50,6 +52,10 @@
     std::uint64_t held_tokens() const { return m_held; }
     double writer_value() const { return m_writer_value; }
     double waiting_value() const { return m_waiting_value; }
+    // What a millisecond of reading for another request costs those that wait: the sum of their values over
+    // their objectives. A prompt that several endpoints read is delayed as a whole if one of them is, so each
+    // has a share of its cost.
+    double waiting_rate() const { return m_waiting_rate; }
     // Tightest pause of those that write or are going to; 0 = none.
     milliseconds tightest_pause() const { return m_tightest_pause; }
     // Earliest time at which one that waits for its first event is late.
@@ -68,6 +74,7 @@
     std::uint64_t m_held = 0;
     double m_writer_value = 0;
     double m_waiting_value = 0;
+    double m_waiting_rate = 0;
     milliseconds m_tightest_pause{};
     time_point m_earliest_due = time_point::max();
 };
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -20,6 +20,7 @@
 // Weight of a longer pass against the tightest pause there, so that work spreads before pauses are broken.
 constexpr double pass_weight = 0.05;
 
+// A candidate for one part.
 struct scored {
     std::size_t index = 0;
     double wait_ms = 0; // until the endpoint can begin to read the part
@@ -27,6 +28,11 @@
     double score = 0;
 };
 
+bool is_better(const scored& a, const scored& b)
+{
+    return a.score < b.score;
+}
+
 class chooser {
 public:
     chooser(const model_request& request, const engine_cost& cost,
@@ -73,33 +79,37 @@
         return m_cost.pass_ms(candidate.load->writers(), candidate.load->context_tokens()) * candidate.pace;
     }
 
-    // Expected loss of those at the endpoint if it also reads for `part_ms`.
-    double harm(const placement_candidate& candidate, double part_ms) const
+    // Expected loss of those that write at the endpoint if it also reads for `part_ms`.
+    double harm_to_writers(const placement_candidate& candidate, double part_ms) const
     {
         const endpoint_load& load = *candidate.load;
+        if (load.writers() == 0 || load.tightest_pause() == milliseconds::zero()) {
+            return 0;
+        }
         const double pass = pass_ms(candidate);
         const double backlog = load.backlog_ms(m_now);
         const double most_read = m_cost.most_read_in_pass_ms() * candidate.pace;
-        double loss = 0;
-        if (load.writers() != 0 && load.tightest_pause() > milliseconds::zero()) {
-            const double limit = static_cast<double>(load.tightest_pause().count()) * m_options.margin;
-            const double before = pass + std::min(backlog, most_read);
-            const double after = pass + std::min(backlog + part_ms, std::max(most_read, part_ms));
-            if (before <= limit && after > limit) {
-                loss += m_options.late_loss * load.writer_value();
-            }
-            loss += pass_weight * load.writer_value() * std::min((after - before) / limit, 1.0);
-        }
-        if (load.waiting_value() > 0) {
-            const double slack =
-                std::chrono::duration<double, std::milli>(load.earliest_due() - m_now).count();
-            const double before = backlog + pass;
-            if (before <= slack && before + part_ms > slack * m_options.margin) {
-                loss += m_options.late_loss * load.waiting_value();
-            }
-            loss += pass_weight * load.waiting_value() * std::min(part_ms / std::max(slack, 1.0), 1.0);
+        const double limit = static_cast<double>(load.tightest_pause().count()) * m_options.margin;
+        const double before = pass + std::min(backlog, most_read);
+        const double after = pass + std::min(backlog + part_ms, std::max(most_read, part_ms));
+        const bool breaks = before <= limit && after > limit;
+        return (breaks ? m_options.late_loss * load.writer_value() : 0) +
+               pass_weight * load.writer_value() * std::min((after - before) / limit, 1.0);
+    }
+
+    // Expected loss of those that wait for their first event there, as the parts of a shared prompt are read
+    // before everything else, the newest first.
+    double harm_to_waiting(const placement_candidate& candidate, double part_ms) const
+    {
+        const endpoint_load& load = *candidate.load;
+        if (load.waiting_rate() <= 0) {
+            return 0;
         }
-        return loss;
+        const double slack = std::chrono::duration<double, std::milli>(load.earliest_due() - m_now).count();
+        const double before = load.backlog_ms(m_now) + pass_ms(candidate);
+        const bool breaks = before <= slack && before + part_ms > slack * m_options.margin;
+        return (breaks ? m_options.late_loss * load.waiting_value() : 0) +
+               speed_weight * load.waiting_rate() * part_ms;
     }
 
     // Time until a slot is free, from the mean time that an answer takes there.
@@ -115,54 +125,91 @@
         return answer * static_cast<double>(load.requests() - slots + 1) / static_cast<double>(slots);
     }
 
-    scored score(std::size_t index, double part_ms) const
+    double objective_ms() const
+    {
+        return std::max<double>(static_cast<double>(m_request.objective.count()), 1);
+    }
+
+    double start_delay_ms(const placement_candidate& candidate) const
+    {
+        return candidate.load->writers() != 0 ? pass_ms(candidate) / 2 : 0;
+    }
+
+    // Time until the endpoint is free for a part of a shared prompt.
+    double free_in_ms(const placement_candidate& candidate) const
+    {
+        const double backlog = candidate.load->backlog_ms(m_now);
+        return backlog <= m_options.free_ms ? 0 : backlog;
+    }
+
+    scored score_helper(std::size_t index, double part_ms) const
     {
         const placement_candidate& candidate = m_candidates[index];
+        const double own_part = part_ms * candidate.pace;
         scored value;
         value.index = index;
+        value.wait_ms = free_in_ms(candidate);
+        value.harm = harm_to_writers(candidate, own_part) + harm_to_waiting(candidate, own_part);
+        value.score =
+            value.harm + m_request.value * (candidate.failure_share +
+                                            backlog_weight * (value.wait_ms + own_part) / objective_ms());
+        return value;
+    }
+
+    // For the endpoint that writes the answer.
+    scored score_writer(std::size_t index, double part_ms, bool alone) const
+    {
+        const placement_candidate& candidate = m_candidates[index];
         const double own_part = part_ms * candidate.pace;
-        value.wait_ms =
-            candidate.load->backlog_ms(m_now) + (candidate.load->writers() != 0 ? pass_ms(candidate) / 2 : 0);
-        value.harm = harm(candidate, own_part);
-        const double objective = std::max<double>(static_cast<double>(m_request.objective.count()), 1);
-        value.score = value.harm +
-                      m_request.value *
-                          (candidate.failure_share + backlog_weight * (value.wait_ms + own_part) / objective);
+        scored value;
+        value.index = index;
+        value.wait_ms = alone ? candidate.load->backlog_ms(m_now) : free_in_ms(candidate);
+        value.harm =
+            harm_to_writers(candidate, own_part) + (alone ? 0 : harm_to_waiting(candidate, own_part));
+        value.score = value.harm + writer_cost(index) +
+                      m_request.value * (candidate.failure_share +
+                                         backlog_weight * (value.wait_ms + own_part) / objective_ms());
         return value;
     }
 
     std::optional<placement> choose_parts(std::size_t parts) const
     {
         const double part_ms = m_cost.read_ms(m_request.prompt_tokens, parts);
-        std::vector<scored> all;
-        all.reserve(m_candidates.size());
+        if (parts == 1) {
+            return choose_alone(part_ms);
+        }
+        std::vector<scored> helpers;
+        std::optional<scored> writer;
+        helpers.reserve(m_candidates.size());
         for (std::size_t i = 0; i < m_candidates.size(); ++i) {
-            if (parts == 1 || m_candidates[i].takes_parts) {
-                all.push_back(score(i, part_ms));
+            if (!m_candidates[i].takes_parts) {
+                continue;
+            }
+            helpers.push_back(score_helper(i, part_ms));
+            const scored value = score_writer(i, part_ms, false);
+            if (!writer || value.score < writer->score) {
+                writer = value;
             }
         }
-        if (all.size() < parts) {
+        if (helpers.size() < parts) {
             return std::nullopt;
         }
-        std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(parts - 1), all.end(),
-                         [](const scored& a, const scored& b) { return a.score < b.score; });
-        if (parts == 1) {
-            return finish_single(all);
-        }
-        all.resize(parts);
-        return finish(all, part_ms);
+        std::erase_if(helpers, [&writer](const scored& value) { return value.index == writer->index; });
+        std::nth_element(helpers.begin(), helpers.begin() + static_cast<std::ptrdiff_t>(parts - 2),
+                         helpers.end(), is_better);
+        helpers.resize(parts - 1);
+        return finish(*writer, helpers, part_ms);
     }
 
     // With one part the choice of the writer is the whole choice, so all candidates are compared in full.
-    std::optional<placement> finish_single(const std::vector<scored>& all) const
+    std::optional<placement> choose_alone(double part_ms) const
     {
         std::optional<placement> best;
-        const double part_ms = m_cost.read_ms(m_request.prompt_tokens);
-        for (const scored& value : all) {
-            if (free_tokens(value.index) < needed_tokens() && m_cost.rule().memory_tokens < needed_tokens()) {
-                continue;
-            }
-            std::optional<placement> found = finish({value}, part_ms);
+        if (m_cost.rule().memory_tokens < needed_tokens()) {
+            return best;
+        }
+        for (std::size_t i = 0; i < m_candidates.size(); ++i) {
+            std::optional<placement> found = finish(score_writer(i, part_ms, true), {}, part_ms);
             if (found && (!best || found->expected_loss < best->expected_loss)) {
                 best = std::move(found);
             }
@@ -182,8 +229,7 @@
     double writer_cost(std::size_t index) const
     {
         const placement_candidate& candidate = m_candidates[index];
-        const double objective = std::max<double>(static_cast<double>(m_request.objective.count()), 1);
-        double loss = m_request.value * slot_wait_ms(candidate) / objective;
+        double loss = m_request.value * slot_wait_ms(candidate) / objective_ms();
         loss += candidate.other_domain ? m_request.value * m_options.other_domain_cost : 0;
         loss += opens(*candidate.load) ? m_request.value * m_options.opening_cost : 0;
         const auto memory = static_cast<double>(std::max<std::uint64_t>(m_cost.rule().memory_tokens, 1));
@@ -195,37 +241,36 @@
         return loss;
     }
 
-    std::optional<placement> finish(const std::vector<scored>& chosen, double part_ms) const
+    std::optional<placement> finish(const scored& writer, const std::vector<scored>& helpers,
+                                    double part_ms) const
     {
-        const auto writer =
-            std::min_element(chosen.begin(), chosen.end(), [this](const scored& a, const scored& b) {
-                return writer_cost(a.index) < writer_cost(b.index);
-            });
+        const placement_candidate& first = m_candidates[writer.index];
         placement found;
-        found.parts.push_back(writer->index);
-        double read_ms = 0;
-        double harm = 0;
-        double failure = 0;
-        for (const scored& value : chosen) {
-            if (value.index != writer->index) {
-                found.parts.push_back(value.index);
-            }
+        found.parts.push_back(writer.index);
+        double wait = writer.wait_ms;
+        double read_ms = start_delay_ms(first) + part_ms * first.pace;
+        double harm = writer.harm;
+        double failure = first.failure_share;
+        for (const scored& value : helpers) {
+            found.parts.push_back(value.index);
             const placement_candidate& candidate = m_candidates[value.index];
-            read_ms = std::max(read_ms, value.wait_ms + part_ms * candidate.pace);
+            wait = std::max(wait, value.wait_ms);
+            read_ms = std::max(read_ms, start_delay_ms(candidate) + part_ms * candidate.pace);
             harm += value.harm;
             failure += candidate.failure_share;
         }
         if (!reserve(found)) {
             return std::nullopt;
         }
-        const placement_candidate& first = m_candidates[writer->index];
         const double pass = m_cost.pass_ms(first.load->writers() + 1,
                                            first.load->context_tokens() + m_request.prompt_tokens) *
                             first.pace;
-        found.first_event_ms = read_ms + slot_wait_ms(first) + pass;
-        found.expected_loss = harm + writer_cost(writer->index) + own_loss(found.first_event_ms, pass) +
+        // An endpoint that reads alone queues the prompt itself.
+        found.wait_ms = helpers.empty() ? 0 : wait;
+        found.first_event_ms = wait + read_ms + slot_wait_ms(first) + pass;
+        found.expected_loss = harm + writer_cost(writer.index) + own_loss(found.first_event_ms, pass) +
                               m_request.value * (std::min(failure, 1.0) +
-                                                 m_options.exposure * static_cast<double>(chosen.size() - 1));
+                                                 m_options.exposure * static_cast<double>(helpers.size()));
         return found;
     }
 
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -32,6 +32,8 @@
     double least_part_ms = 15;
     // Endpoints that may read one prompt, the one that writes included. The platform's bound is 16 helpers.
     std::size_t most_parts = 17;
+    // An endpoint with less than this left to read counts as free for a part; about a short prompt.
+    double free_ms = 30;
     // Share of a value that is lost when an answer is late, from the users' price of late answers.
     double late_loss = 0.75;
     // Share of a value that one more endpoint puts at risk, as the answer then depends on it too.
@@ -52,6 +54,9 @@
     std::vector<std::size_t> parts;
     // Memory to reserve at each part, in tokens; all 0 when the prompt fits the first one.
     std::vector<std::uint64_t> reserved_tokens;
+    // Time until the endpoints are free for their parts. An endpoint reads the parts of shared prompts before
+    // everything else and the newest first, so a part that comes too early holds up all that is there.
+    double wait_ms = 0;
     double first_event_ms = 0;
     double expected_loss = 0;
 };
