--- a/src/forward/request_run.cpp
+++ b/src/forward/request_run.cpp
@@ -27,7 +27,7 @@
 constexpr milliseconds least_silence{600};
 
 // The same between two events, in pauses.
-constexpr int silence_in_pauses = 4;
+constexpr int silence_in_pauses = 2;
 
 // A plain idempotent request is tried elsewhere after this many objectives.
 constexpr int plain_silence_in_objectives = 3;
