Weigh the first event's speed above longer passes; elect faster; wait for a confirmation

Cause: parts of long prompts were kept from endpoints with writers although their pauses would have held; after a kill of all processes 253 requests were refused in 2 s for want of a leader, and each thawed entry refused 30 requests. Change: weights of pass, speed and opening an endpoint to short pauses; elections after 400 to 700 ms; entries poll faster until a first confirmation and let a request wait up to 250 ms for one.

--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -25,6 +25,11 @@
 // Longest time that a caller is kept waiting when nothing else bounds it.
 constexpr milliseconds longest_wait{3'600'000};
 
+// A request waits this long for the configuration to be confirmed before it is refused. A member answers
+// within a few milliseconds; callers give a request up after a third of their time.
+constexpr milliseconds confirmation_wait{250};
+constexpr milliseconds confirmation_look{10};
+
 // Callers that come before this entry knows the configuration try another one, or this one a little later.
 constexpr milliseconds unready_return{300};
 
@@ -371,8 +376,20 @@
     (void)co_await exchange.reply(std::move(response));
 }
 
+net::task<void> forward_service::await_confirmation()
+{
+    const time_point end = clock::now() + confirmation_wait;
+    while (!can_serve(clock::now()) && clock::now() < end) {
+        m_control->poll_now();
+        co_await net::sleep_for(confirmation_look);
+    }
+}
+
 net::task<void> forward_service::handle(net::http_exchange& exchange)
 {
+    if (!can_serve(clock::now())) {
+        co_await await_confirmation();
+    }
     routed_request request;
     std::optional<early_refusal> refused = admit(exchange.request(), request);
     if (refused) {
--- a/src/forward/forward_service.h
+++ b/src/forward/forward_service.h
@@ -55,6 +55,8 @@
     // Takes over a newer configuration, if there is one, and returns the one in force.
     std::shared_ptr<const route::table> rules();
     void apply_limits(const route::table& table);
+    // Waits a little for the configuration to be confirmed, as after a freeze of this process.
+    net::task<void> await_confirmation();
     std::optional<early_refusal> admit(const net::http_request& request, routed_request& out);
     std::optional<early_refusal> check_team(const route::table& table, routed_request& out) const;
     net::task<void> serve(net::http_exchange& exchange, routed_request request);
--- a/src/node/control_client.cpp
+++ b/src/node/control_client.cpp
@@ -8,6 +8,11 @@
 
 constexpr milliseconds follow_interval{100};
 
+// Interval of polls before the first confirmation, and the shortest one that poll_now() causes.
+constexpr milliseconds first_interval{60};
+constexpr milliseconds shortest_interval{20};
+constexpr milliseconds pause_step{50};
+
 // Without a confirmed reply for this long the members of the settings are asked as well.
 constexpr milliseconds seeds_after{2'000};
 
@@ -169,8 +174,24 @@
             m_directory->forget_member(name);
             last_answer = clock::now();
         }
-        const auto spent = std::chrono::duration_cast<milliseconds>(clock::now() - begin);
-        co_await net::sleep_for(std::max(m_options.interval - spent, milliseconds(10)));
+        co_await pause(begin);
+    }
+}
+
+// Until the first configuration is confirmed, members are asked more often: they may be electing a leader.
+net::task<void> control_client::pause(time_point begin)
+{
+    const bool unconfirmed = !m_config.age(clock::now());
+    const milliseconds interval =
+        unconfirmed ? std::min(m_options.interval, first_interval) : m_options.interval;
+    m_poll_now = false;
+    while (clock::now() - begin < interval && !m_poll_now && !m_stopping) {
+        const auto left = std::chrono::duration_cast<milliseconds>(begin + interval - clock::now());
+        co_await net::sleep_for(std::clamp(left, milliseconds(1), pause_step));
+    }
+    // Bounds how often poll_now() has an effect.
+    if (clock::now() - begin < shortest_interval) {
+        co_await net::sleep_for(shortest_interval);
     }
 }
 
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -39,6 +39,9 @@
     void start();
     void stop() { m_stopping = true; }
 
+    // Polls again without waiting for the interval, at most once in a short time.
+    void poll_now() { m_poll_now = true; }
+
     // Takes over members from reloaded settings.
     void set_seeds(std::vector<host_port> seeds);
 
@@ -59,6 +62,7 @@
     void adopt_wanted(time_point now);
     bool is_wanted(const std::string& name) const;
     net::task<void> poll_member(host_port member);
+    net::task<void> pause(time_point begin);
     net::task<void> poll_until_unwanted(host_port member, std::string name);
     // What one member was told last; an unchanged announcement travels in every second poll only.
     struct announced {
@@ -82,6 +86,7 @@
     announcer m_announce;
     metrics& m_metrics;
     std::atomic<bool> m_stopping{false};
+    std::atomic<bool> m_poll_now{false};
     std::atomic<std::uint64_t> m_wanted_load{0};
     std::atomic<bool> m_load_permit{false};
     mutable std::mutex m_mutex;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -10,15 +10,21 @@
 
 constexpr std::array<std::size_t, 9> part_counts{1, 2, 3, 4, 6, 8, 11, 14, 17};
 
+// With fewer endpoints a long prompt has no choice but to hold up what is there.
+constexpr std::size_t least_shared = 3;
+
+// Callers wait for about this many pauses.
+constexpr double pauses_until_gone = 4;
+
 // Weight of an endpoint's backlog against a request's objective when endpoints are compared for a part.
-constexpr double backlog_weight = 0.25;
+constexpr double backlog_weight = 0.4;
 
 // Weight of the predicted first event against the objective, so that of two choices that are in time the
 // faster one is taken.
-constexpr double speed_weight = 0.2;
+constexpr double speed_weight = 0.7;
 
 // Weight of a longer pass against the tightest pause there, so that work spreads before pauses are broken.
-constexpr double pass_weight = 0.05;
+constexpr double pass_weight = 0.005;
 
 // A candidate for one part.
 struct scored {
@@ -93,7 +99,10 @@
         const double before = pass + std::min(backlog, most_read);
         const double after = pass + std::min(backlog + part_ms, std::max(most_read, part_ms));
         const bool breaks = before <= limit && after > limit;
-        return (breaks ? m_options.late_loss * load.writer_value() : 0) +
+        // Those who stand still for several pauses leave, and what was written for them is lost.
+        const bool drives_away = breaks && after > pauses_until_gone * limit;
+        const double loss = drives_away ? m_options.gone_loss : m_options.late_loss;
+        return (breaks ? loss * load.writer_value() : 0) +
                pass_weight * load.writer_value() * std::min((after - before) / limit, 1.0);
     }
 
@@ -208,7 +217,13 @@
         if (m_cost.rule().memory_tokens < needed_tokens()) {
             return best;
         }
+        const bool may_hold_up = part_ms <= m_options.most_alone_ms || m_options.most_parts < 2 ||
+                                 m_candidates.size() < least_shared;
         for (std::size_t i = 0; i < m_candidates.size(); ++i) {
+            const endpoint_load& load = *m_candidates[i].load;
+            if (!may_hold_up && (load.writers() != 0 || load.waiting_rate() > 0)) {
+                continue;
+            }
             std::optional<placement> found = finish(score_writer(i, part_ms, true), {}, part_ms);
             if (found && (!best || found->expected_loss < best->expected_loss)) {
                 best = std::move(found);
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -32,15 +32,20 @@
     double least_part_ms = 15;
     // Endpoints that may read one prompt, the one that writes included. The platform's bound is 16 helpers.
     std::size_t most_parts = 17;
+    // A prompt that takes longer to read is not given to one endpoint alone while others write or wait there:
+    // they would stand still for all of it. About 11,000 tokens on today's engines.
+    double most_alone_ms = 60;
     // An endpoint with less than this left to read counts as free for a part; about a short prompt.
     double free_ms = 30;
     // Share of a value that is lost when an answer is late, from the users' price of late answers.
     double late_loss = 0.75;
+    // The same when the caller leaves or the answer has to be made again.
+    double gone_loss = 1.5;
     // Share of a value that one more endpoint puts at risk, as the answer then depends on it too.
-    double exposure = 0.001;
+    double exposure = 0.0005;
     // Share of a value by which an endpoint without writers of so short pauses is worse for writing: it is then
     // no longer free to read long prompts.
-    double opening_cost = 0.12;
+    double opening_cost = 0.25;
     // Share of a value that the bytes between failure domains cost.
     double other_domain_cost = 0.012;
     // Predictions are kept below a limit by this factor, because the median error is about a tenth.
--- a/src/raft/types.h
+++ b/src/raft/types.h
@@ -88,14 +88,14 @@
 
 // Times and bounds of the consensus core.
 struct options {
-    milliseconds heartbeat_interval{100};
+    milliseconds heartbeat_interval{60};
 
     // Election timeouts are drawn uniformly between these two.
-    milliseconds election_timeout_min{500};
-    milliseconds election_timeout_max{1000};
+    milliseconds election_timeout_min{400};
+    milliseconds election_timeout_max{700};
 
     // Oldest age that confirm_age gives; 20% below the lowest election timeout.
-    milliseconds confirm_limit{400};
+    milliseconds confirm_limit{320};
 
     // Entries per append message, in bytes. A frame holds 256 KiB.
     std::size_t append_bytes = 128 * 1024;
