Let harmful prompts wait; do not take a reading endpoint for a silent one; connect members early

After a power loss the first votes were lost, as no member had a connection yet, and a leader came 1 s after the start. Prompts whose memory was not free were refused at once. Change: a prompt that costs those present more than its own value waits up to its objective, then is refused; a stream is given up only when its endpoint has nothing left to read; members connect at start.

--- a/src/control/raft_host.cpp
+++ b/src/control/raft_host.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds bootstrap_timeout{500};
 
 // Pause before the next try to connect to a member.
-constexpr milliseconds reconnect_pause{200};
+constexpr milliseconds reconnect_pause{100};
 
 result<std::vector<raft::member>> parse_peers(const std::string& text)
 {
@@ -130,6 +130,7 @@
         const time_point now = clock::now();
         if (m_replica) {
             check(m_replica->tick(now));
+            connect_members(now);
             replace_silent_members(now);
         }
         if (knows_leader()) {
@@ -193,14 +194,30 @@
         }
         peer.stream = nullptr;
     }
-    const result<host_port> address = parse_host_port(address_of(to));
-    if (peer.connecting || !address || clock::now() < peer.not_before) {
+    connect_in_background(to, clock::now());
+}
+
+void raft_host::connect_members(time_point now)
+{
+    for (const raft::member& known : m_replica->state().membership().members) {
+        const link& peer = m_links[known.id];
+        if (known.id != m_options.member_id && (!peer.stream || !peer.stream->parent()->is_open())) {
+            connect_in_background(known.id, now);
+        }
+    }
+}
+
+void raft_host::connect_in_background(raft::member_id id, time_point now)
+{
+    link& peer = m_links[id];
+    const result<host_port> address = parse_host_port(address_of(id));
+    if (peer.connecting || !address || now < peer.not_before) {
         return;
     }
     peer.connecting = true;
     net::asio::co_spawn(
         m_strand,
-        [self = shared_from_this(), to, target = address.value()] { return self->connect(to, target); },
+        [self = shared_from_this(), id, target = address.value()] { return self->connect(id, target); },
         net::asio::detached);
 }
 
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -141,6 +141,10 @@
     void replace_silent_members(time_point now);
     result<void> initialise_folder(const options& settings);
     net::task<void> run_timer();
+    // Connects to members before there is something to send, so that the first messages after a restart are
+    // not lost.
+    void connect_members(time_point now);
+    void connect_in_background(raft::member_id id, time_point now);
     net::task<void> connect(raft::member_id id, host_port address);
     net::task<void> read_replies(std::shared_ptr<net::frame_stream> stream);
     void change_membership(const raft::membership_change& change, const member_handler& handler);
--- a/src/forward/endpoint_call.cpp
+++ b/src/forward/endpoint_call.cpp
@@ -26,22 +26,37 @@
 }
 
 // One timer for all steps. It closes the socket, which ends whatever waits.
-void endpoint_call::arm(time_point deadline)
+void endpoint_call::arm(time_point deadline, extension later)
 {
-    *m_expired = false;
+    m_expired = false;
+    const std::uint64_t step = ++m_step;
     m_timer.expires_at(deadline);
-    m_timer.async_wait([self = shared_from_this()](const error_code& failure) {
-        if (!failure) {
-            *self->m_expired = true;
+    m_timer.async_wait(
+        [self = shared_from_this(), step, later = std::move(later)](const error_code& failure) {
+            if (failure || step != self->m_step) {
+                return;
+            }
+            const time_point now = clock::now();
+            const time_point extended = later ? later() : now;
+            if (extended > now) {
+                self->arm(extended, later);
+                return;
+            }
+            self->m_expired = true;
             self->close();
-        }
-    });
+        });
+}
+
+void endpoint_call::disarm()
+{
+    ++m_step;
+    m_timer.cancel();
 }
 
 void endpoint_call::close()
 {
     error_code ignored;
-    m_timer.cancel();
+    disarm();
     m_socket.close(ignored);
 }
 
@@ -50,7 +65,7 @@
     BOOST_OUTCOME_CO_TRY(const net::tcp::endpoint target, net::to_endpoint(address));
     arm(clock::now() + timeout);
     auto [failure] = co_await m_socket.async_connect(target, no_throw);
-    m_timer.cancel();
+    disarm();
     if (failure || !m_socket.is_open()) {
         co_return net::io_error("connect", failure);
     }
@@ -77,31 +92,31 @@
 {
     arm(deadline);
     auto [failure, size] = co_await http::async_read_header(m_socket, m_buffer, m_parser, no_throw);
-    m_timer.cancel();
+    disarm();
     if (failure) {
-        co_return *m_expired ? make_error(error_kind::timeout, "no answer in time")
-                             : net::io_error("read head", failure);
+        co_return m_expired ? make_error(error_kind::timeout, "no answer in time")
+                            : net::io_error("read head", failure);
     }
     co_return words.read_answer(m_parser.get().result_int(), m_parser.get().base());
 }
 
-net::task<result<std::string>> endpoint_call::read_some(time_point deadline)
+net::task<result<std::string>> endpoint_call::read_some(time_point deadline, extension later)
 {
     std::string piece;
-    arm(deadline);
+    arm(deadline, std::move(later));
     while (piece.empty() && !m_parser.is_done()) {
         piece.resize(read_size);
         m_parser.get().body().data = piece.data();
         m_parser.get().body().size = piece.size();
         auto [failure, size] = co_await http::async_read_some(m_socket, m_buffer, m_parser, no_throw);
         if (failure && failure != http::error::need_buffer) {
-            m_timer.cancel();
-            co_return *m_expired ? make_error(error_kind::timeout, "the answer stopped")
-                                 : net::io_error("read body", failure);
+            disarm();
+            co_return m_expired ? make_error(error_kind::timeout, "the answer stopped")
+                                : net::io_error("read body", failure);
         }
         piece.resize(piece.size() - m_parser.get().body().size);
     }
-    m_timer.cancel();
+    disarm();
     co_return piece;
 }
 
--- a/src/forward/endpoint_call.h
+++ b/src/forward/endpoint_call.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -28,18 +29,23 @@
 
     // The next bytes of the body; empty when it is complete. An answer without a length is complete when the
     // endpoint closes the connection in order.
-    net::task<result<std::string>> read_some(time_point deadline);
+    // When the deadline has come, `later` may give a new one.
+    using extension = std::function<time_point()>;
+    net::task<result<std::string>> read_some(time_point deadline, extension later = nullptr);
 
     // Pending calls fail.
     void close();
 
 private:
     static net::task<void> write(std::shared_ptr<endpoint_call> self, std::string head, std::string body);
-    void arm(time_point deadline);
+    void disarm();
+    void arm(time_point deadline, extension later = nullptr);
 
     net::tcp::socket m_socket;
     net::asio::steady_timer m_timer;
-    std::shared_ptr<bool> m_expired = std::make_shared<bool>(false);
+    bool m_expired = false;
+    // Tells the timer of the present step from one that has fired too late to be cancelled.
+    std::uint64_t m_step = 0;
     boost::beast::flat_buffer m_buffer;
     boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
 };
--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -77,6 +77,8 @@
         return "too_late";
     case dispatch_refusal::reason::too_large:
         return "too_large";
+    case dispatch_refusal::reason::too_harmful:
+        return "too_harmful";
     }
     return "unknown";
 }
@@ -222,8 +224,14 @@
     options.most_parts = request.alone ? 1 : options.most_parts;
     const auto placed = policy::place(request.model, cost, candidates, now, options);
     dispatch_result outcome;
-    if (!placed) {
-        outcome.refusal.why = dispatch_refusal::reason::too_large;
+    // Memory becomes free, and writers end: what cannot be placed well now often can a little later.
+    const bool harmful = placed && placed->harm > request.model.value;
+    if (!placed || harmful) {
+        outcome.refusal.why =
+            harmful ? dispatch_refusal::reason::too_harmful : dispatch_refusal::reason::too_large;
+        const std::uint64_t needed = std::uint64_t{request.model.prompt_tokens} + request.model.output_tokens;
+        const bool possible = needed <= cost.rule().memory_tokens * candidates.size() && !request.alone;
+        outcome.wait = possible && request.may_wait ? longest_wait : milliseconds::zero();
         return outcome;
     }
     const milliseconds predicted = to_ms(placed->first_event_ms);
@@ -513,6 +521,13 @@
     return policy::engine_cost(engine).pass_ms(load.writers(), load.context_tokens());
 }
 
+milliseconds fleet::backlog(const std::string& endpoint, time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_endpoints.find(endpoint);
+    return found == m_endpoints.end() ? milliseconds::zero() : to_ms(found->second.load.backlog_ms(now));
+}
+
 std::size_t fleet::size() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -30,6 +30,7 @@
     std::set<std::string> excluded; // endpoints that have had it
     bool alone = false;             // no other endpoint may read parts of the prompt
     std::uint64_t waiting_as = 0;   // number under which the request waits; 0 = it has not waited
+    bool may_wait = true;           // it has not waited for the whole of its objective yet
 };
 
 // Where a request goes; the first endpoint answers.
@@ -41,7 +42,7 @@
 
 // Why there is no endpoint for a request now.
 struct dispatch_refusal {
-    enum class reason : std::uint8_t { no_endpoint, too_late, too_large };
+    enum class reason : std::uint8_t { no_endpoint, too_late, too_large, too_harmful };
 
     reason why = reason::no_endpoint;
     milliseconds predicted{}; // of `too_late`: time to the first event
@@ -92,6 +93,9 @@
     // Predicted time between two events of an answer at the endpoint, with nothing read in between.
     double pass_ms(const std::string& endpoint, const route::engine_rule& engine) const;
 
+    // Predicted time until the endpoint has read what it was given.
+    milliseconds backlog(const std::string& endpoint, time_point now) const;
+
     // Whether the endpoint may still be given work: it is listed, not leaving, and its failure domain is in.
     bool is_usable(const std::string& endpoint, time_point now) const;
 
--- a/src/forward/request_run.cpp
+++ b/src/forward/request_run.cpp
@@ -161,6 +161,7 @@
         const time_point now = clock::now();
         dispatch_request request = to_dispatch(now);
         request.waiting_as = waiting_as;
+        request.may_wait = now < m_request.arrived + m_request.route->objective;
         found = m_context.endpoints.dispatch(request, now);
         if (m_left || found.wait == milliseconds::zero()) {
             break;
@@ -359,7 +360,15 @@
             const milliseconds first = choice.first_event * silence_in_predictions + least_silence + stalls;
             limit = std::min(limit, clock::now() + (any ? silence : first));
         }
-        const result<std::string> piece = co_await m_call->read_some(limit);
+        // An endpoint that is known to be reading for others is not silent.
+        const auto later = [self = shared_from_this(), name = choice.endpoints.front().name, silence]() {
+            const time_point now = clock::now();
+            const milliseconds reading = self->m_context.endpoints.backlog(name, now);
+            return reading > milliseconds::zero()
+                       ? std::min(self->m_request.deadline, now + reading + silence / 2)
+                       : now;
+        };
+        const result<std::string> piece = co_await m_call->read_some(limit, later);
         if (!piece || (piece.value().empty() && reader.rest() != 0)) {
             const bool silent = !piece && piece.error().kind == error_kind::timeout;
             note(choice, silent ? "silent" : "broken", head.status,
--- a/src/policy/endpoint_load.h
+++ b/src/policy/endpoint_load.h
@@ -26,7 +26,7 @@
     std::uint32_t parts = 1;          // endpoints that read the prompt
     time_point due;                   // latest first event that is in time
     milliseconds pause{};             // longest pause between events that is in time; 0 = none
-    milliseconds objective{};  // to the first event, when the work was given
+    milliseconds objective{};         // to the first event, when the work was given
     double value = 0;
     bool answering = false; // its first event has been seen
 };
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -283,6 +283,7 @@
         // An endpoint that reads alone queues the prompt itself.
         found.wait_ms = helpers.empty() ? 0 : wait;
         found.first_event_ms = wait + read_ms + slot_wait_ms(first) + pass;
+        found.harm = harm;
         found.expected_loss = harm + writer_cost(writer.index) + own_loss(found.first_event_ms, pass) +
                               m_request.value * (std::min(failure, 1.0) +
                                                  m_options.exposure * static_cast<double>(helpers.size()));
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -43,8 +43,8 @@
     double gone_loss = 1.5;
     // Share of a value that one more endpoint puts at risk, as the answer then depends on it too.
     double exposure = 0.0005;
-    // Share of a value by which an endpoint without writers of so short pauses is worse for writing: it is then
-    // no longer free to read long prompts.
+    // Share of a value by which an endpoint without writers of so short pauses is worse for writing: it is
+    // then no longer free to read long prompts.
     double opening_cost = 0.25;
     // Share of a value that the bytes between failure domains cost.
     double other_domain_cost = 0.012;
@@ -63,6 +63,7 @@
     // everything else and the newest first, so a part that comes too early holds up all that is there.
     double wait_ms = 0;
     double first_event_ms = 0;
+    double harm = 0; // expected loss of those that are there already
     double expected_loss = 0;
 };
 
--- a/src/raft/core.cpp
+++ b/src/raft/core.cpp
@@ -23,8 +23,8 @@
     // When all members restart together there is no leader to wait for, and pre-votes keep a member that
     // restarts alone from disturbing one; so the first timer is the shortest that still holds the vote back.
     reset_election_timer(now);
-    m_election_at = now + m_options.election_timeout_min +
-                    (m_election_at - now - m_options.election_timeout_min) / 3;
+    m_election_at =
+        now + m_options.election_timeout_min + (m_election_at - now - m_options.election_timeout_min) / 3;
 }
 
 void core::step(const message& input, time_point now)
