Let control members tell each other about leaving endpoints

Ruled out: the merge of lists (a leaving endpoint has the higher number), the lease. Change: a member passes such news on to the others, so that an entry hears it from any of them; members log what they acknowledge, entries log members lost and regained.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -1,5 +1,6 @@
 #include "control/control_service.h"
 
+#include "base/event_log.h"
 #include "base/log.h"
 #include "base/random.h"
 #include "node/control_client.h"
@@ -328,9 +329,17 @@
     co_return std::move(reply);
 }
 
+void control_service::log_call(const char* call, const std::string& subject, std::uint32_t status,
+                               const std::string& detail)
+{
+    event_log::write(
+        event::call_answeredT{{}, call, subject, status, detail, m_machine.config().current_revision()});
+}
+
 net::task<change_outcome> control_service::change(op::change_requestT request)
 {
     using channel = net::asio::experimental::concurrent_channel<void(net::error_code, change_outcome)>;
+    const std::string name = request.request_id;
     auto answers = std::make_shared<channel>(co_await net::asio::this_coro::executor, 1);
     net::asio::post(m_raft->strand(), [self = shared_from_this(), answers, request = std::move(request)] {
         const auto answer = [answers](change_outcome outcome) {
@@ -351,6 +360,8 @@
             [answer](const result<std::vector<std::uint8_t>>& committed) { answer(to_outcome(committed)); });
     });
     auto [failure, outcome] = co_await answers->async_receive(net::no_throw);
+    static constexpr std::array<std::uint32_t, 4> statuses{200, 400, 307, 503};
+    log_call("change", name, statuses[static_cast<std::size_t>(outcome.state)], outcome.message);
     co_return std::move(outcome);
 }
 
@@ -403,16 +414,37 @@
     co_return std::move(copy);
 }
 
+// Entries that have lost this member hear it from another one.
+void control_service::tell_members(const std::string& endpoint)
+{
+    const wire::announcementT* known = m_directory.find(endpoint);
+    if (known == nullptr) {
+        return;
+    }
+    wire::pollT news;
+    news.name = m_process.settings().name;
+    news.role = wire::role::control;
+    news.incarnation = m_process.self_incarnation();
+    news.announce = std::make_unique<wire::announcementT>(*known);
+    m_raft->tell_members(net::make_frame(std::move(news)));
+}
+
 // An endpoint that hears an acknowledgement counts on the entries to know; so it is given only while most of
 // them poll this member.
 bool control_service::take_announcement(const wire::announcementT& announcement, time_point now)
 {
     if (!m_polls.most_entries_listen(now)) {
+        log_call("announce", announcement.endpoint, 503, "too few entries poll this member");
         return false;
     }
     const bool taken = announcement.gone ? m_directory.announce_gone(announcement, now)
                                          : m_directory.announce(announcement, now);
     m_process.counters().add("verbena_control_announcements_total", {{"taken", taken ? "true" : "false"}});
+    if (announcement.leaving || announcement.gone) {
+        tell_members(announcement.endpoint);
+        log_call(announcement.gone ? "leave" : "drain", announcement.endpoint, 200,
+                 taken ? "acknowledged" : "older than what is known");
+    }
     return true;
 }
 
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -53,8 +53,11 @@
     net::task<void> expire_directory();
     net::task<void> hand_over();
     net::task<operator_reply> run_call(std::string call, std::string body);
+    void log_call(const char* call, const std::string& subject, std::uint32_t status,
+                  const std::string& detail);
     net::task<change_outcome> change(op::change_requestT request);
     published_copy copy_published(time_point now) const;
+    void tell_members(const std::string& endpoint);
     bool take_announcement(const wire::announcementT& announcement, time_point now);
 
     node::process& m_process;
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -159,6 +159,12 @@
     return items;
 }
 
+const wire::announcementT* directory::find(const std::string& endpoint) const
+{
+    const auto found = m_entries.find(endpoint);
+    return found == m_entries.end() ? nullptr : &found->second.announcement;
+}
+
 void directory::touch(const std::string& name, entry& changed)
 {
     m_changed_by_version.erase(changed.version);
--- a/src/control/directory.h
+++ b/src/control/directory.h
@@ -67,6 +67,9 @@
 
     std::vector<directory_item> list(time_point now) const;
 
+    // Null when the endpoint is not listed.
+    const wire::announcementT* find(const std::string& endpoint) const;
+
     std::size_t size() const { return m_entries.size(); }
     std::uint64_t version() const { return m_version; }
 
--- a/src/control/group_membership.cpp
+++ b/src/control/group_membership.cpp
@@ -185,6 +185,15 @@
     return reply;
 }
 
+void raft_host::tell_members(const wire::frameT& message)
+{
+    for (auto& [id, peer] : m_links) {
+        if (peer.stream && peer.stream->parent()->is_open()) {
+            peer.stream->send(message);
+        }
+    }
+}
+
 std::vector<std::string> raft_host::member_addresses() const
 {
     std::vector<std::string> addresses;
--- a/src/control/raft_host.cpp
+++ b/src/control/raft_host.cpp
@@ -1,5 +1,6 @@
 #include "control/raft_host.h"
 
+#include "base/event_log.h"
 #include "base/log.h"
 #include "base/random.h"
 #include "control/bootstrap.h"
@@ -142,6 +143,8 @@
             led = is_leader();
             const std::string term = std::to_string(m_replica->state().term());
             log::info(led ? "leading in term " + term : "no longer leading, term " + term);
+            event_log::write(event::member_stateT{
+                {}, led ? "leading" : "following", m_replica->state().term(), m_options.member_id, ""});
         }
         co_await net::sleep_for(tick_interval);
     }
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -73,6 +73,9 @@
     // Answers a process that asks to become a member; 0 when it has to ask again, here or at the leader.
     wire::join_replyT join(const wire::join_request& request);
 
+    // Sends a message to the other members that are connected, without waiting.
+    void tell_members(const wire::frameT& message);
+
     // Frame addresses of all members.
     std::vector<std::string> member_addresses() const;
 
--- a/src/node/control_client.cpp
+++ b/src/node/control_client.cpp
@@ -1,5 +1,7 @@
 #include "node/control_client.h"
 
+#include "base/event_log.h"
+
 namespace verbena::node {
 
 namespace {
@@ -29,6 +31,20 @@
 
 } // namespace
 
+namespace {
+
+// One line for each change, not for each poll.
+void note_member(const std::string& name, std::optional<bool>& answering, bool answers,
+                 const std::string& why)
+{
+    if (answering != answers) {
+        event_log::write(event::dependencyT{{}, "control " + name, answers ? "regained" : "lost", why});
+    }
+    answering = answers;
+}
+
+} // namespace
+
 void close_after(net::asio::steady_timer& timer, const std::shared_ptr<net::frame_stream>& stream,
                  milliseconds timeout)
 {
@@ -152,19 +168,24 @@
     std::shared_ptr<net::frame_stream> stream;
     time_point last_answer = clock::now();
     announced told;
+    std::optional<bool> answering;
     while (!m_stopping && is_wanted(name)) {
         const time_point begin = clock::now();
         if (!stream) {
             auto opened = co_await m_pool->open_stream(member, connect_timeout);
             if (opened) {
                 stream = opened.value();
+            } else {
+                note_member(name, answering, false, opened.error().message);
             }
         }
         if (stream) {
             const result<void> polled = co_await poll_once(member, stream, told);
             if (polled) {
                 last_answer = clock::now();
+                note_member(name, answering, true, "");
             } else {
+                note_member(name, answering, false, polled.error().message);
                 m_metrics.add("verbena_poll_failures_total", {{"member", name}});
                 stream->close(polled.error());
                 stream = nullptr;
