--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -9,7 +9,8 @@
 seconds="${SECONDS_EACH:-30}"
 jobs="${JOBS:-3}"
 targets=("$@")
-[ ${#targets[@]} -gt 0 ] || targets=(frame settings caller_request raft_record operator_json)
+[ ${#targets[@]} -gt 0 ] || targets=(frame settings caller_request raft_record operator_json
+    platform_configuration platform_check_in event_stream)
 out=build-fuzz
 mkdir -p "$out/objects"
 launcher=$(command -v ccache || true)
@@ -17,7 +18,9 @@
     '-DVERBENA_VERSION="fuzz"' -fsanitize=address,undefined,fuzzer-no-link -fno-sanitize-recover=undefined)
 sources=(src/base/error.cpp src/base/ini.cpp src/base/settings.cpp src/net/frame.cpp src/raft/record.cpp
     src/control/operator_json.cpp src/control/key_table.cpp src/control/validation.cpp
-    src/entry/caller_request.cpp src/node/config_view.cpp src/net/http_request.cpp)
+    src/entry/caller_request.cpp src/node/config_view.cpp src/net/http_request.cpp
+    src/route/table.cpp src/forward/event_reader.cpp platform/json_reader.cpp platform/configuration.cpp
+    platform/check_in.cpp)
 
 compile() { # source object flags...
     local source=$1 object=$2 standard=c++20
--- a/fuzz/targets.h
+++ b/fuzz/targets.h
@@ -3,8 +3,12 @@
 #include "base/settings.h"
 #include "control/operator_json.h"
 #include "entry/caller_request.h"
+#include "forward/event_reader.h"
 #include "net/frame.h"
+#include "platform/check_in.h"
+#include "platform/configuration.h"
 #include "raft/record.h"
+#include "route/table.h"
 
 #include <boost/endian/conversion.hpp>
 
@@ -73,6 +77,50 @@
     }
 }
 
+// A configuration of the users' platform. A refusal names what is wrong; what is accepted can be indexed or
+// is refused with a reason.
+inline void run_platform_configuration(input data)
+{
+    auto decoded = platform::configuration_codec().decode(text_of(data));
+    if (!decoded) {
+        require(!decoded.error().message.empty() && !decoded.error().remedy.empty());
+        return;
+    }
+    const auto table = route::table::create(std::move(decoded.value()));
+    require(table ? table.value() != nullptr : !table.error().message.empty());
+}
+
+// Check-ins of the users' platform: the id in the first line, the body behind it.
+inline void run_platform_check_in(input data)
+{
+    std::string_view rest = text_of(data);
+    const std::string_view endpoint = take_line(rest);
+    const auto value = platform::read_check_in(endpoint, rest);
+    require(value ? !value.value().endpoint.empty() : !value.error().message.empty());
+    const auto leave = platform::read_leave(endpoint, rest);
+    require(leave ? leave.value().gone : !leave.error().message.empty());
+}
+
+// A stream of events: nothing is lost, and the pieces do not depend on how the bytes arrive.
+inline void run_event_stream(input data)
+{
+    forward::event_reader whole;
+    forward::event_reader bytes;
+    std::string joined;
+    std::string joined_bytes;
+    whole.feed(text_of(data));
+    while (auto event = whole.next()) {
+        joined += event->text;
+    }
+    for (const char byte : text_of(data)) {
+        bytes.feed({&byte, 1});
+        while (auto event = bytes.next()) {
+            joined_bytes += event->text;
+        }
+    }
+    require(joined == joined_bytes && joined.size() + whole.rest() == data.size());
+}
+
 // An INI settings file. A refusal must say what is wrong.
 inline void run_settings(input data)
 {
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -144,7 +144,10 @@
     while (m_http->active() != 0) {
         co_await net::sleep_for(milliseconds(20));
     }
-    log::info("stopped");
+    m_frames->stop_accepting();
+    co_await net::sleep_for(milliseconds(20));
+    event_log::write(
+        event::process_stateT{{}, "control", m_process.settings().name, "stopped", VERBENA_VERSION, ""});
     m_process.finish();
 }
 
@@ -256,8 +259,8 @@
         answer_poll(stream, *poll);
     } else if (const wire::freshness_query* query = frame.message_as_freshness_query()) {
         answer_freshness(stream, *query);
-    } else if (const wire::join_request* request = frame.message_as_join_request()) {
-        stream->send(net::make_frame(m_raft->join(*request)));
+    } else if (const wire::join_request* asked = frame.message_as_join_request()) {
+        stream->send(net::make_frame(m_raft->join(*asked)));
     } else if (const wire::key_bind* bind = frame.message_as_key_bind()) {
         wire::key_bindT request;
         bind->UnPackTo(&request);
--- a/src/control/poll_service.h
+++ b/src/control/poll_service.h
@@ -33,7 +33,7 @@
     // Address of the leader for other processes; empty when unknown.
     std::string leader;
     // Frame addresses of all members.
-    std::vector<std::string> members;
+    std::vector<std::string> members{};
 };
 
 // Token bucket for loads from the weight store. A grant may take the bucket below zero, so that a load larger
--- a/test/fuzz_corpus_test.cpp
+++ b/test/fuzz_corpus_test.cpp
@@ -59,4 +59,19 @@
     run_corpus("operator_json", fuzz::run_operator_json);
 }
 
+BOOST_AUTO_TEST_CASE(platform_configuration)
+{
+    run_corpus("platform_configuration", fuzz::run_platform_configuration);
+}
+
+BOOST_AUTO_TEST_CASE(platform_check_in)
+{
+    run_corpus("platform_check_in", fuzz::run_platform_check_in);
+}
+
+BOOST_AUTO_TEST_CASE(event_stream)
+{
+    run_corpus("event_stream", fuzz::run_event_stream);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/platform_adapter_test.cpp
@@ -0,0 +1,181 @@
+#include "platform/check_in.h"
+#include "platform/configuration.h"
+#include "platform/dialect.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace verbena;
+using namespace std::chrono_literals;
+
+namespace {
+
+const char* const sample = R"({"version":7,
+  "routes":[{"name":"r1","host":"h.example","path_prefix":"/a/","kind":"stream","timeout_ms":10000,"slo_ms":300,
+    "priority":1,"split":[{"backend":"s1","weight":90},{"backend":"s2","weight":10}],"max_attempts":2,
+    "public":false,"sticky":true,"resumable":true,"gap_target_ms":250},
+   {"name":"r2","host":"h.example","path_prefix":"/b/","kind":"unsafe","timeout_ms":0.4,"backend":"s2"}],
+  "backends":[{"name":"s1","health_path":"/healthz","max_conns":234,"cold_s":3.0,"cold_per_s":26.0,
+    "engine":{"slots":16,"kv_capacity":232000,"stride":43,"step_ms":1.02,"per_seq_ms":0.00226,
+      "context_per_k":0.00431,"read_per_s":206000.0,"pairs_per_m":0.138,"chunk":2048,"hop_ms":0.075}},
+   {"name":"s2"}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+  "tenants":[{"name":"t1","api_keys":["k1"],"priority":1}],"news":{"ignored":true}})";
+
+result<route::document> decode(std::string text)
+{
+    return platform::configuration_codec().decode(text);
+}
+
+std::string with(const std::string& part, const std::string& replacement)
+{
+    std::string text = sample;
+    text.replace(text.find(part), part.size(), replacement);
+    return text;
+}
+
+std::string error_of(const std::string& text)
+{
+    const auto decoded = decode(text);
+    return decoded ? std::string() : decoded.error().message;
+}
+
+net::http_request caller_request(const net::http_header_list& headers)
+{
+    net::http_request request;
+    request.method = "POST";
+    request.target = "/a/1?x=2";
+    request.body = "body";
+    for (const auto& [name, value] : headers) {
+        request.headers.insert(name, value);
+    }
+    return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_adapter)
+
+BOOST_AUTO_TEST_CASE(reads_a_configuration)
+{
+    const auto decoded = decode(sample);
+    BOOST_TEST_REQUIRE(decoded.has_value());
+    const route::document& value = decoded.value();
+    BOOST_TEST(value.version == 7U);
+    BOOST_TEST(value.routes.size() == 2U);
+    BOOST_TEST((value.routes[0].kind == route::request_kind::stream));
+    BOOST_TEST((value.routes[0].pause == 250ms));
+    BOOST_TEST(value.routes[0].shares[1].weight == 10U);
+    // A fraction of a millisecond is a time-out all the same.
+    BOOST_TEST((value.routes[1].timeout == 1ms));
+    BOOST_TEST(value.services[0].engine->read_tokens_per_ms == 206.0);
+    BOOST_TEST(!value.services[1].engine.has_value());
+    BOOST_TEST(value.teams[0].priority.value() == 1U);
+    BOOST_TEST((value.limits.idle_timeout == 15s));
+}
+
+// Guards against fields that are taken for a default: each error names the path of the field.
+BOOST_AUTO_TEST_CASE(names_the_path_of_a_wrong_field)
+{
+    BOOST_TEST(error_of(with("\"weight\":10", "\"weight\":-1")) ==
+               "routes.0.split.1.weight is not a whole number from 0");
+    BOOST_TEST(error_of(with("\"host\":\"h.example\",\"path_prefix\":\"/b/\"", "\"path_prefix\":\"/b/\"")) ==
+               "routes.1.host is missing");
+    BOOST_TEST(error_of(with("\"api_keys\":[\"k1\"]", "\"api_keys\":[1]")) ==
+               "tenants.0.api_keys is not a text");
+    BOOST_TEST(error_of(with("\"public\":false", "\"public\":\"no\"")) ==
+               "routes.0.public is neither true nor false");
+    BOOST_TEST(error_of(with("\"version\":7", "\"version\":\"7\"")) ==
+               "version is not a whole number from 0");
+    BOOST_TEST(error_of("[1]") == "the body is not a JSON object");
+    BOOST_TEST(!error_of(std::string(sample).substr(0, 200)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(reads_check_ins)
+{
+    const auto value = platform::read_check_in(
+        "i-1", R"({"backend":"s1","addr":"10.1.0.9:8080","zone":"z","slots":16,"state":"draining",
+                   "cold_left_ms":1200.5,"seq":4,"born":1700000000000})");
+    BOOST_TEST_REQUIRE(value.has_value());
+    BOOST_TEST(value.value().leaving);
+    BOOST_TEST(value.value().cold_ms == 1200U);
+    BOOST_TEST(value.value().born_ms == 1'700'000'000'000U);
+    BOOST_TEST(!platform::read_check_in("a/b", "{}").has_value());
+    BOOST_TEST(platform::read_leave("i-1", "").value().gone);
+}
+
+// Guards the headers of an endpoint's request: the caller's key and its word on headers of ours never pass.
+BOOST_AUTO_TEST_CASE(writes_the_head_of_an_endpoint_request)
+{
+    const platform::http_dialect words;
+    const auto request = caller_request({{"Host", "h.example"},
+                                         {"Request-Id", "r1"},
+                                         {"Authorization", "Bearer secret"},
+                                         {"Tenant", "forged"},
+                                         {"Expect-Runner", "forged"},
+                                         {"Connection", "keep-alive"},
+                                         {"Transfer-Encoding", "chunked"},
+                                         {"X-Own", "kept"}});
+    forward::endpoint_terms terms;
+    terms.endpoint = "i-1";
+    terms.team = "t1";
+    terms.time_left = 1234ms;
+    terms.last_event = 12;
+    terms.helpers = {{{"10.0.0.1", 80}, "t81"}, {{"10.0.0.2", 81}, ""}};
+    const std::string head = words.endpoint_head(request, terms);
+    BOOST_TEST(head.starts_with("POST /a/1?x=2 HTTP/1.1\r\n"));
+    for (const char* line :
+         {"Host: h.example\r\n", "Request-Id: r1\r\n", "X-Own: kept\r\n", "Request-Deadline: 1234\r\n",
+          "Expect-Runner: i-1\r\n", "Tenant: t1\r\n", "Last-Event-Id: 12\r\n",
+          "Helpers: 10.0.0.1:80/t81,10.0.0.2:81\r\n", "Content-Length: 4\r\n"}) {
+        BOOST_TEST(head.find(line) != std::string::npos, line);
+    }
+    for (const char* text : {"secret", "forged", "keep-alive", "chunked"}) {
+        BOOST_TEST(head.find(text) == std::string::npos, text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(reads_what_callers_say)
+{
+    const platform::http_dialect words;
+    const auto terms = words.read_request(caller_request({{"Request-Id", "r1"},
+                                                          {"Authorization", "Bearer k1"},
+                                                          {"Token-Count", "1460,80"},
+                                                          {"Length-Hint", "60"},
+                                                          {"Request-Deadline", "10000"},
+                                                          {"Last-Event-Id", "12"}}));
+    BOOST_TEST_REQUIRE(terms.has_value());
+    BOOST_TEST(terms.value().key == "k1");
+    BOOST_TEST(terms.value().prompt_tokens == 1460U);
+    BOOST_TEST(terms.value().output_tokens == 60U);
+    BOOST_TEST((terms.value().patience == 10s));
+    BOOST_TEST(terms.value().last_event.value() == 12U);
+    BOOST_TEST(!words.read_request(caller_request({})).has_value());
+    BOOST_TEST(
+        !words.read_request(caller_request({{"Request-Id", "r"}, {"Request-Deadline", "soon"}})).has_value());
+    BOOST_TEST(
+        !words.read_request(caller_request({{"Request-Id", "r"}, {"Token-Count", "1,2,3"}})).has_value());
+}
+
+// Guards the proof of "not run": only the endpoint's own word and a wrong address count.
+BOOST_AUTO_TEST_CASE(reads_answers)
+{
+    const platform::http_dialect words;
+    net::http_fields fields;
+    fields.insert("Request-Id", "r1");
+    BOOST_TEST(!words.read_answer(503, fields).not_run);
+    BOOST_TEST(words.read_answer(421, fields).not_run);
+    BOOST_TEST(words.read_answer(421, fields).misdirected);
+    fields.insert("Not-Run", "1");
+    BOOST_TEST(words.read_answer(503, fields).not_run);
+    fields.insert("Runner-Seal", "x");
+    fields.insert("Content-Type", "text/event-stream");
+    fields.insert("Keep-Alive", "timeout=5");
+    const forward::answer_terms terms = words.read_answer(200, fields);
+    BOOST_TEST(terms.sealed);
+    BOOST_TEST(terms.content_type == "text/event-stream");
+    for (const auto& [name, value] : terms.headers) {
+        BOOST_TEST(name != "Keep-Alive");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/platform_fixture.cpp
@@ -0,0 +1,317 @@
+#include "platform_fixture.h"
+
+#include "platform/configuration.h"
+#include "platform/dialect.h"
+#include "platform/names.h"
+#include "platform/operator_front.h"
+
+#include <boost/json/parse.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <unistd.h>
+
+using namespace verbena;
+
+namespace {
+
+constexpr std::size_t member_count = 3;
+constexpr std::size_t entry_count = 2;
+
+std::uint16_t free_port()
+{
+    net::asio::io_context io;
+    net::tcp::acceptor acceptor(io, net::tcp::endpoint(net::asio::ip::make_address("127.0.0.1"), 0));
+    return acceptor.local_endpoint().port();
+}
+
+std::string local(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+// Processes end without running the destructors of suspended coroutines, and so do members and entries here.
+template <typename Part>
+void keep(Part part)
+{
+    static auto* kept = new std::vector<Part>;
+    kept->push_back(std::move(part));
+}
+
+} // namespace
+
+platform_deployment::platform_deployment()
+{
+    m_members.resize(member_count);
+    m_entries.resize(entry_count);
+    for (member& value : m_members) {
+        std::string pattern = (std::filesystem::temp_directory_path() / "verbena-platform-XXXXXX").string();
+        BOOST_TEST_REQUIRE(mkdtemp(pattern.data()) != nullptr);
+        value.folder = pattern;
+        value.frames = free_port();
+        value.calls = free_port();
+    }
+    for (std::size_t i = 0; i < member_count; ++i) {
+        start_member(i, true);
+    }
+    for (std::size_t i = 0; i < entry_count; ++i) {
+        start_entry(i);
+    }
+    add_runner("model-a", "model", "domain-a");
+    add_runner("model-b", "model", "domain-b");
+    add_runner("desk-a", "desk", "domain-a");
+    add_runner("desk-b", "desk", "domain-b");
+}
+
+platform_deployment::~platform_deployment()
+{
+    for (const auto& [id, value] : m_runners) {
+        value->stop();
+    }
+    for (entry& value : m_entries) {
+        value.process->finish();
+        value.worker->join();
+        keep(std::move(value.process));
+    }
+    for (std::size_t i = 0; i < m_members.size(); ++i) {
+        stop_member(i);
+        std::filesystem::remove_all(m_members[i].folder);
+    }
+    m_threads.stop();
+}
+
+std::string platform_deployment::seeds() const
+{
+    std::string text;
+    for (const member& value : m_members) {
+        text += (text.empty() ? "" : ",") + local(value.frames);
+    }
+    return text;
+}
+
+void platform_deployment::start_member(std::size_t index, bool first)
+{
+    member& value = m_members[index];
+    settings::node_settingsT node;
+    node.name = "control-" + std::to_string(index);
+    node.cluster = "test";
+    node.workers = 1;
+    node.control = seeds();
+    auto process = node::process::create(node);
+    BOOST_TEST_REQUIRE(process.has_value());
+    value.process = std::move(process.value());
+    settings::control_settingsT control;
+    control.listen = local(value.frames);
+    control.operator_listen = local(value.calls);
+    control.data = value.folder;
+    control.member_id = 0;
+    control.bootstrap = first ? "true" : "false";
+    auto service = control::control_service::create(
+        *value.process, control, false,
+        std::make_shared<platform::operator_front>(std::make_shared<const platform::configuration_codec>()));
+    BOOST_TEST_REQUIRE(service.has_value());
+    value.service = service.value();
+    value.service->start();
+    value.worker = std::make_unique<std::thread>([running = value.process.get(), stopped = value.service] {
+        running->run([stopped] { stopped->stop(); });
+    });
+}
+
+void platform_deployment::stop_member(std::size_t index, bool at_once)
+{
+    member& value = m_members[index];
+    if (at_once) {
+        value.process->finish();
+    }
+    value.worker->join();
+    keep(std::move(value.process));
+    keep(std::move(value.service));
+}
+
+void platform_deployment::start_entry(std::size_t index)
+{
+    entry& value = m_entries[index];
+    value.port = free_port();
+    settings::node_settingsT node;
+    node.name = "entry-" + std::to_string(index);
+    node.cluster = "test";
+    node.workers = 1;
+    node.failure_domain = "domain-a";
+    node.control = seeds();
+    auto process = node::process::create(node);
+    BOOST_TEST_REQUIRE(process.has_value());
+    value.process = std::move(process.value());
+    settings::entry_settingsT settings;
+    settings.listen = local(value.port);
+    settings.peer_listen = local(free_port());
+    settings.front = "routed";
+    const forward::platform_words words{std::make_shared<const platform::configuration_codec>(),
+                                        std::make_shared<const platform::http_dialect>()};
+    auto service = forward::forward_service::create(*value.process, settings, words);
+    BOOST_TEST_REQUIRE(service.has_value());
+    value.service = service.value();
+    value.service->start();
+    value.worker = std::make_unique<std::thread>([running = value.process.get()] { running->run([] {}); });
+    keep(value.service);
+}
+
+void platform_deployment::add_runner(const std::string& id, const std::string& service,
+                                     const std::string& domain)
+{
+    standin::runner_options options;
+    options.id = id;
+    options.service = service;
+    options.failure_domain = domain;
+    options.listen = {"127.0.0.1", 0};
+    options.streams = service == "model";
+    auto made = standin::platform_runner::create(m_threads.io, options);
+    BOOST_TEST_REQUIRE(made.has_value());
+    made.value()->start();
+    m_runners[id] = made.value();
+}
+
+host_port platform_deployment::control_address(std::size_t index) const
+{
+    return {"127.0.0.1", m_members.at(index).calls};
+}
+
+platform_deployment::answer platform_deployment::fetch(host_port address, net::http_call sent)
+{
+    const std::function<net::task<answer>()> body = [address, sent]() -> net::task<answer> {
+        answer found;
+        auto opened =
+            co_await net::open_http(address, sent, std::chrono::seconds(2), std::chrono::seconds(15));
+        if (!opened) {
+            co_return found;
+        }
+        for (const char* name : {"Location", "Retry-After", "Runner-Seal", "Request-Id"}) {
+            found.headers[name] = opened.value()->header(name);
+        }
+        while (true) {
+            const result<std::string> piece = co_await opened.value()->read_some(std::chrono::seconds(15));
+            if (!piece) {
+                co_return found;
+            }
+            if (piece.value().empty()) {
+                break;
+            }
+            found.body += piece.value();
+        }
+        found.status = opened.value()->status();
+        co_return found;
+    };
+    return m_threads.run<answer>(body);
+}
+
+platform_deployment::answer platform_deployment::request(const call& what, std::size_t through)
+{
+    net::http_call sent;
+    sent.method = what.method;
+    sent.target = what.path;
+    sent.body = what.body;
+    sent.headers.emplace_back(std::string(platform::names::request_id),
+                              "r" + std::to_string(m_next_request++));
+    sent.headers.emplace_back(std::string(platform::names::deadline), std::to_string(what.deadline.count()));
+    if (!what.key.empty()) {
+        sent.headers.emplace_back(std::string(platform::names::authorization), "Bearer " + what.key);
+    }
+    if (!what.tokens.empty()) {
+        sent.headers.emplace_back(std::string(platform::names::tokens), what.tokens);
+    }
+    if (!what.last_event.empty()) {
+        sent.headers.emplace_back(std::string(platform::names::last_event), what.last_event);
+    }
+    return fetch({"127.0.0.1", m_entries.at(through).port}, std::move(sent));
+}
+
+platform_deployment::answer platform_deployment::control(const std::string& method, const std::string& path,
+                                                         const std::string& body, std::size_t index)
+{
+    net::http_call sent;
+    sent.method = method;
+    sent.target = path;
+    sent.body = body;
+    answer found = fetch(control_address(index), sent);
+    if (found.status == 307) {
+        const std::string location = found.headers["Location"];
+        const std::string rest = location.substr(std::string("http://").size());
+        const result<host_port> address = parse_host_port(rest.substr(0, rest.find('/')));
+        BOOST_TEST_REQUIRE(address.has_value());
+        found = fetch(address.value(), sent);
+    }
+    return found;
+}
+
+std::string platform_deployment::configuration(std::uint64_t version, const std::string& keys)
+{
+    // The tests' host is what the HTTP client sends.
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+        {"name":"r-model","host":"127.0.0.1","path_prefix":"/model/","kind":"stream","timeout_ms":6000,
+         "slo_ms":1000,"priority":1,"backend":"model","max_attempts":2,"sticky":true,"resumable":true,
+         "gap_target_ms":300},
+        {"name":"r-once","host":"127.0.0.1","path_prefix":"/once/","kind":"unsafe","timeout_ms":1500,"slo_ms":300,
+         "priority":1,"backend":"desk","max_attempts":1},
+        {"name":"r-safe","host":"127.0.0.1","path_prefix":"/safe/","kind":"safe","timeout_ms":3000,"slo_ms":300,
+         "priority":1,"backend":"desk","max_attempts":2}],
+        "backends":[{"name":"model","health_path":"/healthz","max_conns":100,"cold_s":0,"cold_per_s":0,
+          "engine":{"slots":16,"kv_capacity":232000,"stride":43,"step_ms":1.02,"per_seq_ms":0.00226,
+                    "context_per_k":0.00431,"read_per_s":206000,"pairs_per_m":0.138,"chunk":2048,"hop_ms":0.075}},
+         {"name":"desk","health_path":"/healthz","max_conns":100}],
+        "limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+        "tenants":[{"name":"clerks","api_keys":[)" +
+           keys + R"(],"priority":1}]})";
+}
+
+void platform_deployment::check_in_all()
+{
+    for (const auto& [id, value] : m_runners) {
+        const std::function<net::task<unsigned>()> tell = [runner = value, this]() -> net::task<unsigned> {
+            co_return co_await runner->check_in(control_address(1), "ready");
+        };
+        BOOST_TEST_REQUIRE(eventually([&] { return m_threads.run<unsigned>(tell) == 200; }));
+    }
+}
+
+void platform_deployment::serve()
+{
+    BOOST_TEST_REQUIRE(eventually([this] {
+        return control("POST", std::string(platform::names::publish), configuration(1)).status == 200;
+    }));
+    check_in_all();
+    for (std::size_t i = 0; i < entry_count; ++i) {
+        for (const char* path : {"/model/1", "/safe/1"}) {
+            call probe;
+            probe.path = path;
+            BOOST_TEST_REQUIRE(eventually([&] { return request(probe, i).status == 200; }));
+        }
+    }
+}
+
+void platform_deployment::lose_disk(std::size_t index)
+{
+    // A planned stop frees the addresses, which the member comes back to.
+    m_members[index].service->stop();
+    stop_member(index, false);
+    std::filesystem::remove_all(m_members[index].folder);
+    std::filesystem::create_directory(m_members[index].folder);
+    start_member(index, false);
+}
+
+std::size_t platform_deployment::voters(std::size_t index)
+{
+    const answer status = control("POST", "/operator/v1/status", "{}", index);
+    if (status.status != 200) {
+        return 0;
+    }
+    std::size_t count = 0;
+    const boost::json::value parsed = boost::json::parse(status.body);
+    const auto* members = parsed.get_object().if_contains("members");
+    if (members == nullptr) {
+        return 0;
+    }
+    for (const boost::json::value& item : members->get_array()) {
+        const auto* learner = item.get_object().if_contains("learner");
+        count += learner == nullptr || !learner->get_bool() ? 1 : 0;
+    }
+    return count;
+}
--- /dev/null
+++ b/test/platform_fixture.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "control/control_service.h"
+#include "forward/forward_service.h"
+#include "net_fixture.h"
+#include "standin/platform_runner.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+// A deployment as the users' platform has it, in one process on loopback: three control members that form
+// their group from seeds, two entries and stand-in runners of two services.
+class platform_deployment {
+public:
+    platform_deployment();
+    platform_deployment(const platform_deployment&) = delete;
+    platform_deployment& operator=(const platform_deployment&) = delete;
+    ~platform_deployment();
+
+    struct answer {
+        unsigned status = 0; // 0: the connection ended without a whole answer
+        std::string body;
+        std::map<std::string, std::string> headers;
+    };
+
+    struct call {
+        std::string method = "POST";
+        std::string path = "/model/1";
+        std::string body = "prompt";
+        std::string key = "key-clerks";
+        std::string tokens = "1000,100";
+        std::string last_event;
+        std::chrono::milliseconds deadline{5'000};
+    };
+
+    // A caller's request through an entry.
+    answer request(const call& what, std::size_t through = 0);
+
+    // A call to a control member; follows redirections.
+    answer control(const std::string& method, const std::string& path, const std::string& body,
+                   std::size_t index = 0);
+
+    // The configuration that the tests publish, with a version; `extra` is put into the list of teams.
+    static std::string configuration(std::uint64_t version, const std::string& keys = "\"key-clerks\"");
+
+    // Publishes version 1 and checks all runners in.
+    void serve();
+
+    // Repeats the runners' check-ins as "ready".
+    void check_in_all();
+
+    verbena::standin::platform_runner& runner(const std::string& id) { return *m_runners.at(id); }
+    std::size_t requests_at(const std::string& id) { return m_runners.at(id)->requests().size(); }
+    verbena::host_port control_address(std::size_t index) const;
+
+    // Ends a member, empties its folder and starts it again at the same address.
+    void lose_disk(std::size_t index);
+
+    // Members that the group lists as voters, as the member at this index sees it.
+    std::size_t voters(std::size_t index);
+
+    net_threads& threads() { return m_threads; }
+
+private:
+    struct member {
+        std::unique_ptr<verbena::node::process> process;
+        std::shared_ptr<verbena::control::control_service> service;
+        std::unique_ptr<std::thread> worker;
+        std::string folder;
+        std::uint16_t frames = 0;
+        std::uint16_t calls = 0;
+    };
+    struct entry {
+        std::unique_ptr<verbena::node::process> process;
+        std::shared_ptr<verbena::forward::forward_service> service;
+        std::unique_ptr<std::thread> worker;
+        std::uint16_t port = 0;
+    };
+
+    std::string seeds() const;
+    void start_member(std::size_t index, bool first);
+    void stop_member(std::size_t index, bool at_once = true);
+    void start_entry(std::size_t index);
+    void add_runner(const std::string& id, const std::string& service, const std::string& domain);
+    answer fetch(verbena::host_port address, verbena::net::http_call call);
+
+    net_threads m_threads;
+    std::vector<member> m_members;
+    std::vector<entry> m_entries;
+    std::map<std::string, std::shared_ptr<verbena::standin::platform_runner>> m_runners;
+    std::uint64_t m_next_request = 1;
+};
--- a/test/raft_replica_test.cpp
+++ b/test/raft_replica_test.cpp
@@ -165,9 +165,10 @@
     request.kind = message_kind::pre_vote_request;
     node.step(request);
     BOOST_TEST(node.network.sent.back().reject); // a leader may have been heard just before the restart
-    node.now += milliseconds(600);
+    const milliseconds held = raft::options{}.election_timeout_min;
+    node.now += held + milliseconds(100);
     node.step(append_request(2, 1, {}));
-    node.now += milliseconds(499);
+    node.now += held - milliseconds(1);
     node.step(request);
     BOOST_TEST(node.network.sent.back().reject);
     node.now += milliseconds(1);
