Trace one request through the logs; let a begun answer be resumed at others' cost

Change: the reason is logged for begun answers too; they are exempt from the harm bound; verbenaproxy trace prints one request's story.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -225,7 +225,7 @@
     const auto placed = policy::place(request.model, cost, candidates, now, options);
     dispatch_result outcome;
     // Memory becomes free, and writers end: what cannot be placed well now often can a little later.
-    const bool harmful = placed && placed->harm > request.model.value;
+    const bool harmful = placed && !request.begun && placed->harm > request.model.value;
     if (!placed || harmful) {
         outcome.refusal.why =
             harmful ? dispatch_refusal::reason::too_harmful : dispatch_refusal::reason::too_large;
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -31,6 +31,7 @@
     bool alone = false;             // no other endpoint may read parts of the prompt
     std::uint64_t waiting_as = 0;   // number under which the request waits; 0 = it has not waited
     bool may_wait = true;           // it has not waited for the whole of its objective yet
+    bool begun = false;             // the caller has a part of the answer, which is lost without the rest
 };
 
 // Where a request goes; the first endpoint answers.
--- a/src/forward/request_run.cpp
+++ b/src/forward/request_run.cpp
@@ -161,6 +161,7 @@
         const time_point now = clock::now();
         dispatch_request request = to_dispatch(now);
         request.waiting_as = waiting_as;
+        request.begun = m_answer.started;
         request.may_wait = now < m_request.arrived + m_request.route->objective;
         found = m_context.endpoints.dispatch(request, now);
         if (m_left || found.wait == milliseconds::zero()) {
@@ -571,6 +572,7 @@
 net::task<void> request_run::refuse_dispatch(const dispatch_refusal& refusal)
 {
     if (m_answer.started) {
+        log_refusal(0, to_string(refusal.why), milliseconds::zero(), refusal.predicted);
         count_end("broken", 0);
         co_return;
     }
@@ -585,12 +587,9 @@
     co_await refuse(503, to_string(refusal.why), return_time(refusal, clock::now()));
 }
 
-net::task<void> request_run::refuse(unsigned status, const std::string& reason, milliseconds retry_after)
+void request_run::log_refusal(unsigned status, const std::string& reason, milliseconds retry_after,
+                              milliseconds predicted)
 {
-    if (m_answer.started || m_left) {
-        count_end(m_left ? "caller_left" : "broken", 0);
-        co_return;
-    }
     const time_point now = clock::now();
     event::refusedT line;
     line.request = m_request.terms.id;
@@ -600,11 +599,21 @@
     line.reason = reason;
     line.retry_after_ms = to_u32(retry_after);
     line.usable = static_cast<std::uint32_t>(m_context.endpoints.usable(m_request.service->name, now));
+    line.predicted_ms = to_u32(predicted);
     line.attempts = m_attempts;
     line.may_have_run = m_may_have_run;
     line.config_version = m_request.config_version;
     line.config_age_ms = to_u32(m_request.config_age);
     event_log::write(line);
+}
+
+net::task<void> request_run::refuse(unsigned status, const std::string& reason, milliseconds retry_after)
+{
+    if (m_answer.started || m_left) {
+        count_end(m_left ? "caller_left" : "broken", 0);
+        co_return;
+    }
+    log_refusal(status, reason, retry_after, milliseconds::zero());
     m_context.counters.add("verbena_forward_refusals_total",
                            {{"team", m_request.team}, {"route", m_request.route->name}, {"reason", reason}});
     net::http_response response = m_context.words.refusal(
--- a/src/forward/request_run.h
+++ b/src/forward/request_run.h
@@ -102,6 +102,8 @@
     // Whether one more attempt may be made after one that ended like this.
     bool may_retry(attempt_end end, time_point now);
     net::task<void> finish(attempt_end end);
+    void log_refusal(unsigned status, const std::string& reason, milliseconds retry_after,
+                     milliseconds predicted);
     net::task<void> refuse(unsigned status, const std::string& reason, milliseconds retry_after);
     net::task<void> refuse_dispatch(const dispatch_refusal& refusal);
     milliseconds return_time(const dispatch_refusal& refusal, time_point now);
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -21,6 +21,8 @@
     "  verbenaproxy control --config FILE [--check] [--init]\n"
     "  verbenaproxy ctl [--members HOST:PORT,...] <call> [field=value ... | JSON | @file]\n"
     "  verbenaproxy ctl help [call]\n"
+    "  verbenaproxy trace REQUEST-ID [LOG...]   prints one request's story, for example: trace 9c41d07b "
+    "entry-*.log\n"
     "  verbenaproxy demo [--folder DIR] [--binaries DIR]   prints a script, starts nothing";
 
 int wrong_use()
@@ -38,6 +40,12 @@
     if (role == "ctl") {
         return verbena::run_ctl({arguments.begin() + 1, arguments.end()}, FLAGS_members);
     }
+    if (role == "trace") {
+        if (arguments.size() < 2) {
+            return wrong_use();
+        }
+        return verbena::print_trace(arguments[1], {arguments.begin() + 2, arguments.end()});
+    }
     if (role == "demo") {
         return verbena::print_demo(FLAGS_folder, FLAGS_binaries);
     }
--- a/src/main/roles.h
+++ b/src/main/roles.h
@@ -15,4 +15,7 @@
 // Prints a script that starts a small deployment in `folder` with the stand-ins; starts nothing itself.
 int print_demo(const std::string& folder, const std::string& binaries);
 
+// Prints the story of one request from structured logs, read from files or, without any, from standard input.
+int print_trace(const std::string& id, const std::vector<std::string>& files);
+
 } // namespace verbena
--- a/test/forward_fleet_test.cpp
+++ b/test/forward_fleet_test.cpp
@@ -136,6 +136,49 @@
     BOOST_TEST(sent == 2U);
 }
 
+// A prompt that would cost those present more than its own value waits and is then refused, but not when a
+// part of its answer has been delivered.
+BOOST_FIXTURE_TEST_CASE(does_not_harm_others_for_less, fleet_fixture)
+{
+    route::service_rule model;
+    model.name = "desk";
+    model.engine = route::engine_rule{16, 232'000, 43, 1.02, 0.00226, 0.00431, 206, 0.138, 2048, 0.075};
+    wire::load_notesT notes;
+    notes.incarnation = 9;
+    std::uint64_t number = 0;
+    for (const char* endpoint : {"e1", "e2"}) {
+        for (int i = 0; i < 8; ++i) {
+            wire::dispatch_noteT note;
+            note.number = ++number;
+            note.endpoint = endpoint;
+            note.first_event_ms = 300;
+            note.pause_ms = 250;
+            note.value = 100;
+            note.phase = 1;
+            note.parts = 1;
+            notes.notes.push_back(std::make_unique<wire::dispatch_noteT>(note));
+        }
+    }
+    notes.whole = true;
+    fleet.apply_notes(notes, clock::now());
+    forward::dispatch_request value;
+    value.service = &model;
+    value.time_left = 60s;
+    value.model.prompt_tokens = 150'000;
+    value.model.output_tokens = 700;
+    value.model.objective = 2'500ms;
+    value.model.pause = 1s;
+    value.model.patience = 60s;
+    value.model.value = 150;
+    BOOST_TEST((fleet.dispatch(value, clock::now()).wait > 0ms));
+    value.may_wait = false;
+    const auto refused = fleet.dispatch(value, clock::now());
+    BOOST_TEST(!refused.choice.has_value());
+    BOOST_TEST((refused.refusal.why == forward::dispatch_refusal::reason::too_harmful));
+    value.begun = true;
+    BOOST_TEST(fleet.dispatch(value, clock::now()).choice.has_value());
+}
+
 // Guards the common view: each step is told, another entry's work counts, and ends with that entry.
 BOOST_FIXTURE_TEST_CASE(shares_work_between_entries, fleet_fixture)
 {
