--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -220,9 +220,7 @@
         candidate.takes_parts = state->load.parts() < state->info.slots && candidate.failure_share < 0.2;
         candidates.push_back(candidate);
     }
-    policy::placement_options options;
-    options.most_parts = request.alone ? 1 : options.most_parts;
-    const auto placed = policy::place(request.model, cost, candidates, now, options);
+    const auto placed = policy::place(request.model, cost, candidates, now);
     dispatch_result outcome;
     // Memory becomes free, and writers end: what cannot be placed well now often can a little later.
     const bool harmful = placed && !request.begun && placed->harm > request.model.value;
@@ -230,7 +228,7 @@
         outcome.refusal.why =
             harmful ? dispatch_refusal::reason::too_harmful : dispatch_refusal::reason::too_large;
         const std::uint64_t needed = std::uint64_t{request.model.prompt_tokens} + request.model.output_tokens;
-        const bool possible = needed <= cost.rule().memory_tokens * candidates.size() && !request.alone;
+        const bool possible = needed <= cost.rule().memory_tokens * candidates.size();
         outcome.wait = possible && request.may_wait ? longest_wait : milliseconds::zero();
         return outcome;
     }
@@ -521,6 +519,19 @@
     return policy::engine_cost(engine).pass_ms(load.writers(), load.context_tokens());
 }
 
+std::string fleet::name_at(const std::string& address) const
+{
+    const std::lock_guard lock(m_mutex);
+    const endpoint_state* newest = nullptr;
+    for (const auto& [name, state] : m_endpoints) {
+        if (state.info.address == address &&
+            (newest == nullptr || state.info.born_ms > newest->info.born_ms)) {
+            newest = &state;
+        }
+    }
+    return newest == nullptr ? std::string() : newest->info.endpoint;
+}
+
 milliseconds fleet::backlog(const std::string& endpoint, time_point now) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -28,7 +28,6 @@
     policy::model_request model;
     milliseconds time_left{};
     std::set<std::string> excluded; // endpoints that have had it
-    bool alone = false;             // no other endpoint may read parts of the prompt
     std::uint64_t waiting_as = 0;   // number under which the request waits; 0 = it has not waited
     bool may_wait = true;           // it has not waited for the whole of its objective yet
     bool begun = false;             // the caller has a part of the answer, which is lost without the rest
@@ -94,6 +93,9 @@
     // Predicted time between two events of an answer at the endpoint, with nothing read in between.
     double pass_ms(const std::string& endpoint, const route::engine_rule& engine) const;
 
+    // The endpoint that announced this address last; empty when there is none.
+    std::string name_at(const std::string& address) const;
+
     // Predicted time until the endpoint has read what it was given.
     milliseconds backlog(const std::string& endpoint, time_point now) const;
 
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -20,7 +20,8 @@
 constexpr double budget_share = 0.8;
 
 // Entries that are assumed to share the budget's fixed part before the others are known.
-constexpr double assumed_entries = 10;
+constexpr std::size_t assumed_entries = 10;
+constexpr std::size_t least_entries = 6;
 
 // Longest time that a caller is kept waiting when nothing else bounds it.
 constexpr milliseconds longest_wait{3'600'000};
@@ -33,11 +34,12 @@
 // Callers that come before this entry knows the configuration try another one, or this one a little later.
 constexpr milliseconds unready_return{300};
 
-policy::retry_budget_options to_budget(const settings::entry_settingsT& settings)
+policy::retry_budget_options to_budget(const settings::entry_settingsT& settings, std::size_t entries)
 {
     policy::retry_budget_options options;
     options.share = settings.retry_ratio / 1000.0 * budget_share;
-    options.least = static_cast<std::uint32_t>(settings.retry_slack * budget_share / assumed_entries);
+    options.least = static_cast<std::uint32_t>(settings.retry_slack * budget_share /
+                                               static_cast<double>(std::max<std::size_t>(entries, 1)));
     return options;
 }
 
@@ -85,7 +87,7 @@
           }
           event_log::write(line);
       }),
-      m_budget(to_budget(settings))
+      m_budget(to_budget(settings, assumed_entries))
 {
 }
 
@@ -230,6 +232,9 @@
                                                      : "no member has confirmed the configuration lately"});
         }
         m_process.set_ready(able && !m_stopping);
+        // Few known entries can mean that they are not known yet.
+        const std::size_t entries = std::max(m_control->entries(clock::now()).size(), least_entries);
+        m_budget.set_options(to_budget(m_settings, entries));
         co_await net::sleep_for(refresh_interval);
     }
     m_process.set_ready(false);
--- a/src/forward/request_run.cpp
+++ b/src/forward/request_run.cpp
@@ -53,6 +53,12 @@
 
 } // namespace
 
+void shared_budget::set_options(const policy::retry_budget_options& options)
+{
+    const std::lock_guard lock(m_mutex);
+    m_budget.set_options(options);
+}
+
 void shared_budget::record_request(const std::string& service, time_point now)
 {
     const std::lock_guard lock(m_mutex);
@@ -99,7 +105,6 @@
     request.service = m_request.service;
     request.time_left = time_left(now);
     request.excluded = m_excluded;
-    request.alone = m_alone;
     policy::model_request& model = request.model;
     model.prompt_tokens = m_request.terms.prompt_tokens;
     model.output_tokens = m_request.terms.output_tokens;
@@ -291,8 +296,9 @@
 {
     if (head.not_run) {
         if (!head.culprit.empty()) {
-            m_context.endpoints.note_health(head.culprit, attempt_health::unreachable, clock::now());
-            m_alone = true;
+            const std::string failed = m_context.endpoints.name_at(head.culprit);
+            m_context.endpoints.note_health(failed, attempt_health::unreachable, clock::now());
+            m_excluded.insert(failed);
         }
         note(choice, "not_run", head.status,
              head.misdirected ? "another endpoint has the address" : head.culprit,
--- a/src/forward/request_run.h
+++ b/src/forward/request_run.h
@@ -31,6 +31,7 @@
 public:
     explicit shared_budget(const policy::retry_budget_options& options) : m_budget(options) {}
 
+    void set_options(const policy::retry_budget_options& options);
     void record_request(const std::string& service, time_point now);
     bool try_retry(const std::string& service, time_point now);
 
@@ -123,7 +124,6 @@
     std::uint32_t m_runs = 0;     // that may have run
     bool m_sent = false;          // the present attempt may have reached its endpoint
     bool m_arrived_once = false;  // some attempt has reached an endpoint
-    bool m_alone = false;         // helpers failed an attempt
     std::set<std::string> m_excluded;
     answer_state m_answer;
     std::optional<net::http_response> m_failed_answer;
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -22,6 +22,9 @@
 
     explicit retry_budget(const retry_budget_options& options = {});
 
+    // Changes what is allowed from now on; what has been counted stays.
+    void set_options(const retry_budget_options& options) { m_options = options; }
+
     // Counts a first attempt.
     void record_request(std::string_view team, std::string_view service, time_point now);
 
--- a/test/forward_fleet_test.cpp
+++ b/test/forward_fleet_test.cpp
@@ -136,6 +136,18 @@
     BOOST_TEST(sent == 2U);
 }
 
+// Endpoints name the one that failed them by its address.
+BOOST_FIXTURE_TEST_CASE(finds_the_endpoint_at_an_address, fleet_fixture)
+{
+    const std::string address = make_endpoint("e1", "a").address;
+    BOOST_TEST(fleet.name_at(address) == "e1");
+    wire::announcementT other = make_endpoint("e1", "a", 5);
+    other.endpoint = "later";
+    fleet.on_endpoint("later", &other);
+    BOOST_TEST(fleet.name_at(address) == "later");
+    BOOST_TEST(fleet.name_at("127.0.0.1:1").empty());
+}
+
 // A prompt that would cost those present more than its own value waits and is then refused, but not when a
 // part of its answer has been delivered.
 BOOST_FIXTURE_TEST_CASE(does_not_harm_others_for_less, fleet_fixture)
