Give the platform tests the users' retry slack

Ruled out: the resumption itself; the retry budget refused it as it should. Change: the fixture uses the users' slack of 112; the check is unchanged.

--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -145,6 +145,7 @@
     settings.listen = local(value.port);
     settings.peer_listen = local(free_port());
     settings.front = "routed";
+    settings.retry_slack = 112; // as the users' sheets have it; the default allows two retries here
     const forward::platform_words words{std::make_shared<const platform::configuration_codec>(),
                                         std::make_shared<const platform::http_dialect>()};
     auto service = forward::forward_service::create(*value.process, settings, words);
