--- a/src/forward/load_share.cpp
+++ b/src/forward/load_share.cpp
@@ -47,7 +47,7 @@
 
 load_share::load_share(net::asio::io_context& io, options settings, fleet& endpoints,
                        node::config_view& config, peer_list peers)
-    : m_io(io), m_strand(net::asio::make_strand(io)), m_options(std::move(settings)), m_fleet(endpoints),
+    : m_strand(net::asio::make_strand(io)), m_options(std::move(settings)), m_fleet(endpoints),
       m_config(config), m_list(std::move(peers)),
       m_pool(std::make_shared<net::peer_pool>(io, m_options.connections, this)), m_flush_timer(m_strand)
 {
--- a/src/forward/load_share.h
+++ b/src/forward/load_share.h
@@ -54,7 +54,6 @@
     void flush();
     void apply(const wire::load_notes& notes);
 
-    net::asio::io_context& m_io;
     net::asio::strand<net::asio::io_context::executor_type> m_strand;
     options m_options;
     fleet& m_fleet;
--- a/src/policy/endpoint_load.h
+++ b/src/policy/endpoint_load.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 
 namespace verbena::policy {
 
@@ -14,7 +15,11 @@
     incarnation entry = 0;
     std::uint64_t number = 0;
 
-    auto operator<=>(const work_key&) const = default;
+    bool operator==(const work_key&) const = default;
+    bool operator<(const work_key& other) const
+    {
+        return std::tie(entry, number) < std::tie(other.entry, other.number);
+    }
 };
 
 // What one request takes at one endpoint.
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -21,7 +21,7 @@
   "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
   "tenants":[{"name":"t1","api_keys":["k1"],"priority":1}],"news":{"ignored":true}})";
 
-result<route::document> decode(std::string text)
+result<route::document> decode(const std::string& text)
 {
     return platform::configuration_codec().decode(text);
 }
--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -176,7 +176,7 @@
     return {"127.0.0.1", m_members.at(index).calls};
 }
 
-platform_deployment::answer platform_deployment::fetch(host_port address, net::http_call sent)
+platform_deployment::answer platform_deployment::fetch(const host_port& address, const net::http_call& sent)
 {
     const std::function<net::task<answer>()> body = [address, sent]() -> net::task<answer> {
         answer found;
@@ -222,7 +222,7 @@
     if (!what.last_event.empty()) {
         sent.headers.emplace_back(std::string(platform::names::last_event), what.last_event);
     }
-    return fetch({"127.0.0.1", m_entries.at(through).port}, std::move(sent));
+    return fetch({"127.0.0.1", m_entries.at(through).port}, sent);
 }
 
 platform_deployment::answer platform_deployment::control(const std::string& method, const std::string& path,
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -84,7 +84,7 @@
     void stop_member(std::size_t index, bool at_once = true);
     void start_entry(std::size_t index);
     void add_runner(const std::string& id, const std::string& service, const std::string& domain);
-    answer fetch(verbena::host_port address, verbena::net::http_call call);
+    answer fetch(const verbena::host_port& address, const verbena::net::http_call& sent);
 
     net_threads m_threads;
     std::vector<member> m_members;
