Refuse a leave that cannot be placed; take check-ins while the group is heard

Change: a member that is confirmed takes announcements while any entry polls it; a leave that names neither a start nor a listed runner is refused, so that the runner tells another member.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -432,17 +432,22 @@
     m_raft->tell_members(net::make_frame(std::move(news)));
 }
 
-// An endpoint that hears an acknowledgement counts on the entries to know; so it is given only while most of
-// them poll this member.
+// An endpoint that hears an acknowledgement counts on the entries to know. It is given while most of them
+// poll this member, or, when many entries are down, while this member hears the group.
 bool control_service::take_announcement(const wire::announcementT& announcement, time_point now)
 {
-    if (!m_polls.most_entries_listen(now)) {
+    const bool in_touch = confirmed_age(now).has_value() && m_polls.an_entry_listens(now);
+    if (!in_touch && !m_polls.most_entries_listen(now)) {
         log_call("announce", announcement.endpoint, 503, "too few entries poll this member");
         return false;
     }
     const bool taken = announcement.gone ? m_directory.announce_gone(announcement, now)
                                          : m_directory.announce(announcement, now);
     m_process.counters().add("verbena_control_announcements_total", {{"taken", taken ? "true" : "false"}});
+    if (announcement.gone && !taken) {
+        log_call("leave", announcement.endpoint, 503, "this member does not know the endpoint");
+        return false;
+    }
     if (announcement.leaving || announcement.gone) {
         tell_members(announcement.endpoint);
         log_call(announcement.gone ? "leave" : "drain", announcement.endpoint, 200,
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -87,13 +87,15 @@
     }
     wire::announcementT ended = position->second.announcement;
     if (announcement.born_ms != 0 && announcement.born_ms < ended.born_ms) {
-        return false;
+        // An earlier start has ended, which is known already.
+        return true;
     }
     ended.gone = true;
     ended.leaving = true;
     ended.sequence = announcement.sequence;
     ended.born_ms = std::max(ended.born_ms, announcement.born_ms);
-    return announce(ended, now);
+    announce(ended, now);
+    return true;
 }
 
 milliseconds directory::lease_of(const entry& value) const
--- a/src/control/directory.h
+++ b/src/control/directory.h
@@ -57,6 +57,8 @@
 
     // Notes that an endpoint has said that it ends. It stays listed as gone for its lease, so that what other
     // members still list loses against it.
+    // False when neither the list nor the announcement says which start of the endpoint ends: another member
+    // may know it.
     bool announce_gone(const wire::announcementT& announcement, time_point now);
 
     // Removes endpoints whose lease ended. Cheap to call with every poll.
--- a/src/control/poll_service.cpp
+++ b/src/control/poll_service.cpp
@@ -171,6 +171,13 @@
     return known != 0 && listening * 2 > known;
 }
 
+bool poll_service::an_entry_listens(time_point now) const
+{
+    return std::any_of(m_processes.begin(), m_processes.end(), [now](const auto& item) {
+        return item.second.role == wire::role::entry && now - item.second.heard < listening_time;
+    });
+}
+
 std::vector<std::string> poll_service::entry_addresses(time_point now) const
 {
     std::vector<std::string> addresses;
--- a/src/control/poll_service.h
+++ b/src/control/poll_service.h
@@ -85,9 +85,12 @@
     // Processes heard within `forget_after`, by role and name.
     std::vector<std::unique_ptr<op::process_statusT>> processes(time_point now) const;
 
-    // Whether more than half of the entries heard within the last minute poll this member now.
+    // Whether more than half of the entries heard lately poll this member now.
     bool most_entries_listen(time_point now) const;
 
+    // Whether any entry does.
+    bool an_entry_listens(time_point now) const;
+
     std::size_t size() const { return m_processes.size(); }
 
 private:
--- a/test/control_check_in_test.cpp
+++ b/test/control_check_in_test.cpp
@@ -83,6 +83,27 @@
     BOOST_TEST(!view.find("i-1")->gone);
 }
 
+// Guards against an acknowledged leave that no entry hears of: a member that does not know the endpoint must
+// not take a leave without a start time (seen as DRAIN on trouble-3 of consola-ruter, seed 784297829770).
+BOOST_AUTO_TEST_CASE(an_unknown_endpoint_cannot_leave)
+{
+    control::directory endpoints(7);
+    wire::announcementT gone = make_announcement(0, UINT64_MAX);
+    gone.gone = true;
+    BOOST_TEST(!endpoints.announce_gone(gone, start));
+    BOOST_TEST(endpoints.size() == 0U);
+    endpoints.announce(make_announcement(100, 3), start);
+    BOOST_TEST(endpoints.announce_gone(gone, start));
+    BOOST_TEST(endpoints.find("i-1")->gone);
+    // The end of an earlier start is acknowledged and changes nothing.
+    control::directory restarted(8);
+    restarted.announce(make_announcement(200, 1), start);
+    wire::announcementT earlier = make_announcement(100, UINT64_MAX);
+    earlier.gone = true;
+    BOOST_TEST(restarted.announce_gone(earlier, start));
+    BOOST_TEST(!restarted.find("i-1")->gone);
+}
+
 // Check-ins come every second or two and at times seconds late, so their lease is longer than that of agents.
 BOOST_AUTO_TEST_CASE(self_announced_endpoints_have_a_longer_lease)
 {
--- a/test/control_poll_test.cpp
+++ b/test/control_poll_test.cpp
@@ -182,4 +182,19 @@
     BOOST_TEST(ask(make_load_poll("gpu-2", 10), leader(), start + 10'100ms).load_permit);
 }
 
+// Guards the condition for acknowledging endpoints: entries that poll this member, counted against those
+// heard lately.
+BOOST_FIXTURE_TEST_CASE(knows_whether_entries_listen, fixture)
+{
+    BOOST_TEST(!polls.an_entry_listens(start));
+    ask(make_poll("e1"), confirmed());
+    ask(make_poll("e2"), confirmed());
+    ask(make_poll("e3"), confirmed());
+    BOOST_TEST(polls.most_entries_listen(start));
+    ask(make_poll("e1"), confirmed(), start + 3s);
+    BOOST_TEST(!polls.most_entries_listen(start + 3s));
+    BOOST_TEST(polls.an_entry_listens(start + 3s));
+    BOOST_TEST(!polls.an_entry_listens(start + 9s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
