Weigh late callers by what they can still lose; serve waiting prompts by Moore and Hodgson's order

Cause: a request whose objective had passed was given an objective of 1 ms. A caller's patience was counted anew at each look, so that some were dispatched after they had left.

Ruled out: cost model (predictions of short prompts are within 40 ms of what is seen also in the burst).

Change: the placement knows the objective and the part of it that is used; a late request weighs a quarter of its value, in its own choice and in what other entries are told. The waiting line puts back the prompt that is worth least for its reading time as soon as the line would make one late. Patience counts from the arrival. The endpoint that holds an address is computed when an endpoint changes, no longer in each decision.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -30,6 +30,9 @@
 
 constexpr milliseconds cold_window{1'000};
 
+// Share of the endpoints' time that waiting prompts can count on; short prompts and writers take the rest.
+constexpr double shared_reading = 0.7;
+
 constexpr std::uint8_t phase_started = 0;
 constexpr std::uint8_t phase_answering = 1;
 constexpr std::uint8_t phase_ended = 2;
@@ -51,6 +54,25 @@
     return milliseconds(static_cast<std::int64_t>(std::min(value, longest)));
 }
 
+std::uint32_t to_u32(clock::duration value)
+{
+    const std::int64_t count = std::chrono::duration_cast<milliseconds>(value).count();
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(count, 0));
+}
+
+policy::waiting_prompt to_waiting(const dispatch_request& request, const policy::work_key& key,
+                                  time_point now)
+{
+    policy::waiting_prompt prompt;
+    prompt.key = key;
+    prompt.due = now + (request.model.objective - request.model.used);
+    prompt.value = request.model.value;
+    if (request.service->engine) {
+        prompt.read_ms = policy::engine_cost(*request.service->engine).read_ms(request.model.prompt_tokens);
+    }
+    return prompt;
+}
+
 policy::endpoint_work to_work(const wire::dispatch_noteT& note, time_point now)
 {
     policy::endpoint_work work;
@@ -60,7 +82,7 @@
     work.reads_for_other = note.reads_for_other;
     work.parts = note.parts;
     work.due = now + milliseconds(note.first_event_ms);
-    work.objective = milliseconds(note.first_event_ms);
+    work.objective = milliseconds(note.objective_ms);
     work.pause = milliseconds(note.pause_ms);
     work.value = note.value;
     return work;
@@ -118,6 +140,20 @@
         state.address = address.value();
     }
     state.misdirected = false;
+    mark_superseded();
+}
+
+// The newest endpoint has the address.
+void fleet::mark_superseded()
+{
+    std::map<std::string_view, std::uint64_t> newest;
+    for (const auto& [name, state] : m_endpoints) {
+        std::uint64_t& born = newest[state.info.address];
+        born = std::max(born, state.info.born_ms);
+    }
+    for (auto& [name, state] : m_endpoints) {
+        state.superseded = newest[state.info.address] != state.info.born_ms;
+    }
 }
 
 void fleet::set_domains_out(std::set<std::string> domains)
@@ -166,17 +202,11 @@
 // does not leave a service without endpoints.
 std::vector<fleet::endpoint_state*> fleet::candidates(const dispatch_request& request, time_point now)
 {
-    std::map<std::string, std::uint64_t> newest_at_address;
-    for (const auto& [name, state] : m_endpoints) {
-        std::uint64_t& born = newest_at_address[state.info.address];
-        born = std::max(born, state.info.born_ms);
-    }
     std::vector<endpoint_state*> reachable;
     std::vector<endpoint_state*> avoided;
     for (auto& [name, state] : m_endpoints) {
         if (state.info.service != request.service->name || request.excluded.contains(name) ||
-            !usable_state(state, now) || cold_full(state, *request.service, now) ||
-            newest_at_address[state.info.address] != state.info.born_ms) {
+            !usable_state(state, now) || state.superseded || cold_full(state, *request.service, now)) {
             continue;
         }
         (now < state.avoid_until ? avoided : reachable).push_back(&state);
@@ -223,7 +253,7 @@
     const auto placed = policy::place(request.model, cost, candidates, now);
     dispatch_result outcome;
     // Memory becomes free, and writers end: what cannot be placed well now often can a little later.
-    const bool harmful = placed && !request.begun && placed->harm > request.model.value;
+    const bool harmful = placed && !request.begun && placed->harm > policy::value_left(request.model);
     if (!placed || harmful) {
         outcome.refusal.why =
             harmful ? dispatch_refusal::reason::too_harmful : dispatch_refusal::reason::too_large;
@@ -247,7 +277,8 @@
         choice.endpoints.push_back({state->info.endpoint, state->address, placed->reserved_tokens[i]});
     }
     const bool shared = placed->parts.size() > 1;
-    if (shared && (placed->wait_ms > 0 || !is_first_in_queue(request, now))) {
+    if (shared &&
+        (placed->wait_ms > 0 || !is_first_in_line(request, candidates.size(), placed->wait_ms, now))) {
         outcome.wait = std::clamp(to_ms(placed->wait_ms), shortest_wait, longest_wait);
         return outcome;
     }
@@ -256,18 +287,18 @@
     return outcome;
 }
 
-// Earliest due first. One that is late already goes behind those that can still be in time.
-bool fleet::is_first_in_queue(const dispatch_request& request, time_point now) const
+bool fleet::is_first_in_line(const dispatch_request& request, std::size_t endpoints, double first_free_ms,
+                             time_point now) const
 {
-    const auto key_of = [now](time_point due) { return std::make_pair(due <= now, due); };
-    const auto own = key_of(now + request.model.objective);
-    for (const auto& [key, waiting] : m_waiting) {
-        const bool is_own = key.entry == m_self && key.number == request.waiting_as;
-        if (!is_own && waiting.service == request.service->name && key_of(waiting.due) < own) {
-            return false;
+    const policy::work_key own_key{m_self, request.waiting_as};
+    std::vector<policy::waiting_prompt> waiting{to_waiting(request, own_key, now)};
+    for (const auto& [key, other] : m_waiting) {
+        if (key != own_key && other.service == request.service->name) {
+            waiting.push_back(other.prompt);
         }
     }
-    return true;
+    const double reading = static_cast<double>(endpoints) * shared_reading;
+    return policy::serving_order(std::move(waiting), reading, first_free_ms, now).front() == own_key;
 }
 
 std::uint64_t fleet::begin_wait(const dispatch_request& request, time_point now)
@@ -275,11 +306,15 @@
     wire::dispatch_noteT note;
     {
         const std::lock_guard lock(m_mutex);
-        note.number = m_next_number++;
+        const policy::work_key key{m_self, m_next_number++};
+        const policy::waiting_prompt prompt = to_waiting(request, key, now);
+        m_waiting[key] = {request.service->name, prompt};
+        note.number = key.number;
         note.endpoint = request.service->name;
-        note.first_event_ms = static_cast<std::uint32_t>(request.model.objective.count());
+        note.first_event_ms = to_u32(prompt.due - now);
+        note.read_us = static_cast<std::uint32_t>(prompt.read_ms * 1000);
+        note.value = static_cast<float>(prompt.value);
         note.phase = phase_waiting;
-        m_waiting[{m_self, note.number}] = {note.endpoint, now + request.model.objective};
     }
     m_on_note(note);
     return note.number;
@@ -343,9 +378,10 @@
         const std::uint64_t held =
             i != 0 ? choice.endpoints[i].reserved_tokens : needed - std::min(needed, reserved);
         note.held_tokens = static_cast<std::uint32_t>(held);
-        note.first_event_ms = static_cast<std::uint32_t>(request.model.objective.count());
+        note.first_event_ms = to_u32(request.model.objective - request.model.used);
+        note.objective_ms = to_u32(request.model.objective);
         note.pause_ms = static_cast<std::uint32_t>(request.model.pause.count());
-        note.value = static_cast<float>(request.model.value);
+        note.value = static_cast<float>(policy::value_left(request.model));
         if (request.service->engine) {
             const policy::engine_cost cost(*request.service->engine);
             note.read_us =
@@ -402,7 +438,8 @@
 {
     const policy::work_key key{entry, note.number};
     if (note.phase == phase_waiting) {
-        m_waiting[key] = {note.endpoint, now + milliseconds(note.first_event_ms)};
+        m_waiting[key] = {note.endpoint,
+                          {key, now + milliseconds(note.first_event_ms), note.read_us / 1000.0, note.value}};
         return;
     }
     m_waiting.erase(key);
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/settings.h"
 #include "policy/placement.h"
+#include "policy/waiting_line.h"
 #include "wire_generated.h"
 
 #include <deque>
@@ -127,6 +128,7 @@
         std::uint32_t unreachable = 0; // in a row
         time_point avoid_until;
         bool misdirected = false;    // another endpoint answered at the address
+        bool superseded = false;     // a newer endpoint has announced the address
         std::deque<time_point> sent; // lately, by all entries
     };
 
@@ -138,10 +140,12 @@
     // A request that waits for free endpoints, at any entry.
     struct waiting_request {
         std::string service;
-        time_point due;
+        policy::waiting_prompt prompt;
     };
 
-    bool is_first_in_queue(const dispatch_request& request, time_point now) const;
+    bool is_first_in_line(const dispatch_request& request, std::size_t endpoints, double first_free_ms,
+                          time_point now) const;
+    void mark_superseded();
     bool usable_state(const endpoint_state& state, time_point now) const;
     bool cold_full(endpoint_state& state, const route::service_rule& service, time_point now) const;
     double pace_of(const endpoint_state& state, time_point now) const;
--- a/src/forward/request_run.cpp
+++ b/src/forward/request_run.cpp
@@ -113,9 +113,14 @@
         model.patience = std::max(
             {least_patience, route.objective * patience_in_objectives, route.pause * patience_in_pauses});
     }
-    // What remains of the objective; a late request is still served as fast as the others allow.
-    const auto used = std::chrono::duration_cast<milliseconds>(now - m_request.arrived);
-    model.objective = std::max(route.objective - used, milliseconds(1));
+    // Of an answer that has begun, the time since its last event counts.
+    const bool resumes = m_answer.started && m_last_event_at != time_point{};
+    model.objective = resumes ? std::max(route.pause, milliseconds(1)) : route.objective;
+    model.used =
+        std::chrono::duration_cast<milliseconds>(now - (resumes ? m_last_event_at : m_request.arrived));
+    if (model.patience > milliseconds::zero()) {
+        model.patience = std::max(model.patience - model.used, milliseconds(1));
+    }
     // The work that a caller loses, as a writer's token costs about ten read ones.
     constexpr double output_weight = 10;
     model.value = (model.prompt_tokens + output_weight * model.output_tokens) / 1000 + 1;
--- a/src/policy/endpoint_load.h
+++ b/src/policy/endpoint_load.h
@@ -31,9 +31,9 @@
     std::uint32_t parts = 1;          // endpoints that read the prompt
     time_point due;                   // latest first event that is in time
     milliseconds pause{};             // longest pause between events that is in time; 0 = none
-    milliseconds objective{};         // to the first event, when the work was given
-    double value = 0;
-    bool answering = false; // its first event has been seen
+    milliseconds objective{};         // to the first event
+    double value = 0;                 // what its caller can still lose
+    bool answering = false;           // its first event has been seen
 };
 
 // The work that all entries have given to one endpoint, with the sums that a choice needs. An answer's first
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -44,7 +44,8 @@
     chooser(const model_request& request, const engine_cost& cost,
             const std::vector<placement_candidate>& candidates, time_point now,
             const placement_options& options)
-        : m_request(request), m_cost(cost), m_candidates(candidates), m_now(now), m_options(options)
+        : m_request(request), m_cost(cost), m_candidates(candidates), m_now(now), m_options(options),
+          m_value(value_left(request, options))
     {
     }
 
@@ -159,9 +160,8 @@
         value.index = index;
         value.wait_ms = free_in_ms(candidate);
         value.harm = harm_to_writers(candidate, own_part) + harm_to_waiting(candidate, own_part);
-        value.score =
-            value.harm + m_request.value * (candidate.failure_share +
-                                            backlog_weight * (value.wait_ms + own_part) / objective_ms());
+        value.score = value.harm + m_value * (candidate.failure_share +
+                                              backlog_weight * (value.wait_ms + own_part) / objective_ms());
         return value;
     }
 
@@ -176,8 +176,8 @@
         value.harm =
             harm_to_writers(candidate, own_part) + (alone ? 0 : harm_to_waiting(candidate, own_part));
         value.score = value.harm + writer_cost(index) +
-                      m_request.value * (candidate.failure_share +
-                                         backlog_weight * (value.wait_ms + own_part) / objective_ms());
+                      m_value * (candidate.failure_share +
+                                 backlog_weight * (value.wait_ms + own_part) / objective_ms());
         return value;
     }
 
@@ -244,14 +244,14 @@
     double writer_cost(std::size_t index) const
     {
         const placement_candidate& candidate = m_candidates[index];
-        double loss = m_request.value * slot_wait_ms(candidate) / objective_ms();
-        loss += candidate.other_domain ? m_request.value * m_options.other_domain_cost : 0;
-        loss += opens(*candidate.load) ? m_request.value * m_options.opening_cost : 0;
+        double loss = m_value * slot_wait_ms(candidate) / objective_ms();
+        loss += candidate.other_domain ? m_value * m_options.other_domain_cost : 0;
+        loss += opens(*candidate.load) ? m_value * m_options.opening_cost : 0;
         const auto memory = static_cast<double>(std::max<std::uint64_t>(m_cost.rule().memory_tokens, 1));
         const double held = static_cast<double>(candidate.load->held_tokens()) / memory;
-        loss += m_request.value * pass_weight * held;
+        loss += m_value * pass_weight * held;
         if (free_tokens(index) < needed_tokens()) {
-            loss += m_request.value * m_options.late_loss;
+            loss += m_value * m_options.late_loss;
         }
         return loss;
     }
@@ -284,9 +284,9 @@
         found.wait_ms = helpers.empty() ? 0 : wait;
         found.first_event_ms = wait + read_ms + slot_wait_ms(first) + pass;
         found.harm = harm;
-        found.expected_loss = harm + writer_cost(writer.index) + own_loss(found.first_event_ms, pass) +
-                              m_request.value * (std::min(failure, 1.0) +
-                                                 m_options.exposure * static_cast<double>(helpers.size()));
+        found.expected_loss =
+            harm + writer_cost(writer.index) + own_loss(found.first_event_ms, pass) +
+            m_value * (std::min(failure, 1.0) + m_options.exposure * static_cast<double>(helpers.size()));
         return found;
     }
 
@@ -295,17 +295,18 @@
         const auto objective = static_cast<double>(m_request.objective.count());
         const auto patience = static_cast<double>(m_request.patience.count());
         if (patience > 0 && first_event_ms > patience) {
-            return m_request.value * (1 + first_event_ms / patience);
+            return m_value * (1 + first_event_ms / patience);
         }
         double loss = 0;
         if (objective > 0) {
-            const double share = first_event_ms / objective;
-            loss += m_request.value * speed_weight * std::min(share, 2.0);
-            loss += share > m_options.margin ? m_request.value * m_options.late_loss : 0;
+            const auto slack = static_cast<double>((m_request.objective - m_request.used).count());
+            const bool turns_late = slack > 0 && first_event_ms > slack * m_options.margin;
+            loss += m_value * speed_weight * std::min(first_event_ms / objective, 2.0);
+            loss += turns_late ? m_value * m_options.late_loss : 0;
         }
         const auto pause = static_cast<double>(m_request.pause.count());
         if (pause > 0 && pass > pause) {
-            loss += m_request.value * m_options.late_loss;
+            loss += m_value * m_options.late_loss;
         }
         return loss;
     }
@@ -351,10 +352,17 @@
     const std::vector<placement_candidate>& m_candidates;
     time_point m_now;
     const placement_options& m_options;
+    const double m_value; // what the caller can still lose
 };
 
 } // namespace
 
+double value_left(const model_request& request, const placement_options& options)
+{
+    const bool late = request.objective > milliseconds::zero() && request.used >= request.objective;
+    return request.value * (late ? 1 - options.late_loss : 1);
+}
+
 std::optional<placement> place(const model_request& request, const engine_cost& cost,
                                const std::vector<placement_candidate>& candidates, time_point now,
                                const placement_options& options)
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -12,8 +12,9 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t output_tokens = 0;
     milliseconds objective{}; // to the first event
+    milliseconds used{};      // part of the objective that has passed; all of it or more = it is late already
     milliseconds pause{};     // between events
-    milliseconds patience{};  // without an event for this long the caller leaves
+    milliseconds patience{};  // the caller leaves after this time without an event; 0 = never
     double value = 1;         // what callers lose if it is not served, in any unit that all requests share
 };
 
@@ -54,6 +55,9 @@
     double memory_share = 0.95;
 };
 
+// What the caller can still lose: less when the first event is late already.
+double value_left(const model_request& request, const placement_options& options = {});
+
 // Where a request goes: candidates by index, the one that writes the answer first.
 struct placement {
     std::vector<std::size_t> parts;
--- a/test/forward_fleet_test.cpp
+++ b/test/forward_fleet_test.cpp
@@ -191,6 +191,53 @@
     BOOST_TEST(fleet.dispatch(value, clock::now()).choice.has_value());
 }
 
+// Guards the line of all entries: a prompt that waits longer, or costs less for its value when not all can be
+// in time, goes first; a waiting one that is late holds up nobody.
+BOOST_FIXTURE_TEST_CASE(lets_those_go_first_who_can_be_in_time, fleet_fixture)
+{
+    route::service_rule model;
+    model.name = "desk";
+    model.engine = route::engine_rule{16, 232'000, 43, 1.02, 0.00226, 0.00431, 206, 0.138, 2048, 0.075};
+    forward::dispatch_request value;
+    value.service = &model;
+    value.time_left = 15s;
+    value.model.prompt_tokens = 100'000;
+    value.model.output_tokens = 700;
+    value.model.objective = 2'500ms;
+    value.model.pause = 1s;
+    value.model.value = 100;
+    for (const char* name : {"e3", "e4", "e5", "e6"}) {
+        add(name, "a");
+    }
+    const auto wait_elsewhere = [this](std::uint32_t first_event_ms, std::uint32_t read_ms) {
+        wire::load_notesT notes;
+        notes.incarnation = 9;
+        notes.whole = true;
+        wire::dispatch_noteT note;
+        note.number = 1;
+        note.endpoint = "desk";
+        note.phase = 3;
+        note.first_event_ms = first_event_ms;
+        note.read_us = read_ms * 1'000;
+        note.value = 100;
+        notes.notes.push_back(std::make_unique<wire::dispatch_noteT>(note));
+        fleet.apply_notes(notes, clock::now());
+    };
+    const auto waits = [this, &value] {
+        const auto found = fleet.dispatch(value, clock::now());
+        if (found.choice) {
+            fleet.end(found.choice->number, clock::now());
+        }
+        return !found.choice;
+    };
+    wait_elsewhere(1'000, 1'000);
+    BOOST_TEST(waits());
+    wait_elsewhere(0, 1'000);
+    BOOST_TEST(!waits());
+    wait_elsewhere(1'000, 20'000);
+    BOOST_TEST(!waits());
+}
+
 // Guards the common view: each step is told, another entry's work counts, and ends with that entry.
 BOOST_FIXTURE_TEST_CASE(shares_work_between_entries, fleet_fixture)
 {
--- a/test/policy_placement_test.cpp
+++ b/test/policy_placement_test.cpp
@@ -216,6 +216,37 @@
     BOOST_TEST(used.size() <= 6U);
 }
 
+// A caller whose answer is late already can lose less, so others are harmed less for it, but it is still
+// placed by the time that the answer takes.
+BOOST_AUTO_TEST_CASE(weighs_late_callers_by_what_they_can_still_lose)
+{
+    policy::model_request late = history(133'000);
+    BOOST_TEST(policy::value_left(late) == late.value);
+    late.used = late.objective;
+    BOOST_TEST(policy::value_left(late) == late.value / 4, boost::test_tools::tolerance(0.001));
+    endpoints fleet(18);
+    const auto found = fleet.place(late);
+    BOOST_TEST_REQUIRE(found.has_value());
+    BOOST_TEST(found->parts.size() > 3U);
+    BOOST_TEST(found->first_event_ms < 700.0);
+    BOOST_TEST(found->harm == 0.0);
+}
+
+// Guards against one late prompt keeping all other work away from an endpoint.
+BOOST_AUTO_TEST_CASE(a_late_prompt_counts_little_against_others)
+{
+    endpoints fleet(2);
+    policy::endpoint_work late = writing(history(30'000));
+    late.read_ms = 40;
+    late.due = at(-1s);
+    late.value = 9;
+    fleet.loads[0].start({1, fleet.next++}, late, 1, at(0ms));
+    fleet.read(1, quote(23'000));
+    const auto found = fleet.place(quote());
+    BOOST_TEST_REQUIRE(found.has_value());
+    BOOST_TEST(found->parts.front() == 0U);
+}
+
 // Guards against endpoints that fail or are slow being chosen like sound ones.
 BOOST_AUTO_TEST_CASE(prefers_sound_endpoints)
 {
