Let waiting prompts count on a third of the endpoints' time

Cause: the waiting line reckoned that endpoints spend 0.7 of their time on the prompts that wait. In a burst short prompts and writers take most of it, so the line believed that all would be in time and kept the earliest due first; digests with 1.5 s to go waited behind histories, and most of both were late.

Change: shared_reading 0.7 -> 0.35.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -31,7 +31,7 @@
 constexpr milliseconds cold_window{1'000};
 
 // Share of the endpoints' time that waiting prompts can count on; short prompts and writers take the rest.
-constexpr double shared_reading = 0.7;
+constexpr double shared_reading = 0.35;
 
 constexpr std::uint8_t phase_started = 0;
 constexpr std::uint8_t phase_answering = 1;
