Split request_run; honour retry_window; add help for each role and the commit to the version

Change: reserved_memory and shared_budget are files of their own, entry_budget scales the fixed part by the window; role help is made from the settings schema; only version.cpp is compiled again for a new commit.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -221,6 +221,28 @@
     return parse_settings(text.str(), file);
 }
 
+std::string describe_settings(const std::string& section)
+{
+    flatbuffers::Parser parser;
+    const bool parsed = parser.Parse(settings_schema_text);
+    const flatbuffers::FieldDef* found = parsed ? parser.root_struct_def_->fields.Lookup(section) : nullptr;
+    std::string text;
+    if (found == nullptr) {
+        return text;
+    }
+    for (const flatbuffers::FieldDef* field : found->value.type.struct_def->fields.vec) {
+        const std::string unit = attribute(*field, "unit");
+        const std::string low = attribute(*field, "min");
+        const bool is_text = flatbuffers::IsString(field->value.type);
+        text += "  " + field->name + ": " + attribute(*field, "doc");
+        text +=
+            field->IsRequired() ? " (required" : " (default " + (is_text ? "empty" : field->value.constant);
+        text += low.empty() ? "" : ", " + low + " to " + attribute(*field, "max");
+        text += (unit.empty() ? "" : " " + unit) + ")\n";
+    }
+    return text;
+}
+
 std::vector<std::string> split_list(std::string_view text)
 {
     std::vector<std::string> items;
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -20,6 +20,9 @@
 // Reads and parses a file.
 result<std::unique_ptr<settings_root>> load_settings(const std::string& file);
 
+// The keys of a section, one a line, with unit, default, bounds and meaning; empty for an unknown section.
+std::string describe_settings(const std::string& section);
+
 // An IP address and port.
 struct host_port {
     std::string host;
--- /dev/null
+++ b/src/base/version.cpp
@@ -0,0 +1,10 @@
+#include "base/version.h"
+
+namespace verbena {
+
+const char* version()
+{
+    return VERBENA_VERSION;
+}
+
+} // namespace verbena
--- /dev/null
+++ b/src/base/version.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace verbena {
+
+// Version and commit of this program, such as "0.1.0+0fb4e1b"; without a commit when it was built outside of
+// a repository.
+const char* version();
+
+} // namespace verbena
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -3,6 +3,7 @@
 #include "base/event_log.h"
 #include "base/log.h"
 #include "base/random.h"
+#include "base/version.h"
 #include "node/control_client.h"
 
 #include <boost/asio/experimental/concurrent_channel.hpp>
@@ -147,7 +148,7 @@
     m_frames->stop_accepting();
     co_await net::sleep_for(milliseconds(20));
     event_log::write(
-        event::process_stateT{{}, "control", m_process.settings().name, "stopped", VERBENA_VERSION, ""});
+        event::process_stateT{{}, "control", m_process.settings().name, "stopped", version(), ""});
     m_process.finish();
 }
 
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -2,6 +2,7 @@
 
 #include "base/event_log.h"
 #include "base/log.h"
+#include "base/version.h"
 #include "node/freshness.h"
 
 #include <algorithm>
@@ -16,9 +17,6 @@
 // Left of the time for a planned stop when open answers are given up.
 constexpr milliseconds stop_reserve{300};
 
-// Share of the common retry budget that this entry uses; the rest covers what the others count differently.
-constexpr double budget_share = 0.8;
-
 // Entries that are assumed to share the budget's fixed part before the others are known.
 constexpr std::size_t assumed_entries = 10;
 constexpr std::size_t least_entries = 6;
@@ -38,15 +36,6 @@
 // Callers that come before this entry knows the configuration try another one, or this one a little later.
 constexpr milliseconds unready_return{300};
 
-policy::retry_budget_options to_budget(const settings::entry_settingsT& settings, std::size_t entries)
-{
-    policy::retry_budget_options options;
-    options.share = settings.retry_ratio / 1000.0 * budget_share;
-    options.least = static_cast<std::uint32_t>(settings.retry_slack * budget_share /
-                                               static_cast<double>(std::max<std::size_t>(entries, 1)));
-    return options;
-}
-
 std::uint32_t to_u32(milliseconds value)
 {
     return static_cast<std::uint32_t>(std::max<std::int64_t>(value.count(), 0));
@@ -68,7 +57,7 @@
     : m_process(process), m_settings(settings), m_words(std::move(words)),
       m_config(milliseconds(settings.freshness)),
       m_fleet(process.self_incarnation(), process.settings().failure_domain,
-              settings.cold_overage / 1000.0 * budget_share,
+              settings.cold_overage / 1000.0 * common_share,
               [this](wire::dispatch_noteT note) {
                   if (m_share) {
                       m_share->add(std::move(note));
@@ -91,7 +80,7 @@
           }
           event_log::write(line);
       }),
-      m_budget(to_budget(settings, assumed_entries))
+      m_budget(entry_budget(settings, assumed_entries))
 {
 }
 
@@ -238,7 +227,7 @@
         m_process.set_ready(able && !m_stopping);
         // Few known entries can mean that they are not known yet.
         const std::size_t entries = std::max(m_control->entries(clock::now()).size(), least_entries);
-        m_budget.set_options(to_budget(m_settings, entries));
+        m_budget.set_options(entry_budget(m_settings, entries));
         co_await net::sleep_for(refresh_interval);
     }
     m_process.set_ready(false);
@@ -298,7 +287,7 @@
                                            "entry",
                                            m_process.settings().name,
                                            "stopped",
-                                           VERBENA_VERSION,
+                                           version(),
                                            "open requests: " + std::to_string(m_server->active())});
     m_process.finish();
 }
--- a/src/forward/request_run.cpp
+++ b/src/forward/request_run.cpp
@@ -32,12 +32,6 @@
 // A plain idempotent request is tried elsewhere after this many objectives.
 constexpr int plain_silence_in_objectives = 3;
 
-// Reservations are renewed at a third of their time, so that one lost renewal does no harm and memory is
-// free soon after this process has died.
-constexpr milliseconds reservation_hold{3'000};
-constexpr milliseconds renewal_interval{1'000};
-constexpr milliseconds order_timeout{400};
-
 // Bounds of the time after which a refused caller is asked to return.
 constexpr milliseconds shortest_return{150};
 constexpr milliseconds longest_return{3'000};
@@ -53,24 +47,6 @@
 
 } // namespace
 
-void shared_budget::set_options(const policy::retry_budget_options& options)
-{
-    const std::lock_guard lock(m_mutex);
-    m_budget.set_options(options);
-}
-
-void shared_budget::record_request(const std::string& service, time_point now)
-{
-    const std::lock_guard lock(m_mutex);
-    m_budget.record_request("", service, now);
-}
-
-bool shared_budget::try_retry(const std::string& service, time_point now)
-{
-    const std::lock_guard lock(m_mutex);
-    return m_budget.try_retry("", service, now);
-}
-
 request_run::request_run(run_context context, net::http_exchange& exchange, routed_request request)
     : m_context(context), m_exchange(exchange), m_request(std::move(request)),
       m_random(std::hash<std::string>{}(m_request.terms.id))
@@ -225,24 +201,27 @@
     event_log::write(line);
     m_context.counters.add("verbena_forward_attempts_total", {{"service", m_request.service->name}});
 
-    auto ended = std::make_shared<bool>(false);
-    const bool reserved = co_await reserve_all(choice);
+    m_memory =
+        std::make_shared<reserved_memory>(m_context.words, m_context.counters, m_request.terms.id, choice);
+    const std::string refused_by = co_await m_memory->hold();
     attempt_end end = attempt_end::not_run;
-    if (reserved && !m_left) {
+    if (refused_by.empty() && !m_left) {
         if (line.reserved_tokens != 0) {
-            net::asio::co_spawn(m_executor, renew(ended, choice), net::asio::detached);
+            m_memory->keep(m_executor);
         }
         end = co_await call_endpoint(choice);
     } else {
+        if (!refused_by.empty()) {
+            m_excluded.insert(refused_by);
+        }
         note(choice, "not_run", 0, "memory not reserved", attempt_health::neutral);
     }
-    *ended = true;
     if (m_call) {
         m_call->close();
         m_call = nullptr;
     }
     m_context.endpoints.end(choice.number, clock::now());
-    release_all(choice);
+    m_memory->release(m_executor);
     if (end != attempt_end::answered) {
         m_excluded.insert(choice.endpoints.front().name);
     }
@@ -273,8 +252,7 @@
     terms.last_event = m_answer.last_event;
     for (std::size_t i = 1; i < choice.endpoints.size(); ++i) {
         const bool holds = choice.endpoints[i].reserved_tokens != 0;
-        terms.helpers.push_back(
-            {choice.endpoints[i].address, holds ? reservation_name(choice, i) : std::string()});
+        terms.helpers.push_back({choice.endpoints[i].address, holds ? m_memory->name_of(i) : std::string()});
     }
     m_sent = true;
     call->send(m_context.words.endpoint_head(m_exchange.request(), terms), m_exchange.request().body);
@@ -473,74 +451,6 @@
     co_return true;
 }
 
-std::string request_run::reservation_name(const dispatch_choice& choice, std::size_t part) const
-{
-    return m_request.terms.id + "-" + std::to_string(choice.number) + "-" + std::to_string(part);
-}
-
-net::task<bool> request_run::reserve_all(const dispatch_choice& choice)
-{
-    for (std::size_t i = 1; i < choice.endpoints.size(); ++i) {
-        const chosen_endpoint& part = choice.endpoints[i];
-        if (part.reserved_tokens == 0) {
-            continue;
-        }
-        net::http_call call =
-            m_context.words.reserve(reservation_name(choice, i), part.reserved_tokens, reservation_hold);
-        const result<net::http_response> made =
-            co_await net::fetch_http(part.address, std::move(call), order_timeout);
-        if (!made || made.value().status != 200) {
-            m_context.counters.add("verbena_forward_reservations_total", {{"outcome", "refused"}});
-            m_excluded.insert(part.name);
-            co_return false;
-        }
-        m_context.counters.add("verbena_forward_reservations_total", {{"outcome", "held"}});
-    }
-    co_return true;
-}
-
-net::task<void> request_run::renew(std::shared_ptr<bool> ended, dispatch_choice choice)
-{
-    const auto self = shared_from_this();
-    while (true) {
-        co_await net::sleep_for(renewal_interval);
-        for (std::size_t i = 1; i < choice.endpoints.size(); ++i) {
-            const chosen_endpoint& part = choice.endpoints[i];
-            if (*ended) {
-                co_return;
-            }
-            if (part.reserved_tokens != 0) {
-                net::http_call call = m_context.words.reserve(reservation_name(choice, i),
-                                                              part.reserved_tokens, reservation_hold);
-                (void)co_await net::fetch_http(part.address, std::move(call), order_timeout);
-                if (*ended) {
-                    // A renewal that overtook the release holds the memory again.
-                    net::http_call undo = m_context.words.release(reservation_name(choice, i));
-                    (void)co_await net::fetch_http(part.address, std::move(undo), order_timeout);
-                }
-            }
-        }
-    }
-}
-
-// Released in the background: the caller has its answer already. A release that is lost is made up by the end
-// of the hold.
-void request_run::release_all(const dispatch_choice& choice)
-{
-    for (std::size_t i = 1; i < choice.endpoints.size(); ++i) {
-        const chosen_endpoint& part = choice.endpoints[i];
-        if (part.reserved_tokens == 0) {
-            continue;
-        }
-        net::asio::co_spawn(
-            m_executor,
-            [](net::http_call call, host_port address) -> net::task<void> {
-                (void)co_await net::fetch_http(std::move(address), std::move(call), order_timeout);
-            }(m_context.words.release(reservation_name(choice, i)), part.address),
-            net::asio::detached);
-    }
-}
-
 net::task<void> request_run::finish(attempt_end end)
 {
     if (end == attempt_end::answered) {
--- a/src/forward/request_run.h
+++ b/src/forward/request_run.h
@@ -4,10 +4,10 @@
 #include "forward/endpoint_call.h"
 #include "forward/event_reader.h"
 #include "forward/fleet.h"
-#include "policy/retry_budget.h"
+#include "forward/reserved_memory.h"
+#include "forward/shared_budget.h"
 #include "route/table.h"
 
-#include <mutex>
 #include <optional>
 
 namespace verbena::forward {
@@ -26,20 +26,6 @@
     milliseconds config_age{};
 };
 
-// Retries of all requests of an entry, within its share of what all entries may spend. Thread-safe.
-class shared_budget {
-public:
-    explicit shared_budget(const policy::retry_budget_options& options) : m_budget(options) {}
-
-    void set_options(const policy::retry_budget_options& options);
-    void record_request(const std::string& service, time_point now);
-    bool try_retry(const std::string& service, time_point now);
-
-private:
-    std::mutex m_mutex;
-    policy::retry_budget m_budget;
-};
-
 // What the runs of an entry share.
 struct run_context {
     fleet& endpoints;
@@ -95,11 +81,6 @@
     net::task<bool> pass_event(const stream_event& event, const dispatch_choice& choice,
                                const answer_terms& head);
 
-    net::task<bool> reserve_all(const dispatch_choice& choice);
-    net::task<void> renew(std::shared_ptr<bool> ended, dispatch_choice choice);
-    void release_all(const dispatch_choice& choice);
-    std::string reservation_name(const dispatch_choice& choice, std::size_t part) const;
-
     // Whether one more attempt may be made after one that ended like this.
     bool may_retry(attempt_end end, time_point now);
     net::task<void> finish(attempt_end end);
@@ -118,6 +99,7 @@
     routed_request m_request;
     net::asio::any_io_executor m_executor;
     std::shared_ptr<endpoint_call> m_call;
+    std::shared_ptr<reserved_memory> m_memory; // of the present attempt
     bool m_left = false;
     bool m_may_have_run = false;
     std::uint32_t m_attempts = 0; // numbered for the log
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -1,3 +1,5 @@
+#include "base/version.h"
+#include "main/help.h"
 #include "main/roles.h"
 
 #include <gflags/gflags.h>
@@ -19,6 +21,7 @@
     "  verbenaproxy entry   --config FILE [--check]\n"
     "  verbenaproxy agent   --config FILE [--check]\n"
     "  verbenaproxy control --config FILE [--check] [--init]\n"
+    "  verbenaproxy ROLE --help   shows a role's settings and an example\n"
     "  verbenaproxy ctl [--members HOST:PORT,...] <call> [field=value ... | JSON | @file]\n"
     "  verbenaproxy ctl help [call]\n"
     "  verbenaproxy trace REQUEST-ID [LOG...]   prints one request's story, for example: trace 9c41d07b "
@@ -64,7 +67,15 @@
 int main(int argc, char** argv)
 {
     gflags::SetUsageMessage(usage);
-    gflags::SetVersionString(VERBENA_VERSION);
+    gflags::SetVersionString(verbena::version());
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    const bool asks = words.size() == 2 && (words[1] == "--help" || words[0] == "help");
+    const std::string help =
+        asks ? verbena::role_help(words[0] == "help" ? words[1] : words[0]) : std::string();
+    if (!help.empty()) {
+        std::cout << help;
+        return 0;
+    }
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     return run({argv + 1, argv + argc});
 }
--- a/src/main/roles.cpp
+++ b/src/main/roles.cpp
@@ -3,6 +3,7 @@
 #include "agent/agent_service.h"
 #include "base/event_log.h"
 #include "base/log.h"
+#include "base/version.h"
 #include "control/control_service.h"
 #include "entry/entry_service.h"
 #include "forward/forward_service.h"
@@ -56,7 +57,7 @@
         service.reload(*loaded.value());
     }
     event_log::write(
-        event::process_stateT{{}, role, loaded.value()->node->name, "reloaded", VERBENA_VERSION, file});
+        event::process_stateT{{}, role, loaded.value()->node->name, "reloaded", version(), file});
 }
 
 template <typename Service>
@@ -70,8 +71,7 @@
     const std::shared_ptr<Service> service = made.value();
     service->start();
     process.on_reload([service, role, file] { reload(*service, role, file); });
-    event_log::write(
-        event::process_stateT{{}, role, process.settings().name, "started", VERBENA_VERSION, file});
+    event_log::write(event::process_stateT{{}, role, process.settings().name, "started", version(), file});
     const int code = process.run([service] { service->stop(); });
     // Suspended coroutines still refer to each other and to the io_context. Nothing durable is pending, so
     // the process ends without running their destructors.
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -78,4 +78,16 @@
     BOOST_TEST(parse_host_ports("127.0.0.1:1, 127.0.0.1:2").value().size() == 2U);
 }
 
+// Guards the help of each role, which is made from the schema.
+BOOST_AUTO_TEST_CASE(describes_each_section)
+{
+    for (const char* section : {"node", "entry", "agent", "control", "log"}) {
+        BOOST_TEST(!describe_settings(section).empty());
+    }
+    const std::string node = describe_settings("node");
+    BOOST_TEST(node.find("  name: unique process name") != std::string::npos);
+    BOOST_TEST(node.find("(default 2000, 0 to 60000 ms)") != std::string::npos);
+    BOOST_TEST(describe_settings("nothing").empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
