--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -5,6 +5,7 @@
 #include "platform/names.h"
 #include "platform/operator_front.h"
 
+#include <boost/asio/use_future.hpp>
 #include <boost/json/parse.hpp>
 
 #include <cstdlib>
@@ -176,35 +177,37 @@
     return {"127.0.0.1", m_members.at(index).calls};
 }
 
-platform_deployment::answer platform_deployment::fetch(const host_port& address, const net::http_call& sent)
+net::task<platform_deployment::answer> platform_deployment::fetch_task(host_port address, net::http_call sent)
 {
-    const std::function<net::task<answer>()> body = [address, sent]() -> net::task<answer> {
-        answer found;
-        auto opened =
-            co_await net::open_http(address, sent, std::chrono::seconds(2), std::chrono::seconds(15));
-        if (!opened) {
+    answer found;
+    auto opened = co_await net::open_http(address, sent, std::chrono::seconds(2), std::chrono::seconds(15));
+    if (!opened) {
+        co_return found;
+    }
+    for (const char* name : {"Location", "Retry-After", "Runner-Seal", "Request-Id"}) {
+        found.headers[name] = opened.value()->header(name);
+    }
+    while (true) {
+        const result<std::string> piece = co_await opened.value()->read_some(std::chrono::seconds(15));
+        if (!piece) {
             co_return found;
         }
-        for (const char* name : {"Location", "Retry-After", "Runner-Seal", "Request-Id"}) {
-            found.headers[name] = opened.value()->header(name);
-        }
-        while (true) {
-            const result<std::string> piece = co_await opened.value()->read_some(std::chrono::seconds(15));
-            if (!piece) {
-                co_return found;
-            }
-            if (piece.value().empty()) {
-                break;
-            }
-            found.body += piece.value();
+        if (piece.value().empty()) {
+            break;
         }
-        found.status = opened.value()->status();
-        co_return found;
-    };
+        found.body += piece.value();
+    }
+    found.status = opened.value()->status();
+    co_return found;
+}
+
+platform_deployment::answer platform_deployment::fetch(const host_port& address, const net::http_call& sent)
+{
+    const std::function<net::task<answer>()> body = [address, sent] { return fetch_task(address, sent); };
     return m_threads.run<answer>(body);
 }
 
-platform_deployment::answer platform_deployment::request(const call& what, std::size_t through)
+net::http_call platform_deployment::to_http(const call& what)
 {
     net::http_call sent;
     sent.method = what.method;
@@ -222,7 +225,20 @@
     if (!what.last_event.empty()) {
         sent.headers.emplace_back(std::string(platform::names::last_event), what.last_event);
     }
-    return fetch({"127.0.0.1", m_entries.at(through).port}, sent);
+    return sent;
+}
+
+platform_deployment::answer platform_deployment::request(const call& what, std::size_t through)
+{
+    return fetch({"127.0.0.1", m_entries.at(through).port}, to_http(what));
+}
+
+std::future<platform_deployment::answer> platform_deployment::request_later(const call& what,
+                                                                            std::size_t through)
+{
+    return net::asio::co_spawn(m_threads.io,
+                               fetch_task({"127.0.0.1", m_entries.at(through).port}, to_http(what)),
+                               net::asio::use_future);
 }
 
 platform_deployment::answer platform_deployment::control(const std::string& method, const std::string& path,
@@ -298,7 +314,7 @@
     start_member(index, false);
 }
 
-void platform_deployment::restart_members(const std::function<void()>& meanwhile)
+void platform_deployment::restart_members(const std::function<void()>& while_down)
 {
     for (std::size_t i = 0; i < m_members.size(); ++i) {
         m_members[i].service->stop();
@@ -309,13 +325,12 @@
         std::filesystem::remove_all(m_members[i].folder);
         m_members[i].folder = copy;
     }
-    std::thread other(meanwhile);
+    while_down();
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     for (std::size_t i = 0; i < m_members.size(); ++i) {
         start_member(i, false);
     }
     check_in_all();
-    other.join();
 }
 
 std::size_t platform_deployment::add_entry()
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -6,6 +6,7 @@
 #include "standin/platform_runner.h"
 
 #include <functional>
+#include <future>
 #include <map>
 #include <memory>
 #include <string>
@@ -39,6 +40,9 @@
     // A caller's request through an entry.
     answer request(const call& what, std::size_t through = 0);
 
+    // The same without waiting for the answer.
+    std::future<answer> request_later(const call& what, std::size_t through = 0);
+
     // A call to a control member; follows redirections.
     answer control(const std::string& method, const std::string& path, const std::string& body,
                    std::size_t index = 0);
@@ -59,8 +63,8 @@
     // Ends a member, empties its folder and starts it again at the same address.
     void lose_disk(std::size_t index);
 
-    // Ends all members; `meanwhile` runs until they have started again with their folders.
-    void restart_members(const std::function<void()>& meanwhile);
+    // Ends all members, calls `while_down`, and starts them again with their folders.
+    void restart_members(const std::function<void()>& while_down = [] {});
 
     // Starts one more entry; returns its index.
     std::size_t add_entry();
@@ -91,7 +95,9 @@
     void stop_member(std::size_t index, bool at_once = true);
     void start_entry(std::size_t index);
     void add_runner(const std::string& id, const std::string& service, const std::string& domain);
+    static verbena::net::task<answer> fetch_task(verbena::host_port address, verbena::net::http_call sent);
     answer fetch(const verbena::host_port& address, const verbena::net::http_call& sent);
+    verbena::net::http_call to_http(const call& what);
 
     net_threads m_threads;
     std::vector<member> m_members;
--- a/test/platform_system_test.cpp
+++ b/test/platform_system_test.cpp
@@ -274,9 +274,9 @@
 // leader, which takes about half a second.
 BOOST_FIXTURE_TEST_CASE(keeps_callers_waiting_while_all_processes_start, system_fixture)
 {
-    platform_deployment::answer early;
-    system.restart_members([&] { early = system.request({}, system.add_entry()); });
-    BOOST_TEST(early.status == 200U);
+    std::future<platform_deployment::answer> early;
+    system.restart_members([&] { early = system.request_later({}, system.add_entry()); });
+    BOOST_TEST(early.get().status == 200U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
