--- a/test/raft_core_test.cpp
+++ b/test/raft_core_test.cpp
@@ -68,8 +68,9 @@
     }
 }
 
-// Guards against a group that stands still after all members have restarted together: what they ask for before
-// their connections are open is lost, and must be asked again sooner than after another election time-out.
+// Guards against a group that stands still after all members have restarted together: what they ask for
+// before their connections are open is lost, and must be asked again sooner than after another election
+// time-out.
 BOOST_AUTO_TEST_CASE(members_that_restart_together_elect_soon)
 {
     constexpr int groups = 40;
