Free reserved memory within 4 s when the writing endpoint falls silent

A runner went dark 1 s after it had got a prompt whose memory was spread over others.

Ruled out: the split of request_run (the limits are those of the last landing); a lost release (sent at 22.25 s, received).

The limits of silence are a file of their own; the stand-in runner takes orders.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -105,6 +105,12 @@
     return "unknown";
 }
 
+bool dispatch_choice::holds_memory() const
+{
+    return std::any_of(endpoints.begin(), endpoints.end(),
+                       [](const chosen_endpoint& part) { return part.reserved_tokens != 0; });
+}
+
 fleet::fleet(incarnation self, std::string own_domain, double cold_share, note_listener on_note)
     : m_self(self), m_own_domain(std::move(own_domain)), m_cold_share(cold_share),
       m_on_note(std::move(on_note))
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -39,6 +39,9 @@
     std::vector<chosen_endpoint> endpoints;
     std::uint64_t number = 0;   // of the dispatch, for the calls that follow it
     milliseconds first_event{}; // predicted
+
+    // Whether a part of the prompt is kept in memory that was reserved at another endpoint.
+    bool holds_memory() const;
 };
 
 // Why there is no endpoint for a request now.
--- a/src/forward/request_run.cpp
+++ b/src/forward/request_run.cpp
@@ -1,6 +1,7 @@
 #include "forward/request_run.h"
 
 #include "base/event_log.h"
+#include "forward/silence.h"
 
 #include <algorithm>
 
@@ -21,14 +22,6 @@
 constexpr int patience_in_objectives = 4;
 constexpr int patience_in_pauses = 8;
 
-// An endpoint that has not begun to answer after this many times the predicted time, and a fixed part for
-// errors of short predictions, is taken for silent.
-constexpr int silence_in_predictions = 3;
-constexpr milliseconds least_silence{600};
-
-// The same between two events, in pauses.
-constexpr int silence_in_pauses = 2;
-
 // A plain idempotent request is tried elsewhere after this many objectives.
 constexpr int plain_silence_in_objectives = 3;
 
@@ -258,8 +251,7 @@
     call->send(m_context.words.endpoint_head(m_exchange.request(), terms), m_exchange.request().body);
     time_point limit = m_request.deadline;
     if (is_stream() && is_idempotent()) {
-        const milliseconds stalls = choice.endpoints.size() > 1 ? m_context.stall : milliseconds::zero();
-        limit = std::min(limit, now + choice.first_event * silence_in_predictions + least_silence + stalls);
+        limit = std::min(limit, now + silence_of(choice, m_request.route->pause, m_context.stall).first);
     } else if (is_idempotent()) {
         limit = std::min(
             limit, now + std::max(m_request.route->objective * plain_silence_in_objectives, milliseconds(1)));
@@ -340,22 +332,19 @@
 {
     event_reader reader;
     bool any = false;
-    const milliseconds stalls =
-        choice.endpoints.size() > 1 ? m_context.stall + milliseconds(200) : milliseconds::zero();
-    const milliseconds silence =
-        std::max({m_request.route->pause * silence_in_pauses, milliseconds(1'000), stalls});
+    const silence_limits silence = silence_of(choice, m_request.route->pause, m_context.stall);
     while (true) {
         time_point limit = m_request.deadline;
         if (is_idempotent()) {
-            const milliseconds first = choice.first_event * silence_in_predictions + least_silence + stalls;
-            limit = std::min(limit, clock::now() + (any ? silence : first));
+            limit = std::min(limit, clock::now() + (any ? silence.between : silence.first));
         }
         // An endpoint that is known to be reading for others is not silent.
-        const auto later = [self = shared_from_this(), name = choice.endpoints.front().name, silence]() {
+        const auto later = [self = shared_from_this(), name = choice.endpoints.front().name, silence,
+                            reserved = choice.holds_memory()]() {
             const time_point now = clock::now();
             const milliseconds reading = self->m_context.endpoints.backlog(name, now);
-            return reading > milliseconds::zero()
-                       ? std::min(self->m_request.deadline, now + reading + silence / 2)
+            return reading > milliseconds::zero() && !reserved
+                       ? std::min(self->m_request.deadline, now + reading + silence.between / 2)
                        : now;
         };
         const result<std::string> piece = co_await m_call->read_some(limit, later);
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -99,6 +99,12 @@
     return m_requests;
 }
 
+std::vector<runner_order> platform_runner::orders() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_orders;
+}
+
 std::size_t platform_runner::cancelled() const
 {
     const std::lock_guard lock(m_mutex);
@@ -153,6 +159,14 @@
     request.last_event = text_of(message, names::last_event);
     request.helpers = text_of(message, names::helpers);
     request.authorization = text_of(message, names::authorization);
+    if (request.target == names::order) {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_orders.push_back({request.body, clock::now()});
+        }
+        co_await write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        co_return;
+    }
     const std::string self = m_options.answers_as.empty() ? m_options.id : m_options.answers_as;
     if (request.expected_runner != self) {
         co_await write(socket,
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -39,6 +39,12 @@
     std::string authorization;
 };
 
+// An order that a runner has received, such as a reservation of memory.
+struct runner_order {
+    std::string body;
+    time_point at;
+};
+
 struct runner_options {
     std::string id;
     std::string service;
@@ -65,6 +71,7 @@
     void plan(std::vector<runner_fault> faults);
 
     std::vector<runner_request> requests() const;
+    std::vector<runner_order> orders() const;
     // Connections of callers that were closed before the answer was complete.
     std::size_t cancelled() const;
 
@@ -94,6 +101,7 @@
     mutable std::mutex m_mutex;
     std::deque<runner_fault> m_faults;
     std::vector<runner_request> m_requests;
+    std::vector<runner_order> m_orders;
     std::size_t m_cancelled = 0;
 };
 
--- a/test/platform_system_test.cpp
+++ b/test/platform_system_test.cpp
@@ -270,6 +270,31 @@
     BOOST_TEST(system.request({}).status == 200U);
 }
 
+// Guards against memory that stays reserved at one endpoint after the one that writes has died without a
+// sign: the platform allows 4 s.
+BOOST_FIXTURE_TEST_CASE(frees_reserved_memory_of_a_silent_endpoint, system_fixture)
+{
+    system.runner("model-a").plan({runner_fault::mute});
+    system.runner("model-b").plan({runner_fault::mute});
+    platform_deployment::call call;
+    call.tokens = "235000,100";
+    call.deadline = 15s;
+    const time_point begin = clock::now();
+    system.request(call);
+    std::optional<time_point> freed;
+    BOOST_TEST_REQUIRE(eventually([&] {
+        for (const char* id : {"model-a", "model-b"}) {
+            for (const standin::runner_order& order : system.runner(id).orders()) {
+                if (order.body.find("release") != std::string::npos && !freed) {
+                    freed = order.at;
+                }
+            }
+        }
+        return freed.has_value();
+    }));
+    BOOST_TEST((*freed - begin < 4s));
+}
+
 // Guards against refusals after all processes have restarted together: callers wait while the group elects a
 // leader, which takes about half a second.
 BOOST_FIXTURE_TEST_CASE(keeps_callers_waiting_while_all_processes_start, system_fixture)
