Accept fractions and exponents in settings

Cause: the platform fills templates with fractions (retry_slack = 42.42 on the small twins), and every process of a twin ended at start with code 2. Ruled out: another template, as a template cannot round.

Change: a number may have a fraction or an exponent and is rounded down to the base unit; the unit "thousandths" takes a fraction (processor_share = 0.32). Negative numbers, nan, infinities and overflows are refused with file, line, key and remedy. Tests: the number forms, and both deployment templates rendered with such values.

Before: every process of a small twin ends at start.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -6,6 +6,7 @@
 #include <flatbuffers/idl.h>
 
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <map>
 #include <optional>
@@ -38,6 +39,9 @@
 
 std::optional<std::uint64_t> unit_multiplier(const std::string& unit, std::string_view suffix)
 {
+    if (unit == "thousandths") {
+        return suffix.empty() ? std::optional<std::uint64_t>(1'000) : std::nullopt;
+    }
     if (suffix.empty()) {
         return unit.empty() ? std::optional<std::uint64_t>(1) : std::nullopt;
     }
@@ -61,38 +65,72 @@
 std::string unit_remedy(const std::string& unit)
 {
     if (unit == "ms") {
-        return "write a whole number with ms, s, min or h, for example 250ms";
+        return "write a number of at least 0 with ms, s, min or h, for example 250ms";
     }
     if (unit == "bytes") {
-        return "write a whole number with B, KiB, MiB or GiB, for example 64MiB";
+        return "write a number of at least 0 with B, KiB, MiB or GiB, for example 64MiB";
+    }
+    if (unit == "thousandths") {
+        return "write a fraction of at least 0 without a unit, for example 0.32";
     }
-    return "write a whole number without a unit";
+    return "write a number of at least 0 without a unit, for example 12";
 }
 
-// Converts a number with its unit to the base unit of the field and checks it against the range in the
-// schema.
-result<std::uint64_t> convert_number(const flatbuffers::FieldDef& field, const std::string& value)
+// A number in the base unit of its field, or nullopt for text that is not a number with a valid unit.
+std::optional<double> parse_fraction(const std::string& unit, const std::string& value)
+{
+    double number = 0;
+    const char* end = value.data() + value.size();
+    const auto parsed = std::from_chars(value.data(), end, number);
+    if (parsed.ec != std::errc() || !std::isfinite(number) || number < 0) {
+        return std::nullopt;
+    }
+    const auto factor =
+        unit_multiplier(unit, std::string_view(parsed.ptr, static_cast<std::size_t>(end - parsed.ptr)));
+    // Decimal fractions such as 0.29 are not exact in binary.
+    constexpr double rounding = 1e-6;
+    return factor ? std::optional<double>(std::floor(number * static_cast<double>(*factor) + rounding))
+                  : std::nullopt;
+}
+
+// A whole number is parsed exactly; a fraction is rounded down to the base unit.
+std::optional<std::uint64_t> parse_number(const std::string& unit, const std::string& value, bool& overflow)
 {
-    const std::string unit = attribute(field, "unit");
     std::uint64_t number = 0;
     const char* end = value.data() + value.size();
     const auto parsed = std::from_chars(value.data(), end, number);
     const auto factor =
         unit_multiplier(unit, std::string_view(parsed.ptr, static_cast<std::size_t>(end - parsed.ptr)));
-    if (parsed.ec != std::errc() || !factor) {
+    if (parsed.ec == std::errc() && factor) {
+        overflow = number > UINT64_MAX / *factor;
+        return number * *factor;
+    }
+    const std::optional<double> fraction = parse_fraction(unit, value);
+    constexpr double limit = 18e18;
+    overflow = fraction && *fraction > limit;
+    return fraction ? std::optional<std::uint64_t>(static_cast<std::uint64_t>(std::min(*fraction, limit)))
+                    : std::nullopt;
+}
+
+// Converts a number with its unit to the base unit of the field and checks it against the range in the
+// schema.
+result<std::uint64_t> convert_number(const flatbuffers::FieldDef& field, const std::string& value)
+{
+    const std::string unit = attribute(field, "unit");
+    bool overflow = false;
+    const std::optional<std::uint64_t> number = parse_number(unit, value, overflow);
+    if (!number) {
         return make_error(error_kind::invalid_settings, "'" + value + "' is not a valid value",
                           unit_remedy(unit));
     }
     const std::string minimum = attribute(field, "min");
     const std::string maximum = attribute(field, "max");
-    const bool overflow = number > UINT64_MAX / *factor;
-    number *= *factor;
-    if (overflow || (!minimum.empty() && number < to_number(minimum)) ||
-        (!maximum.empty() && number > to_number(maximum))) {
+    if (overflow || (!minimum.empty() && *number < to_number(minimum)) ||
+        (!maximum.empty() && *number > to_number(maximum))) {
         return make_error(error_kind::invalid_settings, "'" + value + "' is out of range",
                           "use " + minimum + " to " + maximum + (unit.empty() ? "" : " " + unit));
     }
-    return number;
+    return *number;
 }
 
 std::string json_quote(const std::string& value)
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -2,6 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <fstream>
+#include <iterator>
+#include <map>
+
 using namespace verbena;
 
 namespace {
@@ -44,6 +48,60 @@
     BOOST_TEST(!root.agent);
 }
 
+// The users' platform fills templates with fractions and exponents; a process that cannot read them does not
+// start.
+BOOST_AUTO_TEST_CASE(numbers_may_have_a_fraction_or_an_exponent)
+{
+    const auto parsed =
+        parse_settings(valid_text + "retry_slack = 42.42\n"
+                                    "retry_window = 1e1s\n"
+                                    "stall = 1.5s\n"
+                                    "[control]\nlisten = a:1\noperator_listen = a:2\ndata = d\n"
+                                    "[agent]\nlisten = a:1\nendpoint = e\nengine = a:2\n"
+                                    "service = s\n",
+                       "a.ini");
+    BOOST_TEST_REQUIRE(parsed.has_value());
+    BOOST_TEST(parsed.value()->entry->retry_slack == 42U);
+    BOOST_TEST(parsed.value()->entry->retry_window == 10'000U);
+    BOOST_TEST(parsed.value()->entry->stall == 1'500U);
+    for (const char* share : {"0.29", "0.290", "2.9e-1"}) {
+        const std::string text =
+            "[node]\nname = e\ncluster = c\nprocessor_share = " + std::string(share) + "\n";
+        const auto node = parse_settings(text, "a.ini");
+        BOOST_TEST_REQUIRE(node.has_value());
+        BOOST_TEST(node.value()->node->processor_share == 290U);
+    }
+    for (const char* invalid : {"-1", "nan", "inf", "1.5.2", "1e999", "42.4ms", "0x10", ""}) {
+        BOOST_TEST(contains(message_of(valid_text + "retry_slack = " + invalid + "\n"), "a.ini:10"), invalid);
+    }
+    BOOST_TEST(contains(message_of(valid_text + "stall = 0.01ms\n"), "out of range"));
+}
+
+// Guards against a template of the deployment that does not give valid settings, whatever form its numbers
+// take.
+BOOST_AUTO_TEST_CASE(deployment_templates_give_valid_settings)
+{
+    const std::map<std::string, std::string> values{
+        {"retry_slack", "42.42"}, {"retry_window_s", "1e1"}, {"stall_ms", "1500.0"},
+        {"grace_s", "8.0"},       {"cpu_share", "0.09"},     {"bootstrap", "true"},
+        {"machines", "2"},        {"port_range.0", "7340"},  {"port_range.1", "7355"}};
+    for (const char* role : {"entry", "control"}) {
+        std::ifstream file(std::string(VERBENA_SOURCE_DIR) + "/deploy/" + role + ".ini");
+        std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+        BOOST_TEST_REQUIRE(!text.empty());
+        for (auto begin = text.find("{{"); begin != std::string::npos; begin = text.find("{{")) {
+            const auto end = text.find("}}", begin);
+            const std::string field = text.substr(begin + 2, end - begin - 2);
+            std::string value = field.starts_with("listen.") || field == "seeds" ? "10.0.0.1:80" : "10.0.0.1";
+            for (const auto& [suffix, known] : values) {
+                value = field.ends_with(suffix) ? known : value;
+            }
+            text.replace(begin, end + 2 - begin, value);
+        }
+        BOOST_TEST(message_of(text) == "accepted", message_of(text));
+    }
+}
+
 // Guards against a process that starts with a misspelt key or an invalid value.
 BOOST_AUTO_TEST_CASE(errors_name_file_line_key_and_remedy)
 {
