--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -5,6 +5,7 @@
 #include "base/random.h"
 #include "base/version.h"
 #include "node/control_client.h"
+#include "node/publication.h"
 
 #include <boost/asio/experimental/concurrent_channel.hpp>
 
@@ -169,6 +170,7 @@
 member_view control_service::make_view(time_point now) const
 {
     member_view self;
+    self.failure_domain = m_process.settings().failure_domain;
     self.confirmed_age = confirmed_age(now);
     self.is_leader = m_raft->is_leader();
     self.leader = m_raft->leader_address();
@@ -381,9 +383,7 @@
     // Derived from version and content, so that a resend has the same id and gets the first answer.
     request.request_id =
         "publish-" + std::to_string(version) + "-" + std::to_string(XXH3_64bits(text.data(), text.size()));
-    request.publish = std::make_unique<op::publicationT>();
-    request.publish->version = version;
-    request.publish->content.assign(text.begin(), text.end());
+    request.publish = std::make_unique<op::publicationT>(node::pack_publication(version, content));
     co_return co_await change(std::move(request));
 }
 
@@ -405,8 +405,11 @@
     copy.current = age && *age <= max_published_age;
     const auto config = m_machine.config().current();
     if (copy.current && config->published) {
-        copy.version = config->published->version;
-        copy.content.assign(config->published->content.begin(), config->published->content.end());
+        result<std::string> content = node::unpack_publication(*config->published);
+        if (content) {
+            copy.version = config->published->version;
+            copy.content = std::move(content.value());
+        }
     }
     return copy;
 }
--- a/src/control/poll_service.cpp
+++ b/src/control/poll_service.cpp
@@ -18,6 +18,12 @@
 // An entry counts as polling until it has missed three polls.
 constexpr milliseconds entry_poll_timeout{1'500};
 
+// Candidates listed for each failure domain: the preferred one and those that replace it.
+constexpr std::size_t schedulers_per_domain = 3;
+
+// The list of candidates is computed at most this often.
+constexpr milliseconds schedulers_interval{100};
+
 // Entries that stopped polling longer ago than this are not counted towards the majority.
 constexpr milliseconds recent_entry_window{10'000};
 
@@ -92,14 +98,17 @@
     reply.confirmed = fresh.confirmed;
     reply.age_ms = fresh.confirmed ? static_cast<std::uint32_t>(fresh.age.count()) : unknown_age;
     reply.revision = fresh.number;
-    reply.config = std::move(fresh.config);
+    if (!poll.without_config) {
+        reply.config = std::move(fresh.config);
+    }
     if (fresh.confirmed) {
         reply.leader = member.leader;
         reply.load_permit = member.is_leader && grant_permit(poll, process, now);
     }
     if (poll.role == wire::role::entry) {
         reply.members = member.members;
-        reply.entries = entry_addresses(now);
+        reply.failure_domain = member.failure_domain;
+        add_schedulers(poll, now, reply);
     }
     endpoints.expire(now);
     // Configuration and directory delta together may exceed one frame, so the delta waits for the next poll.
@@ -156,6 +165,9 @@
     process.last_poll = now;
     process.frame_address =
         poll.frame_address.size() <= max_process_name ? poll.frame_address : std::string();
+    process.failure_domain =
+        poll.failure_domain.size() <= max_process_name ? poll.failure_domain : std::string();
+    process.processor_share = poll.processor_share;
     return &process;
 }
 
@@ -179,6 +191,57 @@
     });
 }
 
+// A list of all entries would make the replies grow with the square of the fleet, so only the candidates of
+// each failure domain are listed, and only to a process that holds another list.
+void poll_service::add_schedulers(const wire::pollT& poll, time_point now, wire::poll_replyT& reply)
+{
+    if (poll.failure_domain.empty()) {
+        reply.entries = entry_addresses(now);
+        return;
+    }
+    if (now - m_schedulers_updated >= schedulers_interval) {
+        m_schedulers_updated = now;
+        update_schedulers(now);
+    }
+    reply.entry_count = m_entry_count;
+    reply.schedulers_digest = m_schedulers_digest;
+    if (poll.schedulers_digest == m_schedulers_digest) {
+        return;
+    }
+    for (const node::scheduler_candidate& value : m_schedulers) {
+        auto item = std::make_unique<wire::scheduler_candidateT>();
+        item->address = value.address;
+        item->failure_domain = value.failure_domain;
+        item->processor_share = value.processor_share;
+        reply.schedulers.push_back(std::move(item));
+    }
+}
+
+void poll_service::update_schedulers(time_point now)
+{
+    std::vector<node::scheduler_candidate> polling;
+    m_entry_count = 0;
+    for (const auto& [key, process] : m_processes) {
+        if (process.role != wire::role::entry || now - process.last_poll >= entry_lease) {
+            continue;
+        }
+        ++m_entry_count;
+        const bool listening = now - process.last_poll < entry_poll_timeout;
+        if (listening && !process.frame_address.empty() && !process.failure_domain.empty()) {
+            polling.push_back({process.frame_address, process.failure_domain, process.processor_share});
+        }
+    }
+    std::sort(polling.begin(), polling.end(), node::is_preferred);
+    m_schedulers.clear();
+    std::map<std::string, std::size_t> listed;
+    for (node::scheduler_candidate& value : polling) {
+        if (++listed[value.failure_domain] <= schedulers_per_domain) {
+            m_schedulers.push_back(std::move(value));
+        }
+    }
+    m_schedulers_digest = node::digest_of(m_schedulers);
+}
+
 std::vector<std::string> poll_service::entry_addresses(time_point now) const
 {
     std::vector<std::string> addresses;
--- a/src/control/poll_service.h
+++ b/src/control/poll_service.h
@@ -2,6 +2,7 @@
 
 #include "control/configuration.h"
 #include "control/directory.h"
+#include "node/scheduler_list.h"
 
 #include <cstdint>
 #include <map>
@@ -34,6 +35,7 @@
     std::string leader;
     // Frame addresses of all members.
     std::vector<std::string> members{};
+    std::string failure_domain{};
 };
 
 // Token bucket for loads from the weight store. A full bucket admits a load larger than the burst; the
@@ -62,6 +64,9 @@
     time_point last_poll;
     // Frame address under which other entries reach this entry; empty for other roles.
     std::string frame_address;
+    // Failure domain and processor share of an entry that may schedule requests; empty and 0 for others.
+    std::string failure_domain;
+    std::uint32_t processor_share = 0;
     // Size of the load permit that the process holds, in bytes; 0 without a permit.
     std::uint64_t granted_bytes = 0;
 };
@@ -97,6 +102,8 @@
     using process_key = std::pair<wire::role, std::string>;
 
     std::vector<std::string> entry_addresses(time_point now) const;
+    void add_schedulers(const wire::pollT& poll, time_point now, wire::poll_replyT& reply);
+    void update_schedulers(time_point now);
     process_record* record_poll(const wire::pollT& poll, time_point now);
     void remove_expired(time_point now);
     bool grant_permit(const wire::pollT& poll, process_record* process, time_point now);
@@ -106,6 +113,11 @@
     load_rate_limiter m_load_limiter;
     bool m_was_leader = false;
     std::map<process_key, process_record> m_processes;
+
+    std::vector<node::scheduler_candidate> m_schedulers;
+    std::uint64_t m_schedulers_digest = 0;
+    std::uint32_t m_entry_count = 0;
+    time_point m_schedulers_updated{};
 };
 
 // Reply to a freshness query, or the freshness part of a poll reply: the newest confirmed revision, its age
--- a/src/forward/endpoint_call.h
+++ b/src/forward/endpoint_call.h
@@ -29,7 +29,8 @@
     net::task<result<answer_metadata>> read_head(const protocol_adapter& protocol, time_point deadline);
 
     // The next bytes of the body; empty when it is complete. An answer without a length is complete when the
-    // endpoint closes the connection cleanly. When the deadline expires, `extend` may return a later one.
+    // endpoint closes the connection cleanly. When the deadline expires, `extend` may return a later one;
+    // a time in the past extends nothing.
     using deadline_extension = std::function<time_point()>;
     net::task<result<std::string>> read_some(time_point deadline, deadline_extension extend = nullptr);
 
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "base/random.h"
 #include "base/settings.h"
 #include "policy/placement.h"
 #include "policy/prefill_order.h"
@@ -28,10 +29,14 @@
     const route::service_rule* service = nullptr;
     policy::model_request model;
     milliseconds time_left{};
-    std::set<std::string> excluded; // endpoints that earlier attempts have used or found failed
-    std::uint64_t wait_number = 0;  // from begin_wait(); 0 = the request has not waited
-    bool may_wait = true;           // its objective has not passed yet
-    bool answer_started = false;    // a part has been delivered, which is lost without the rest
+    std::set<std::string> excluded;       // endpoints that earlier attempts have used or found failed
+    std::optional<policy::work_key> wait; // from begin_wait()
+    bool may_wait = true;                 // its objective has not passed yet
+    bool answer_started = false;          // a part has been delivered, which is lost without the rest
+    // The dispatch of another entry that asks this one; nullopt = this entry's own, numbered by dispatch().
+    std::optional<policy::work_key> key;
+    // This entry chooses without the work of the other entries, because no scheduler answers.
+    bool alone = false;
 };
 
 // The endpoints selected for a request; the first one generates the answer.
@@ -59,17 +64,27 @@
     std::optional<dispatch_choice> choice;
     milliseconds wait{};
     dispatch_refusal refusal;
+    std::string chosen_by; // address of the scheduler, `self` or `alone`
 };
 
 // Result of an attempt as far as it affects the selection of the endpoint for later requests.
-enum class attempt_health : std::uint8_t { good, failed, unreachable, misdirected, neutral };
+enum class attempt_health : std::uint8_t { neutral, good, failed, unreachable, misdirected };
+
+// What an attempt has shown about its endpoints.
+struct attempt_report {
+    attempt_health health = attempt_health::neutral; // of the answering endpoint
+    std::vector<std::string> unreachable;            // endpoints that the answering endpoint could not reach
+    std::chrono::microseconds interval{}; // shortest time between two events of the answer; 0 = unknown
+    bool leaving = false;                 // the answering endpoint has announced that it leaves
+};
 
-// The endpoints known to this entry and the work that all entries have dispatched to them. Thread-safe; its
-// mutex comes after the directory's in the lock order.
+// The endpoints known to this entry and the work dispatched to them, as far as this entry knows it: a
+// scheduler knows the work of all entries, any other entry its own. Thread-safe; its mutex comes after the
+// directory's in the lock order.
 class fleet {
 public:
-    // Called without the lock at each phase change of this entry's own work, for replication to the other
-    // entries.
+    // Called without the lock at each phase change of the work that this entry has chosen the endpoints for,
+    // that it has sent, or that an entry has reported to it directly; for replication to the schedulers.
     using note_listener = std::function<void(wire::dispatch_noteT)>;
 
     fleet(incarnation self, std::string own_domain, double cold_fraction, note_listener on_note);
@@ -84,20 +99,37 @@
     // slot.
     dispatch_result dispatch(const dispatch_request& request, time_point now);
 
+    // A number for a dispatch of this entry for which a scheduler is asked.
+    std::uint64_t next_number();
+
+    // Records endpoints that a scheduler has chosen for a dispatch of this entry. Without a choice,
+    // `rejected` names an endpoint that this entry may not use.
+    std::optional<dispatch_choice> adopt(std::uint64_t number,
+                                         const std::vector<std::unique_ptr<wire::dispatch_noteT>>& notes,
+                                         std::string& rejected, time_point now);
+
+    // The notes of a dispatch, one for each endpoint, the answering one first; empty for an unknown dispatch.
+    std::vector<wire::dispatch_noteT> notes_of(const policy::work_key& key) const;
+
     void record_first_event(std::uint64_t number, time_point now);
-    void record_end(std::uint64_t number, time_point now);
+    void record_end(std::uint64_t number, time_point now, const attempt_report& report = {});
 
-    // Adds a request to the queue shared by all entries for free endpoints, and removes it.
-    std::uint64_t begin_wait(const dispatch_request& request, time_point now);
-    void end_wait(std::uint64_t number);
+    // Adds a request to the queue for free endpoints that all schedulers share, and removes it.
+    policy::work_key begin_wait(const dispatch_request& request, time_point now);
+    void end_wait(const policy::work_key& key);
 
     void record_health(const std::string& endpoint, attempt_health health, time_point now);
 
-    // `slowdown` is the measured over the predicted time between events of an answer.
-    void record_slowdown(const std::string& endpoint, double slowdown, time_point now);
+    // The endpoint has announced to this entry that it leaves, or that it wants no requests for some time.
+    void record_leaving(const std::string& endpoint);
+    void record_retry_after(const std::string& endpoint, milliseconds time, time_point now);
+
+    // Endpoints of a service that this entry sends nothing to because of what they have answered to it.
+    std::set<std::string> blocked(const std::string& service, time_point now) const;
 
-    // Predicted time between two events of an answer at the endpoint, with no prefill in between.
-    double event_interval_ms(const std::string& endpoint, const route::engine_rule& engine) const;
+    // Sets the failure domains whose load this entry does not know. Their endpoints are chosen only when
+    // there are no others.
+    void set_unknown_domains(std::set<std::string> domains);
 
     // Name of the most recently started endpoint with this address; empty when there is none.
     std::string endpoint_at(const std::string& address) const;
@@ -108,11 +140,12 @@
     // Whether the endpoint accepts new work: it is listed, not leaving, and its failure domain is in service.
     bool is_usable(const std::string& endpoint, time_point now) const;
 
-    // Applies the notes of another entry, and removes all work of an entry that has disconnected.
+    // Applies the notes of another entry, and removes all work reported by an entry that has disconnected.
     void apply_notes(const wire::load_notesT& notes, time_point now);
     void remove_entry(incarnation entry, time_point now);
 
-    // All current work of this entry, for an entry that has just connected.
+    // All current work that this entry has sent or that entries have reported to it directly, for an entry to
+    // which this one has just connected.
     std::vector<wire::dispatch_noteT> own_notes() const;
 
     std::size_t size() const;
@@ -132,27 +165,36 @@
         time_point failure_rate_updated;
         std::uint32_t unreachable_count = 0; // consecutive connection failures
         time_point backoff_until;
+        time_point retry_after;                   // the endpoint wants no requests of this entry until then
+        bool announced_leaving = false;           // in an answer
         bool misdirected = false;                 // another endpoint answered at the address
         bool superseded = false;                  // an endpoint that started later has announced the address
         std::deque<time_point> recent_dispatches; // by all entries
     };
 
-    struct own_dispatch {
-        std::vector<wire::dispatch_noteT> notes;
+    struct dispatch_record {
+        incarnation reporter = 0;                // the entry whose connection vouches for the dispatch
+        std::vector<wire::dispatch_noteT> notes; // one for each endpoint, the answering one first
         std::uint8_t phase = 0;
     };
 
     // A request at any entry that waits for free endpoints.
     struct waiting_request {
+        incarnation reporter = 0;
         std::string service;
         policy::waiting_prompt prompt;
     };
 
-    bool is_next_to_prefill(const dispatch_request& request, std::size_t endpoints, double first_free_ms,
-                            time_point now) const;
+    using note_list = std::vector<wire::dispatch_noteT>;
+
+    // Endpoints that the waiting prompts which go before the request would use.
+    std::size_t parts_before(const dispatch_request& request, std::size_t endpoints, time_point now) const;
+    // Expected loss of all other waiting prompts per ms that this one makes them wait.
+    double queue_loss_per_ms(const dispatch_request& request, time_point now) const;
     void mark_superseded();
     bool accepts_work(const endpoint_state& state, time_point now) const;
-    bool at_cold_limit(endpoint_state& state, const route::service_rule& service, time_point now) const;
+    bool is_blocked(const endpoint_state& state, time_point now) const;
+    bool at_cold_limit(endpoint_state& state, const dispatch_request& request, time_point now) const;
     double slowdown_of(const endpoint_state& state, time_point now) const;
     double failure_rate_of(const endpoint_state& state, time_point now) const;
     std::vector<endpoint_state*> eligible_endpoints(const dispatch_request& request, time_point now);
@@ -162,9 +204,19 @@
                                    time_point now);
     void record_dispatch(dispatch_choice& choice, const dispatch_request& request,
                          const std::vector<endpoint_state*>& parts, time_point now);
-    void apply_note(incarnation entry, const wire::dispatch_noteT& note, time_point now);
-    void advance_phase(std::uint64_t number, std::uint8_t phase, time_point now);
-    void publish_notes(const std::vector<wire::dispatch_noteT>& notes);
+    bool is_direct(const policy::work_key& key, incarnation reporter) const;
+    wire::dispatch_noteT to_published(const policy::work_key& key, wire::dispatch_noteT note) const;
+    note_list notes_to_publish(const policy::work_key& key, const dispatch_record& record) const;
+    void apply_note(incarnation reporter, const wire::dispatch_noteT& note, time_point now);
+    void start_part(const policy::work_key& key, incarnation reporter, const wire::dispatch_noteT& note,
+                    time_point now);
+    void advance_phase(const policy::work_key& key, const wire::dispatch_noteT& note, time_point now);
+    void apply_report(const dispatch_record& record, const wire::dispatch_noteT& note, time_point now);
+    void apply_health(endpoint_state& state, attempt_health health, time_point now);
+    void apply_interval(endpoint_state& state, std::chrono::microseconds interval, time_point now);
+    void update_own_phase(std::uint64_t number, wire::dispatch_noteT note, time_point now);
+    note_list remove_reporter(incarnation reporter, time_point now);
+    void publish(const note_list& notes);
 
     const incarnation m_self;
     const std::string m_own_domain;
@@ -173,10 +225,13 @@
 
     mutable std::mutex m_mutex;
     std::map<std::string, endpoint_state> m_endpoints;
-    std::map<std::uint64_t, own_dispatch> m_own_dispatches;
+    std::map<policy::work_key, dispatch_record> m_dispatches;
     std::map<policy::work_key, waiting_request> m_waiting;
+    std::map<std::string, route::engine_rule> m_engines; // by service, from the latest dispatch
+    std::set<std::string> m_unknown_domains;
     std::set<std::string> m_domains_out;
     std::uint64_t m_next_number = 1;
+    random_engine m_random;
 };
 
 } // namespace verbena::forward
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "base/version.h"
 #include "node/freshness.h"
+#include "node/publication.h"
 
 #include <algorithm>
 
@@ -103,17 +104,25 @@
     options.members = members;
     options.self = connections.self;
     options.interval = milliseconds(300);
+    options.remote_interval = milliseconds(900);
     options.reply_timeout = milliseconds(800);
     options.frame_address = m_settings.peer_listen;
+    options.failure_domain = m_process.settings().failure_domain;
+    options.processor_share = m_process.settings().processor_share;
     m_control = std::make_shared<node::control_client>(m_process.io(), std::move(options), m_pool, m_config,
                                                        &m_directory, nullptr, counters);
+    m_scheduler = std::make_unique<scheduler_client>(m_control->schedulers(), m_settings.peer_listen,
+                                                     m_process.settings().failure_domain, m_fleet);
     if (!m_settings.peer_listen.empty()) {
         load_exchange::options load_options;
         BOOST_OUTCOME_TRY(load_options.listen, parse_host_port(m_settings.peer_listen));
+        load_options.failure_domain = m_process.settings().failure_domain;
         load_options.connections = connections;
+        auto placements = std::make_shared<scheduler_service>(m_fleet, [this] { return update_rules(); });
         BOOST_OUTCOME_TRY(m_load_exchange,
                           load_exchange::create(m_process.io(), std::move(load_options), m_fleet, m_config,
-                                                [this] { return m_control->entries(clock::now()); }));
+                                                *m_scheduler, std::move(placements)));
+        m_scheduler->set_exchange(m_load_exchange);
     }
     net::http_limits limits;
     limits.max_header = m_settings.max_header;
@@ -180,8 +189,9 @@
     m_fleet.set_domains_out(std::move(out));
     const auto& published = config->document().published;
     if (published && (!m_rules.table || published->version > m_rules.table->version())) {
-        const std::string content(published->content.begin(), published->content.end());
-        result<route::document> document = m_adapter.documents->decode(content);
+        const result<std::string> content = node::unpack_publication(*published);
+        result<route::document> document =
+            content ? m_adapter.documents->decode(content.value()) : result<route::document>(content.error());
         const auto table = document ? route::table::create(std::move(document.value()))
                                     : result<std::shared_ptr<const route::table>>(document.error());
         if (table) {
@@ -232,8 +242,10 @@
         }
         m_process.set_ready(serving && !m_stopping);
         // A low count can mean that some entries are not known yet, hence the minimum.
-        const std::size_t entries = std::max(m_control->entries(clock::now()).size(), min_entries);
+        const time_point now = clock::now();
+        const std::size_t entries = std::max(m_control->schedulers().entry_count(now), min_entries);
         m_budget.set_options(entry_retry_options(m_settings, entries));
+        m_scheduler->refresh(now);
         co_await net::sleep_for(refresh_interval);
     }
     m_process.set_ready(false);
@@ -247,9 +259,9 @@
         if (!m_load_exchange || (age && *age < node::peer_query_age)) {
             continue;
         }
-        const std::vector<std::string> known = m_control->entries(clock::now());
+        const auto known = m_control->schedulers().candidates(std::string(), clock::now());
         for (std::size_t i = 0; i < std::min(known.size(), node::max_queried_peers); ++i) {
-            const result<host_port> address = parse_host_port(known[m_next_peer++ % known.size()]);
+            const result<host_port> address = parse_host_port(known[m_next_peer++ % known.size()].address);
             if (!address) {
                 continue;
             }
@@ -406,8 +418,13 @@
 
 net::task<void> forward_service::forward_request(net::http_exchange& exchange, routed_request request)
 {
-    const forwarder_context context{m_fleet, *m_adapter.requests, m_budget, m_process.counters(),
-                                    milliseconds(m_settings.stall)};
+    const forwarder_context context{m_fleet,
+                                    *m_scheduler,
+                                    *m_adapter.requests,
+                                    m_budget,
+                                    m_process.counters(),
+                                    milliseconds(m_settings.stall),
+                                    [this](time_point now) { return can_serve(now); }};
     const time_point deadline = request.deadline;
     auto forwarder = std::make_shared<request_forwarder>(context, exchange, std::move(request));
     auto ended = std::make_shared<bool>(false);
--- a/src/forward/forward_service.h
+++ b/src/forward/forward_service.h
@@ -2,6 +2,7 @@
 
 #include "forward/load_exchange.h"
 #include "forward/request_forwarder.h"
+#include "forward/scheduler_service.h"
 #include "node/control_client.h"
 #include "node/process.h"
 #include "route/document_codec.h"
@@ -65,7 +66,6 @@
     net::task<void> refresh();
     net::task<void> query_peers();
     net::task<void> drain();
-    std::size_t entries() const;
 
     node::process& m_process;
     settings::entry_settingsT m_settings;
@@ -76,12 +76,12 @@
     shared_retry_budget m_budget;
     std::shared_ptr<net::peer_pool> m_pool;
     std::shared_ptr<node::control_client> m_control;
+    std::unique_ptr<scheduler_client> m_scheduler;
     std::shared_ptr<load_exchange> m_load_exchange;
     std::shared_ptr<net::http_server> m_server;
     std::mutex m_rules_mutex;
     rules_in_force m_rules;
     std::atomic<bool> m_stopping{false};
-    std::atomic<std::uint64_t> m_draw{0};
     std::size_t m_next_peer = 0;
 };
 
--- a/src/forward/load_exchange.h
+++ b/src/forward/load_exchange.h
@@ -9,34 +9,82 @@
 
 namespace verbena::forward {
 
-// Exchanges load notes with the other entries: each entry sends what it dispatches to endpoints, so that all
-// of them can predict the load of every endpoint without a query. The notes of an entry count until its
-// connection ends. Entries also answer each other's queries for the newest confirmed configuration.
-class load_exchange : public net::connection_handler, public std::enable_shared_from_this<load_exchange> {
+// An entry to which this one reports its work.
+struct report_target {
+    std::string address;
+    bool as_scheduler = false; // the target schedules another failure domain, and this entry its own
+};
+
+// Decides to which entries this one reports its work.
+class report_target_source {
 public:
-    // Returns the frame addresses of all entries, including this one.
-    using peer_list = std::function<std::vector<std::string>()>;
+    report_target_source() = default;
+    report_target_source(const report_target_source&) = delete;
+    report_target_source& operator=(const report_target_source&) = delete;
+    virtual ~report_target_source() = default;
+
+    virtual std::vector<report_target> report_targets(time_point now) const = 0;
+
+    // Called when a target cannot be connected to.
+    virtual void on_unreachable(const std::string& address, const std::string& reason) = 0;
+};
+
+// Answers the placement requests of other entries.
+class placement_handler {
+public:
+    placement_handler() = default;
+    placement_handler(const placement_handler&) = delete;
+    placement_handler& operator=(const placement_handler&) = delete;
+    virtual ~placement_handler() = default;
+
+    // `message` holds a placement request. Its entry reports its work to this one.
+    virtual net::task<void> on_request(std::shared_ptr<net::frame_stream> stream,
+                                       net::received_frame message) = 0;
+    virtual void on_backlog_query(const std::shared_ptr<net::frame_stream>& stream,
+                                  const wire::backlog_query& query) = 0;
+};
 
+// Exchanges load notes between entries and schedulers. Each entry reports its work to the scheduler of its
+// failure domain, and each scheduler reports the work of its domain to the other schedulers. The notes count
+// until the connection of their sender ends. Entries also answer each other's queries for the newest
+// confirmed configuration.
+class load_exchange : public net::connection_handler, public std::enable_shared_from_this<load_exchange> {
+public:
     struct options {
         host_port listen;
+        std::string failure_domain;
         net::connection_options connections;
     };
 
     static result<std::shared_ptr<load_exchange>> create(net::asio::io_context& io, options settings,
                                                          fleet& endpoints, node::config_view& config,
-                                                         peer_list peers);
+                                                         report_target_source& targets,
+                                                         std::shared_ptr<placement_handler> placements);
 
     load_exchange(net::asio::io_context& io, options settings, fleet& endpoints, node::config_view& config,
-                  peer_list peers);
+                  report_target_source& targets, std::shared_ptr<placement_handler> placements);
 
     void start();
     void stop();
 
-    // Queues a note about this entry's own work for sending.
+    incarnation self() const { return m_options.connections.self.incarnation; }
+
+    // Queues a note for sending.
     void add(wire::dispatch_noteT note);
 
+    // The connection to an entry to which this one has reported its work; null if there is none.
+    std::shared_ptr<net::connection> connection_to(const std::string& address) const;
+
+    // Ends the connection to an entry that does not answer.
+    void drop(const std::string& address, const std::string& reason);
+
+    // Whether entries of the failure domain report their work to this one, and whether its scheduler does.
+    bool has_reporters(const std::string& failure_domain) const;
+    bool has_scheduler_of(const std::string& failure_domain) const;
+
     void on_stream(const std::shared_ptr<net::frame_stream>& stream, net::received_frame first) override;
 
+    // Number of entries to which this one reports.
     std::size_t peers() const;
 
 private:
@@ -44,13 +92,24 @@
     struct peer {
         std::shared_ptr<net::frame_stream> stream;
         bool connecting = false;
-        time_point heard; // when the address list last contained it
+        bool as_scheduler = false;
+    };
+
+    // An entry that sends its notes to this one.
+    struct reporter {
+        std::string failure_domain;
+        bool schedules = false;
+        std::size_t streams = 0;
     };
 
     net::task<void> connect_loop();
-    net::task<void> connect(std::string name, host_port address);
+    net::task<void> connect(report_target target, host_port address);
     net::task<void> receive_notes(std::shared_ptr<net::frame_stream> stream, net::received_frame first);
+    void answer_placement(const std::shared_ptr<net::frame_stream>& stream, net::received_frame message);
+    bool is_reporter(incarnation entry) const;
     void update_peers();
+    // Ends the streams to entries that are no targets, and returns the targets to connect to.
+    std::vector<report_target> take_unconnected(const std::vector<report_target>& targets);
     void flush();
     void apply(const wire::load_notes& notes);
 
@@ -58,7 +117,8 @@
     options m_options;
     fleet& m_fleet;
     node::config_view& m_config;
-    peer_list m_peer_list;
+    report_target_source& m_targets;
+    std::shared_ptr<placement_handler> m_placements;
     std::shared_ptr<net::peer_pool> m_pool;
     std::shared_ptr<net::frame_server> m_server;
     net::asio::steady_timer m_flush_timer;
@@ -66,6 +126,7 @@
     // Guards the members below. In the lock order it comes last, except for metrics.
     mutable std::mutex m_mutex;
     std::map<std::string, peer> m_peers;
+    std::map<incarnation, reporter> m_reporters;
     std::vector<wire::dispatch_noteT> m_queued;
     bool m_flushing = false;
     bool m_stopping = false;
--- a/src/forward/protocol_adapter.h
+++ b/src/forward/protocol_adapter.h
@@ -47,6 +47,8 @@
     bool has_content_encoding = false; // the body has a Content-Encoding, so an intermediary has changed it
     std::string failed_dependency; // address of the endpoint that the request depended on and whose failure
                                    // stopped it
+    bool leaving = false;          // the endpoint leaves and wants no further requests
+    milliseconds retry_after{};    // the endpoint wants no further requests for this long
     std::string content_type;
     net::http_header_list headers; // passed on to the caller
 };
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr std::size_t max_answer_bytes = 16ULL * 1024 * 1024;
+constexpr std::size_t max_event_bytes = 1024 * 1024;
+
+// An endpoint that is silent is not waited for any longer.
+constexpr time_point no_extension{};
 
 // The network round trip to an endpoint is at most a few milliseconds; a longer connect means a lost packet
 // or a dead endpoint.
@@ -33,6 +37,9 @@
 constexpr milliseconds min_retry_after{150};
 constexpr milliseconds max_retry_after{3'000};
 
+// How long an endpoint that seems silent is waited for until its backlog is known.
+constexpr milliseconds backlog_reply_time{80};
+
 // Callers honour a retry-after time of up to one third of the time they have left.
 constexpr int retry_after_divisor = 3;
 
@@ -105,6 +112,7 @@
 void request_forwarder::cancel()
 {
     m_caller_left = true;
+    m_choice_call->cancel();
     if (m_call) {
         m_call->close();
     }
@@ -128,6 +136,12 @@
             co_await refuse_dispatch(found.refusal);
             co_return;
         }
+        // This process may have been suspended, or the request may have waited for long.
+        if (m_context.may_send && !m_context.may_send(clock::now())) {
+            m_context.endpoints.record_end(found.choice->number, clock::now());
+            co_await refuse_unconfirmed();
+            co_return;
+        }
         const attempt_end end = co_await run_attempt(*found.choice);
         if (end == attempt_end::answered || end == attempt_end::caller_left ||
             !may_retry(end, clock::now())) {
@@ -140,26 +154,15 @@
 
 net::task<dispatch_result> request_forwarder::choose_endpoints()
 {
-    std::uint64_t wait_number = 0;
-    dispatch_result found;
-    while (true) {
-        const time_point now = clock::now();
-        dispatch_request request = make_dispatch_request(now);
-        request.wait_number = wait_number;
-        request.answer_started = m_answer.started;
-        request.may_wait = now < m_request.arrived + m_request.route->objective;
-        found = m_context.endpoints.dispatch(request, now);
-        if (m_caller_left || found.wait == milliseconds::zero()) {
-            break;
-        }
-        if (wait_number == 0) {
-            wait_number = m_context.endpoints.begin_wait(request, now);
-        }
-        co_await net::sleep_for(found.wait);
-    }
-    if (wait_number != 0) {
-        m_context.endpoints.end_wait(wait_number);
-    }
+    const time_point now = clock::now();
+    dispatch_request request = make_dispatch_request(now);
+    request.answer_started = m_answer.started;
+    const auto wait_limit =
+        std::chrono::duration_cast<milliseconds>(m_request.arrived + m_request.route->objective - now);
+    request.may_wait = wait_limit > milliseconds::zero();
+    dispatch_result found =
+        co_await m_context.scheduler.choose(std::move(request), wait_limit, m_choice_call);
+    m_chosen_by = found.chosen_by;
     co_return found;
 }
 
@@ -184,19 +187,26 @@
     m_attempt_began = clock::now();
     m_attempt_sent = false;
     m_min_interval_ms = 0;
+    m_report = attempt_report{};
+    m_backlog_queried = false;
+    m_backlog_end = time_point{};
     event::dispatchedT line;
     line.request = m_request.terms.id;
     line.attempt = m_attempts;
     line.endpoint = choice.endpoints.front().name;
     line.helpers = static_cast<std::uint32_t>(choice.endpoints.size() - 1);
-    for (const chosen_endpoint& part : choice.endpoints) {
-        line.reserved_tokens += part.reserved_tokens;
+    for (std::size_t i = 0; i < choice.endpoints.size(); ++i) {
+        line.reserved_tokens += choice.endpoints[i].reserved_tokens;
+        if (i != 0) {
+            line.helper_names += (i == 1 ? "" : " ") + choice.endpoints[i].name;
+        }
     }
     line.predicted_ms = to_u32(choice.predicted_first_event);
     line.time_left_ms = to_u32(time_left(m_attempt_began));
     line.prompt_tokens = m_request.terms.prompt_tokens;
     line.config_version = m_request.config_version;
     line.config_age_ms = to_u32(m_request.config_age);
+    line.chosen_by = m_chosen_by;
     event_log::write(line);
     m_context.counters.add("verbena_forward_attempts_total", {{"service", m_request.service->name}});
 
@@ -219,7 +229,7 @@
         m_call->close();
         m_call = nullptr;
     }
-    m_context.endpoints.record_end(choice.number, clock::now());
+    m_context.endpoints.record_end(choice.number, clock::now(), m_report);
     m_reservation->release(m_executor);
     if (end != attempt_end::answered) {
         m_excluded.insert(choice.endpoints.front().name);
@@ -275,13 +285,25 @@
     co_return co_await handle_answer(choice, head.value());
 }
 
+void request_forwarder::record_endpoint_notice(const std::string& endpoint, const answer_metadata& head)
+{
+    if (head.leaving) {
+        m_report.leaving = true;
+        m_context.endpoints.record_leaving(endpoint);
+    }
+    if (head.status == 503 && head.retry_after > milliseconds::zero()) {
+        m_context.endpoints.record_retry_after(endpoint, head.retry_after, clock::now());
+    }
+}
+
 net::task<request_forwarder::attempt_end> request_forwarder::handle_answer(const dispatch_choice& choice,
                                                                            const answer_metadata& head)
 {
+    record_endpoint_notice(choice.endpoints.front().name, head);
     if (head.not_run) {
         if (!head.failed_dependency.empty()) {
             const std::string failed = m_context.endpoints.endpoint_at(head.failed_dependency);
-            m_context.endpoints.record_health(failed, attempt_health::unreachable, clock::now());
+            m_report.unreachable.push_back(failed);
             m_excluded.insert(failed);
         }
         record_attempt(choice, "not_run", head.status,
@@ -344,22 +366,33 @@
 {
     event_reader reader;
     bool received = false;
+    // Time of the latest complete event: single bytes do not show that the endpoint makes progress.
+    time_point progress = clock::now();
     const inactivity_limits inactivity =
         inactivity_limits_for(choice, m_request.route->max_pause, m_context.stall);
     while (true) {
         time_point limit = m_request.deadline;
         if (is_idempotent()) {
-            limit = std::min(limit,
-                             clock::now() + (received ? inactivity.between_events : inactivity.first_event));
+            limit =
+                std::min(limit, progress + (received ? inactivity.between_events : inactivity.first_event));
         }
         // Extends the timeout of an endpoint that is known to be prefilling other prompts.
         const auto extend_deadline = [self = shared_from_this(), name = choice.endpoints.front().name,
                                       inactivity, reserved = choice.has_reservation()]() {
             const time_point now = clock::now();
-            const milliseconds backlog = self->m_context.endpoints.backlog(name, now);
-            return backlog > milliseconds::zero() && !reserved
-                       ? std::min(self->m_request.deadline, now + backlog + inactivity.between_events / 2)
-                       : now;
+            if (reserved) {
+                return no_extension;
+            }
+            if (!self->m_backlog_queried) {
+                self->m_backlog_queried = true;
+                net::asio::co_spawn(
+                    self->m_executor, [self, name] { return self->query_backlog(name); },
+                    net::asio::detached);
+                return time_point(now + backlog_reply_time);
+            }
+            self->m_backlog_queried = false;
+            const time_point extended = self->m_backlog_end + inactivity.between_events / 2;
+            return self->m_backlog_end > now ? std::min(self->m_request.deadline, extended) : no_extension;
         };
         const result<std::string> chunk = co_await m_call->read_some(limit, extend_deadline);
         if (!chunk || (chunk.value().empty() && reader.pending_bytes() != 0)) {
@@ -372,12 +405,20 @@
         if (chunk.value().empty()) {
             break;
         }
+        const std::size_t pending = reader.pending_bytes() + chunk.value().size();
         reader.feed(chunk.value());
-        received = true;
         const bool written = co_await write_events(reader, choice, head);
         if (!written) {
             co_return attempt_end::caller_left;
         }
+        if (reader.pending_bytes() < pending) {
+            received = true;
+            progress = clock::now();
+        }
+        if (reader.pending_bytes() > max_event_bytes) {
+            record_attempt(choice, "broken", head.status, "event larger than 1 MiB", attempt_health::failed);
+            co_return attempt_end::may_have_run;
+        }
     }
     if (!m_answer.started) {
         m_answer.started = true;
@@ -386,17 +427,16 @@
     const result<void> finished = co_await m_exchange.finish();
     record_attempt(choice, "answered", head.status, finished ? "" : finished.error().message,
                    attempt_health::good);
-    if (m_min_interval_ms > 0 && m_request.service->engine) {
-        const std::string& name = choice.endpoints.front().name;
-        const double predicted = m_context.endpoints.event_interval_ms(name, *m_request.service->engine);
-        if (predicted > 0) {
-            m_context.endpoints.record_slowdown(name, m_min_interval_ms / predicted, clock::now());
-        }
-    }
     record_end("done", head.status);
     co_return attempt_end::answered;
 }
 
+net::task<void> request_forwarder::query_backlog(std::string endpoint)
+{
+    const milliseconds backlog = co_await m_context.scheduler.backlog(std::move(endpoint));
+    m_backlog_end = clock::now() + backlog;
+}
+
 net::task<bool> request_forwarder::write_events(event_reader& reader, const dispatch_choice& choice,
                                                 const answer_metadata& head)
 {
@@ -529,9 +569,20 @@
     line.may_have_run = m_may_have_run;
     line.config_version = m_request.config_version;
     line.config_age_ms = to_u32(m_request.config_age);
+    line.chosen_by = m_chosen_by;
     event_log::write(line);
 }
 
+// Like an entry that has no confirmed configuration when a request arrives.
+net::task<void> request_forwarder::refuse_unconfirmed()
+{
+    if (m_may_have_run) {
+        co_await refuse(502, "not_ready", milliseconds::zero());
+        co_return;
+    }
+    co_await refuse(503, "not_ready", min_retry_after);
+}
+
 net::task<void> request_forwarder::refuse(unsigned status, const std::string& reason,
                                           milliseconds retry_after)
 {
@@ -558,7 +609,8 @@
         health = attempt_health::neutral;
         outcome = "caller_left";
     }
-    m_context.endpoints.record_health(endpoint, health, now);
+    m_report.health = health;
+    m_report.interval = std::chrono::microseconds(static_cast<std::int64_t>(m_min_interval_ms * 1000));
     event::attempt_endedT line;
     line.request = m_request.terms.id;
     line.attempt = m_attempts;
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -5,6 +5,7 @@
 #include "forward/event_reader.h"
 #include "forward/fleet.h"
 #include "forward/memory_reservation.h"
+#include "forward/scheduler_client.h"
 #include "forward/shared_retry_budget.h"
 #include "route/table.h"
 
@@ -29,10 +30,12 @@
 // State shared by all request forwarders of an entry.
 struct forwarder_context {
     fleet& endpoints;
+    scheduler_client& scheduler;
     const protocol_adapter& protocol;
     shared_retry_budget& budget;
     metrics& counters;
     milliseconds stall{1'500}; // how long an endpoint waits for another endpoint that it depends on
+    std::function<bool(time_point)> may_send; // whether the configuration is recent enough to act on
 };
 
 // Forwards one request to endpoints until it is answered, refused or given up. An attempt that may have run
@@ -81,6 +84,11 @@
     net::task<bool> write_event(const stream_event& event, const dispatch_choice& choice,
                                 const answer_metadata& head);
 
+    // Records what the head of an answer says about its endpoint itself.
+    void record_endpoint_notice(const std::string& endpoint, const answer_metadata& head);
+    // Asks for the backlog of an endpoint that is silent, to extend the time it is waited for.
+    net::task<void> query_backlog(std::string endpoint);
+
     // Whether another attempt may follow one with this result. Draws on the retry budget.
     bool may_retry(attempt_end end, time_point now);
     net::task<void> finish(attempt_end end);
@@ -88,6 +96,7 @@
                      milliseconds predicted);
     net::task<void> refuse(unsigned status, const std::string& reason, milliseconds retry_after);
     net::task<void> refuse_dispatch(const dispatch_refusal& refusal);
+    net::task<void> refuse_unconfirmed();
     milliseconds retry_after_time(const dispatch_refusal& refusal, time_point now);
 
     void record_attempt(const dispatch_choice& choice, const char* outcome, unsigned status,
@@ -99,6 +108,11 @@
     routed_request m_request;
     net::asio::any_io_executor m_executor;
     std::shared_ptr<endpoint_call> m_call;
+    std::shared_ptr<choice_call> m_choice_call = std::make_shared<choice_call>();
+    std::string m_chosen_by;
+    attempt_report m_report; // of the current attempt
+    bool m_backlog_queried = false;
+    time_point m_backlog_end; // when the endpoint of the current attempt has finished its pending prefill
     std::shared_ptr<memory_reservation> m_reservation; // of the current attempt
     bool m_caller_left = false;
     bool m_may_have_run = false;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -165,6 +165,12 @@
     send(make_frame(std::move(window)));
 }
 
+bool frame_stream::is_open() const
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_closed;
+}
+
 bool frame_stream::close_local(const error& reason)
 {
     {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -31,6 +31,7 @@
 
     std::uint32_t id() const { return m_id; }
     const std::shared_ptr<connection>& parent() const { return m_connection; }
+    bool is_open() const;
 
     // Queues a message that is exempt from flow control.
     void send(const wire::frameT& message);
@@ -69,7 +70,7 @@
     std::uint32_t m_id;
 
     // Guards the members below. Never held together with connection::m_mutex; see connection.
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::deque<received_frame> m_inbox;
     std::optional<error> m_closed;
     std::int64_t m_send_window;
--- a/src/node/control_client.cpp
+++ b/src/node/control_client.cpp
@@ -22,9 +22,8 @@
 // After this time without a confirmed reply the seed members are polled as well.
 constexpr milliseconds seed_fallback_delay{2'000};
 
-// An entry that no member has listed for this long is removed; members list the entries that polled within 5
-// s.
-constexpr milliseconds entry_retention{3'000};
+// A member of this failure domain that has not confirmed for this long is not relied on.
+constexpr milliseconds local_confirmation_timeout{700};
 
 // Pause between two attempts of a key call while the group elects a leader.
 constexpr milliseconds key_retry_pause{100};
@@ -101,18 +100,6 @@
     m_seeds = std::move(seeds);
 }
 
-std::vector<std::string> control_client::entries(time_point now) const
-{
-    const std::lock_guard lock(m_mutex);
-    std::vector<std::string> addresses;
-    for (const auto& [address, last_seen] : m_entries_last_seen) {
-        if (now - last_seen < entry_retention) {
-            addresses.push_back(address);
-        }
-    }
-    return addresses;
-}
-
 // The seeds are polled at the start, and again when no other member replies with a confirmation.
 void control_client::update_poll_targets(time_point now)
 {
@@ -201,17 +188,18 @@
             m_directory->remove_member_list(name);
             last_reply = clock::now();
         }
-        co_await wait_for_next_poll(begin);
+        co_await wait_for_next_poll(begin, name);
     }
 }
 
 // Members are polled more often until the first configuration is confirmed, because they may be electing a
 // leader.
-net::task<void> control_client::wait_for_next_poll(time_point begin)
+net::task<void> control_client::wait_for_next_poll(time_point begin, std::string member)
 {
     const bool unconfirmed = !m_config.age(clock::now());
-    const milliseconds interval =
-        unconfirmed ? std::min(m_options.interval, startup_poll_interval) : m_options.interval;
+    const milliseconds regular =
+        is_remote(member, clock::now()) ? m_options.remote_interval : m_options.interval;
+    const milliseconds interval = unconfirmed ? std::min(regular, startup_poll_interval) : regular;
     m_poll_now = false;
     while (clock::now() - begin < interval && !m_poll_now && !m_stopping) {
         const auto remaining = std::chrono::duration_cast<milliseconds>(begin + interval - clock::now());
@@ -223,6 +211,17 @@
     }
 }
 
+// Whether the member is in another failure domain while one of this domain confirms. Traffic between failure
+// domains costs more, so such a member is polled less often and not asked for the configuration.
+bool control_client::is_remote(const std::string& member, time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_member_domains.find(member);
+    return !m_options.failure_domain.empty() && found != m_member_domains.end() &&
+           found->second != m_options.failure_domain &&
+           now - m_last_local_confirmation < local_confirmation_timeout;
+}
+
 net::task<result<void>> control_client::poll_once(const host_port& member,
                                                   const std::shared_ptr<net::frame_stream>& stream,
                                                   sent_announcement& last_sent)
@@ -234,6 +233,10 @@
     poll.incarnation = m_options.self.incarnation;
     poll.revision = m_config.held_revision();
     poll.frame_address = m_options.frame_address;
+    poll.failure_domain = m_options.failure_domain;
+    poll.processor_share = m_options.processor_share;
+    poll.schedulers_digest = m_schedulers.digest_of(name);
+    poll.without_config = m_config.held_revision() != 0 && is_remote(name, clock::now());
     if (m_directory != nullptr) {
         const directory_view::position at = m_directory->position_of(name);
         poll.directory_epoch = at.epoch;
@@ -281,7 +284,7 @@
     if (reply.confirmed()) {
         m_config.confirm(reply.revision(), sent_at - milliseconds(reply.age_ms()));
     }
-    record_group(reply);
+    record_group(member, reply);
     if (m_directory != nullptr) {
         wire::poll_replyT unpacked;
         reply.UnPackTo(&unpacked);
@@ -289,23 +292,22 @@
     }
 }
 
-void control_client::record_group(const wire::poll_reply& reply)
+void control_client::record_group(const std::string& member, const wire::poll_reply& reply)
 {
-    const std::lock_guard lock(m_mutex);
     const time_point now = clock::now();
+    m_schedulers.apply(member, reply, now);
+    const std::lock_guard lock(m_mutex);
     if (reply.leader() != nullptr && reply.leader()->size() != 0) {
         m_leader = reply.leader()->str();
     }
-    if (reply.entries() != nullptr) {
-        for (const auto* address : *reply.entries()) {
-            m_entries_last_seen[address->str()] = now;
-        }
-        std::erase_if(m_entries_last_seen,
-                      [now](const auto& item) { return now - item.second > entry_retention; });
-    }
+    const std::string domain = reply.failure_domain() == nullptr ? "" : reply.failure_domain()->str();
+    m_member_domains[member] = domain;
     // The list of a member without a quorum may be out of date.
     if (reply.confirmed()) {
         m_last_confirmed_reply = now;
+        if (!domain.empty() && domain == m_options.failure_domain) {
+            m_last_local_confirmation = now;
+        }
         if (reply.members() != nullptr && reply.members()->size() != 0) {
             m_members.clear();
             for (const auto* address : *reply.members()) {
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -4,6 +4,7 @@
 #include "net/peer_pool.h"
 #include "node/config_view.h"
 #include "node/directory_view.h"
+#include "node/scheduler_list.h"
 
 #include <functional>
 #include <memory>
@@ -23,11 +24,17 @@
         std::vector<host_port> members;
         net::peer_info self;
         milliseconds interval{500};
+        // The same for members of other failure domains while the member of this one confirms.
+        milliseconds remote_interval{500};
         // Time to wait for a member's reply; shorter than the freshness bound, so that a lost reply costs
         // only one poll.
         milliseconds reply_timeout{1'000};
         // Address at which other entries reach this process; set for entries only.
         std::string frame_address;
+        // Failure domain of the VM, and processor time that this process may use, in thousandths of a core;
+        // set for entries only.
+        std::string failure_domain;
+        std::uint32_t processor_share = 0;
     };
 
     // Builds the announcement of an agent; null for entries.
@@ -45,8 +52,8 @@
     // Replaces the seed members after a reload of the settings.
     void set_seeds(std::vector<host_port> seeds);
 
-    // Frame addresses of the entries that control members have listed recently.
-    std::vector<std::string> entries(time_point now) const;
+    // Entries that may schedule requests, as the control members list them.
+    const scheduler_list& schedulers() const { return m_schedulers; }
 
     // Requests a permit to load this many bytes from the weight store; 0 withdraws the request or returns the
     // permit.
@@ -63,7 +70,8 @@
     void update_poll_targets(time_point now);
     bool is_poll_target(const std::string& name) const;
     net::task<void> poll_member(host_port member);
-    net::task<void> wait_for_next_poll(time_point begin);
+    net::task<void> wait_for_next_poll(time_point begin, std::string member);
+    bool is_remote(const std::string& member, time_point now) const;
     net::task<void> poll_while_target(host_port member, std::string name);
     // Last announcement sent to one member. An unchanged announcement is sent in every second poll only.
     struct sent_announcement {
@@ -76,7 +84,7 @@
                                       sent_announcement& last_sent);
     net::task<result<wire::key_replyT>> call_member(host_port member, wire::frameT call,
                                                     milliseconds timeout);
-    void record_group(const wire::poll_reply& reply);
+    void record_group(const std::string& member, const wire::poll_reply& reply);
     void apply_reply(const std::string& member, const wire::poll_reply& reply, time_point sent_at);
     host_port next_target(const wire::key_replyT* last, std::size_t attempt) const;
 
@@ -98,7 +106,9 @@
     std::set<std::string> m_poll_targets;
     std::set<std::string> m_active_polls;
     time_point m_last_confirmed_reply;
-    std::map<std::string, time_point> m_entries_last_seen;
+    std::map<std::string, std::string> m_member_domains; // by frame address
+    time_point m_last_local_confirmation;                // by a member of this failure domain
+    scheduler_list m_schedulers;
 };
 
 // Closes the stream after `timeout`, so that a pending receive fails. Cancel the timer when done.
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -166,9 +166,9 @@
         value.wait_ms = wait_until_idle_ms(candidate);
         value.loss_to_others =
             loss_of_decoding(candidate, own_part_ms) + loss_of_waiting(candidate, own_part_ms);
-        value.score =
-            value.loss_to_others + m_value * (candidate.failure_share +
-                                              delay_weight * (value.wait_ms + own_part_ms) / objective_ms());
+        value.score = value.loss_to_others + m_request.queue_loss_per_ms * value.wait_ms +
+                      m_value * (candidate.failure_share +
+                                 delay_weight * (value.wait_ms + own_part_ms) / objective_ms());
         return value;
     }
 
@@ -183,6 +183,7 @@
         value.loss_to_others = loss_of_decoding(candidate, own_part_ms) +
                                (unsplit ? 0 : loss_of_waiting(candidate, own_part_ms));
         value.score = value.loss_to_others + decoder_cost(index) +
+                      (unsplit ? 0 : m_request.queue_loss_per_ms * value.wait_ms) +
                       m_value * (candidate.failure_share +
                                  delay_weight * (value.wait_ms + own_part_ms) / objective_ms());
         return value;
@@ -255,7 +256,13 @@
         const placement_candidate& candidate = m_candidates[index];
         double loss = m_value * slot_wait_ms(candidate) / objective_ms();
         loss += candidate.other_domain ? m_value * m_options.cross_domain_cost : 0;
-        loss += has_shortest_pause(*candidate.load) ? m_value * m_options.shorter_pause_cost : 0;
+        if (has_shortest_pause(*candidate.load)) {
+            loss += m_value * m_options.shorter_pause_cost;
+        } else if (m_request.pause == candidate.load->shortest_pause()) {
+            const double slots = std::max<double>(candidate.slots, 1);
+            const double used = std::min(static_cast<double>(candidate.load->requests()) / slots, 1.0);
+            loss += m_value * m_options.packing_cost * (1 - used);
+        }
         const auto memory = static_cast<double>(std::max<std::uint64_t>(m_cost.rule().memory_tokens, 1));
         const double held = static_cast<double>(candidate.load->held_tokens()) / memory;
         loss += m_value * load_weight * held;
@@ -295,6 +302,7 @@
         found.loss_to_others = loss_to_others;
         found.expected_loss = loss_to_others + decoder_cost(decoder.index) +
                               own_loss(found.first_event_ms, pass) +
+                              m_request.queue_loss_per_ms * found.wait_ms +
                               m_value * (std::min(failure, 1.0) +
                                          m_options.extra_endpoint_loss * static_cast<double>(helpers.size()));
         return found;
@@ -367,6 +375,12 @@
 
 } // namespace
 
+double loss_per_ms(const model_request& request)
+{
+    const auto objective = std::max<double>(static_cast<double>(request.objective.count()), 1);
+    return value_left(request) * first_event_weight / objective;
+}
+
 double value_left(const model_request& request, const placement_options& options)
 {
     const bool late = request.objective > milliseconds::zero() && request.used >= request.objective;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -16,6 +16,7 @@
     milliseconds pause{};     // longest allowed pause between events; 0 = no limit
     milliseconds disconnect_after{}; // the caller disconnects after this time without an event; 0 = never
     double value = 1;                // loss if it is not served, in any unit common to all requests
+    double queue_loss_per_ms = 0;    // expected loss of the prompts behind it per ms that it waits
 };
 
 // An endpoint that is eligible for the request.
@@ -50,8 +51,11 @@
     // Fraction of the value charged for decoding at an endpoint whose answers all allow longer pauses: with
     // the new answer the endpoint is no longer free to prefill long prompts.
     double shorter_pause_cost = 0.25;
+    // The same at an endpoint that decodes answers with the same pause, per fraction of its slots that are
+    // free: such answers fill few endpoints instead of spreading over all of them.
+    double packing_cost = 0.1;
     // Fraction of the value charged for the traffic between failure domains.
-    double cross_domain_cost = 0.012;
+    double cross_domain_cost = 0.05;
     // Predictions must stay below this fraction of a limit, because their median error is about a tenth.
     double prediction_margin = 0.9;
     // Fraction of an endpoint's memory that its requests may use together.
@@ -61,6 +65,9 @@
 // Value that the caller can still lose; reduced if the first event is already late.
 double value_left(const model_request& request, const placement_options& options = {});
 
+// Expected loss of a request per ms by which its first event is delayed.
+double loss_per_ms(const model_request& request);
+
 // Result of a placement. `parts` holds the indexes of the chosen candidates, the decoding endpoint first.
 struct placement {
     std::vector<std::size_t> parts;
--- a/src/policy/prefill_order.cpp
+++ b/src/policy/prefill_order.cpp
@@ -16,6 +16,10 @@
     return a.value * b.prefill_ms < b.value * a.prefill_ms;
 }
 
+// Parts into which a waiting prompt is split at most, and prefill time of each part at least.
+constexpr double max_parts = 17;
+constexpr double min_part_ms = 15;
+
 } // namespace
 
 std::vector<work_key> serving_order(std::vector<waiting_prompt> waiting, double endpoints,
@@ -52,4 +56,21 @@
     return order;
 }
 
+std::size_t parts_before(const std::vector<waiting_prompt>& waiting, const work_key& own, double endpoints,
+                         double first_free_ms, time_point now)
+{
+    std::map<work_key, double> prefill_ms;
+    for (const waiting_prompt& prompt : waiting) {
+        prefill_ms[prompt.key] = prompt.prefill_ms;
+    }
+    double parts = 0;
+    for (const work_key& key : serving_order(waiting, endpoints, first_free_ms, now)) {
+        if (key == own) {
+            break;
+        }
+        parts += std::clamp(prefill_ms[key] / min_part_ms, 1.0, max_parts);
+    }
+    return static_cast<std::size_t>(parts);
+}
+
 } // namespace verbena::policy
--- a/src/policy/prefill_order.h
+++ b/src/policy/prefill_order.h
@@ -12,6 +12,7 @@
     time_point due;        // deadline of the first event under its objective
     double prefill_ms = 0; // prefill time of the whole prompt at one endpoint
     double value = 0;
+    double loss_per_ms = 0; // expected loss per ms of delay
 };
 
 // Order in which waiting prompts are served by `endpoints` endpoints that prefill each prompt together.
@@ -21,4 +22,9 @@
 std::vector<work_key> serving_order(std::vector<waiting_prompt> waiting, double endpoints,
                                     double first_free_ms, time_point now);
 
+// Number of endpoints that the prompts served before `own` would use to prefill their parts. Prompts go in
+// parallel: one that follows others need not wait until they have gone if endpoints are left over for it.
+std::size_t parts_before(const std::vector<waiting_prompt>& waiting, const work_key& own, double endpoints,
+                         double first_free_ms, time_point now);
+
 } // namespace verbena::policy
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -175,9 +175,10 @@
         co_return;
     }
     const runner_fault fault = take_fault();
-    if (fault == runner_fault::refuse) {
-        co_await write(socket, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: " + request.id +
-                                   "\r\nContent-Length: 0\r\n\r\n");
+    if (fault == runner_fault::refuse || fault == runner_fault::refuse_for_2s) {
+        const std::string wait = fault == runner_fault::refuse ? "" : "Retry-After: 2\r\n";
+        co_await write(socket, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: " + request.id + "\r\n" +
+                                   wait + "Content-Length: 0\r\n\r\n");
         co_return;
     }
     {
@@ -204,6 +205,13 @@
         co_await write(socket, complete_response(500, request.id, true, "failed"));
         co_return;
     }
+    if (fault == runner_fault::endless_head) {
+        bool connected = co_await write(socket, "HTTP/1.1 200 OK\r\n");
+        while (connected) {
+            connected = co_await write(socket, "Filler: " + std::string(1'000, 'x') + "\r\n");
+        }
+        co_return;
+    }
     const std::string id = fault == runner_fault::wrong_request_id ? "another-request" : request.id;
     if (!m_options.streams || fault == runner_fault::wrong_request_id) {
         std::string text = complete_response(200, id, fault != runner_fault::no_mac, "ok " + request.body);
@@ -225,6 +233,7 @@
 {
     const bool head_sent =
         co_await write(socket, response_head(200, request.id, fault != runner_fault::no_mac) +
+                                   (fault == runner_fault::leaving ? "Server-Leaving: 1\r\n" : "") +
                                    "Content-Type: text/event-stream\r\n"
                                    "Transfer-Encoding: chunked\r\n\r\n");
     const auto last_event_number = static_cast<std::uint32_t>(
@@ -236,6 +245,11 @@
             co_await write(socket, chunk(event.substr(0, event.size() / 2)));
             co_return;
         }
+        if (number == last_event_number + 2 &&
+            (fault == runner_fault::drip || fault == runner_fault::endless_event)) {
+            co_await send_unfinished_event(socket, fault);
+            co_return;
+        }
         connected = co_await write(socket, chunk(event));
         co_await net::sleep_for(event_interval);
     }
@@ -247,6 +261,20 @@
     ++m_cancelled;
 }
 
+net::task<void> platform_runner::send_unfinished_event(net::tcp::socket& socket, runner_fault fault)
+{
+    constexpr milliseconds drip_interval{50};
+    bool connected = co_await write(socket, chunk("data: "));
+    while (connected) {
+        if (fault == runner_fault::drip) {
+            co_await net::sleep_for(drip_interval);
+        }
+        connected = co_await write(socket, chunk(std::string(fault == runner_fault::drip ? 1 : 8'192, 'x')));
+    }
+    const std::lock_guard lock(m_mutex);
+    ++m_cancelled;
+}
+
 std::string platform_runner::check_in_body(const std::string& state, std::uint64_t start_ms,
                                            std::uint64_t sequence) const
 {
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -23,6 +23,11 @@
     no_mac,           // omits the MAC
     no_answer,        // executes the request and sends no answer
     reset,            // executes the request and closes the connection without an answer
+    leaving,          // announces in its answer that it leaves
+    refuse_for_2s,    // answers 503, states that the request was not executed, and wants no other for 2 s
+    drip,             // sends its second event a byte at a time, without an end
+    endless_head,     // sends header fields without an end
+    endless_event,    // sends an event without an end
 };
 
 // A request as received by a runner.
@@ -93,6 +98,8 @@
     net::task<void> send_answer(net::tcp::socket& socket, const runner_request& request, runner_fault fault);
     net::task<void> stream_events(net::tcp::socket& socket, const runner_request& request,
                                   runner_fault fault);
+    // Sends bytes of an event that never ends, until the connection is closed.
+    net::task<void> send_unfinished_event(net::tcp::socket& socket, runner_fault fault);
     std::string check_in_body(const std::string& state, std::uint64_t start_ms, std::uint64_t sequence) const;
 
     net::asio::io_context& m_io;
--- a/test/control_poll_test.cpp
+++ b/test/control_poll_test.cpp
@@ -198,4 +198,52 @@
     BOOST_TEST(!polls.any_entry_polls(start + 9s));
 }
 
+// The list of schedulers grows with the failure domains, not with the entries, and is sent to a process that
+// holds another list only.
+BOOST_AUTO_TEST_CASE(lists_the_preferred_schedulers_of_each_failure_domain)
+{
+    control::configuration config;
+    control::directory endpoints{7};
+    control::poll_service polls;
+    const auto poll_of = [](const std::string& domain, int index, std::uint32_t share) {
+        wire::pollT poll = make_poll(domain + std::to_string(index));
+        poll.failure_domain = domain;
+        poll.frame_address = domain + std::to_string(index) + ":1";
+        poll.processor_share = share;
+        return poll;
+    };
+    wire::poll_replyT reply;
+    for (int index = 0; index < 40; ++index) {
+        for (const char* domain : {"a", "b"}) {
+            reply = polls.handle(poll_of(domain, index, index == 30 ? 320 : 90), confirmed(), config,
+                                 endpoints, start);
+        }
+    }
+    reply = polls.handle(poll_of("a", 0, 90), confirmed(), config, endpoints, start + 1s);
+    BOOST_TEST(reply.entries.empty());
+    BOOST_TEST(reply.entry_count == 80U);
+    BOOST_TEST_REQUIRE(reply.schedulers.size() == 6U);
+    BOOST_TEST(reply.schedulers.front()->processor_share == 320U);
+    BOOST_TEST(reply.schedulers.front()->address == "a30:1");
+    wire::pollT again = poll_of("a", 0, 90);
+    again.schedulers_digest = reply.schedulers_digest;
+    reply = polls.handle(again, confirmed(), config, endpoints, start + 1s);
+    BOOST_TEST(reply.schedulers.empty());
+    BOOST_TEST(reply.schedulers_digest == again.schedulers_digest);
+    // Entries that stop polling are no longer listed.
+    reply = polls.handle(again, confirmed(), config, endpoints, start + 4s);
+    BOOST_TEST(reply.schedulers.size() == 1U);
+}
+
+// An entry gets new configurations from the member of its failure domain only, and the others still confirm.
+BOOST_FIXTURE_TEST_CASE(leaves_out_the_configuration_on_request, fixture)
+{
+    wire::pollT poll = make_poll("entry-1");
+    poll.without_config = true;
+    const auto reply = handle_poll(poll, confirmed());
+    BOOST_TEST(reply.config.empty());
+    BOOST_TEST(reply.confirmed);
+    BOOST_TEST(reply.revision == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -169,6 +169,17 @@
     BOOST_TEST(adapter.read_answer(421, fields).misdirected);
     fields.insert("Not-Run", "1");
     BOOST_TEST(adapter.read_answer(503, fields).not_run);
+    BOOST_TEST(!adapter.read_answer(503, fields).leaving);
+    fields.insert("Server-Leaving", "1");
+    BOOST_TEST(adapter.read_answer(200, fields).leaving);
+    // Seconds with a fraction; anything else is not a time, and no time is longer than an hour.
+    const std::pair<const char*, milliseconds> times[] = {
+        {"2", 2s},   {"0.25", 250ms}, {"1e9", 3600s}, {"0", 0s},           {"-3", 0s}, {"soon", 0s},
+        {"2 s", 0s}, {"nan", 0s},     {"inf", 3600s}, {"Fri, 04 Dec", 0s}, {"", 0s}};
+    for (const auto& [text, expected] : times) {
+        fields.set("Retry-After", text);
+        BOOST_TEST((adapter.read_answer(503, fields).retry_after == expected), text);
+    }
     fields.insert("Runner-Seal", "x");
     fields.insert("Content-Type", "text/event-stream");
     fields.insert("Keep-Alive", "timeout=5");
--- a/test/platform_system_test.cpp
+++ b/test/platform_system_test.cpp
@@ -221,6 +221,70 @@
     BOOST_TEST(run_task([&] { return draining.leave(address); }) == 200U);
 }
 
+// A runner that announces in an answer that it leaves gets nothing more from that entry, although control
+// members still list it as ready.
+BOOST_FIXTURE_TEST_CASE(dispatches_nothing_after_an_answer_that_announces_leaving, system_fixture)
+{
+    system.runner("model-a").set_faults({runner_fault::leaving});
+    system.runner("model-b").set_faults({runner_fault::leaving});
+    platform_deployment::answer first = system.request({});
+    BOOST_TEST(first.status == 200U);
+    const std::string leaving = system.requests_at("model-a") != 0 ? "model-a" : "model-b";
+    const std::string other = leaving == "model-a" ? "model-b" : "model-a";
+    system.runner(other).set_faults({});
+    const std::size_t before = system.requests_at(leaving);
+    for (int i = 0; i < 6; ++i) {
+        BOOST_TEST(system.request({}).status == 200U);
+    }
+    BOOST_TEST(system.requests_at(leaving) == before);
+}
+
+// A runner that refuses with a time to return gets nothing from that entry until then.
+BOOST_FIXTURE_TEST_CASE(honours_the_time_to_return_of_a_refusing_endpoint, system_fixture)
+{
+    for (const char* name : {"model-a", "model-b"}) {
+        system.runner(name).set_faults({runner_fault::refuse_for_2s, runner_fault::refuse_for_2s});
+    }
+    const std::size_t before = system.requests_at("model-a") + system.requests_at("model-b");
+    const auto begin = verbena::clock::now();
+    const platform_deployment::answer refused = system.request({});
+    BOOST_TEST(refused.status == 503U);
+    BOOST_TEST(refused.headers.contains("Retry-After"));
+    BOOST_TEST(system.request({}).status == 503U);
+    BOOST_TEST(system.requests_at("model-a") + system.requests_at("model-b") == before);
+    for (const char* name : {"model-a", "model-b"}) {
+        system.runner(name).set_faults({});
+    }
+    BOOST_TEST(eventually([&] { return system.request({}).status == 200U; }));
+    BOOST_TEST((verbena::clock::now() - begin >= 2s));
+}
+
+// Bytes that are no answer, without end: the endpoint is given up, another one answers, and the connection is
+// closed.
+BOOST_FIXTURE_TEST_CASE(gives_up_endless_and_dripping_answers, system_fixture)
+{
+    for (const runner_fault fault :
+         {runner_fault::endless_head, runner_fault::endless_event, runner_fault::drip}) {
+        for (const char* name : {"model-a", "model-b"}) {
+            system.runner(name).set_faults({fault});
+        }
+        platform_deployment::call call;
+        call.deadline = 8'000ms;
+        const auto begin = verbena::clock::now();
+        const platform_deployment::answer answer = system.request(call);
+        // The second endpoint may have the same fault, and two attempts are allowed.
+        BOOST_TEST((answer.status == 200U || answer.status == 502U || answer.status == 0U));
+        const auto taken =
+            std::chrono::duration_cast<std::chrono::milliseconds>(verbena::clock::now() - begin);
+        BOOST_TEST(taken.count() < 6'000,
+                   "fault " << static_cast<int>(fault) << " took " << taken.count() << " ms");
+        for (const char* name : {"model-a", "model-b"}) {
+            system.runner(name).set_faults({});
+        }
+        BOOST_TEST(eventually([&] { return system.request({}).status == 200U; }));
+    }
+}
+
 // Guards against dispatching to a failure domain that operators have evacuated, and checks that it is used
 // again afterwards.
 BOOST_FIXTURE_TEST_CASE(obeys_evacuations, system_fixture)
--- a/test/policy_placement_test.cpp
+++ b/test/policy_placement_test.cpp
@@ -288,4 +288,46 @@
     BOOST_TEST(load.backlog_ms(at(60ms)) == 0.0);
 }
 
+// Load: short prompts after a burst, when each endpoint still decodes an answer or two. New ones go where
+// others are, so that the rest becomes free for long prompts.
+BOOST_AUTO_TEST_CASE(packs_answers_with_equal_pauses)
+{
+    endpoint_fleet fleet(20);
+    for (std::size_t i = 0; i < 20; ++i) {
+        fleet.add_decoding(i, short_request());
+    }
+    for (int i = 0; i < 4; ++i) {
+        fleet.add_decoding(7, short_request());
+    }
+    for (int i = 0; i < 6; ++i) {
+        const auto found = fleet.place(short_request());
+        BOOST_TEST_REQUIRE(found.has_value());
+        BOOST_TEST(found->parts.front() == 7U);
+        fleet.add_decoding(7, short_request());
+    }
+}
+
+// A prompt at the head of a queue that waits for free endpoints makes those behind it wait as well, so it
+// takes endpoints that are free now.
+BOOST_AUTO_TEST_CASE(waits_less_at_the_head_of_a_queue)
+{
+    endpoint_fleet fleet(24);
+    for (std::size_t i = 0; i < 12; ++i) {
+        policy::endpoint_work work = work_for(long_request(60'000));
+        work.prefill_ms = 250;
+        fleet.loads[i].start({1, fleet.next++}, work, 1, at(0ms));
+    }
+    for (std::size_t i = 12; i < 24; ++i) {
+        fleet.add_decoding(i, short_request());
+    }
+    policy::model_request request = long_request(300'000);
+    request.objective = 6s;
+    const auto patient = fleet.place(request);
+    request.queue_loss_per_ms = 100;
+    const auto urgent = fleet.place(request);
+    BOOST_TEST_REQUIRE((patient && urgent));
+    BOOST_TEST(urgent->wait_ms <= patient->wait_ms);
+    BOOST_TEST(urgent->wait_ms == 0.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/policy_waiting_line_test.cpp
+++ b/test/policy_waiting_line_test.cpp
@@ -67,4 +67,19 @@
     BOOST_TEST(served_order(waiting, 100) == (numbers{2, 1}), boost::test_tools::per_element());
 }
 
+// Load: many prompts wait at a large fleet. Prompts go in parallel while endpoints are left over; if only the
+// first one might go at a time, the others would wait beside idle endpoints.
+BOOST_AUTO_TEST_CASE(counts_the_endpoints_used_by_prompts_that_go_first)
+{
+    std::vector<policy::waiting_prompt> waiting;
+    for (std::uint64_t number = 1; number <= 5; ++number) {
+        waiting.push_back(prompt(number, milliseconds(1'000 + 100 * number), 90));
+    }
+    BOOST_TEST(policy::parts_before(waiting, {1, 1}, 50, 0, at(0ms)) == 0U);
+    BOOST_TEST(policy::parts_before(waiting, {1, 3}, 50, 0, at(0ms)) == 12U);
+    // A prompt has at most 17 parts, and at least one.
+    waiting = {prompt(1, 1'000ms, 100'000), prompt(2, 2'000ms, 1), prompt(3, 3'000ms, 1)};
+    BOOST_TEST(policy::parts_before(waiting, {1, 3}, 1e9, 0, at(0ms)) == 18U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
