--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -53,7 +53,7 @@
 
 request_forwarder::request_forwarder(forwarder_context context, net::http_exchange& exchange,
                                      routed_request request)
-    : m_context(context), m_exchange(exchange), m_request(std::move(request)),
+    : m_context(std::move(context)), m_exchange(exchange), m_request(std::move(request)),
       m_random(std::hash<std::string>{}(m_request.terms.id))
 {
     m_answer.last_event = m_request.terms.last_event;
--- a/src/forward/scheduler_client.cpp
+++ b/src/forward/scheduler_client.cpp
@@ -181,7 +181,7 @@
     if (!opened) {
         co_return std::nullopt;
     }
-    const std::shared_ptr<net::frame_stream> stream = opened.value();
+    const std::shared_ptr<net::frame_stream>& stream = opened.value();
     const net::stream_guard guard(stream);
     const std::uint64_t number = m_fleet.next_number();
     const time_point sent = clock::now();
@@ -239,7 +239,7 @@
     if (connection) {
         const result<std::shared_ptr<net::frame_stream>> opened = connection->open_stream();
         if (opened) {
-            const std::shared_ptr<net::frame_stream> stream = opened.value();
+            const std::shared_ptr<net::frame_stream>& stream = opened.value();
             const net::stream_guard guard(stream);
             wire::backlog_queryT query;
             query.endpoint = endpoint;
--- a/test/forward_scheduler_test.cpp
+++ b/test/forward_scheduler_test.cpp
@@ -116,9 +116,9 @@
 template <typename T, typename... Arguments>
 T& keep(Arguments&&... arguments)
 {
-    static std::vector<std::unique_ptr<T>> kept;
-    kept.push_back(std::make_unique<T>(std::forward<Arguments>(arguments)...));
-    return *kept.back();
+    static auto* kept = new std::vector<std::unique_ptr<T>>;
+    kept->push_back(std::make_unique<T>(std::forward<Arguments>(arguments)...));
+    return *kept->back();
 }
 
 struct scheduler_fixture {
@@ -137,6 +137,9 @@
         return acceptor.local_endpoint().port();
     }
 
+    scheduler_fixture() = default;
+    scheduler_fixture(const scheduler_fixture&) = delete;
+    scheduler_fixture& operator=(const scheduler_fixture&) = delete;
     ~scheduler_fixture() { threads.stop(); }
 
     void start()
