--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -168,7 +168,8 @@
             loss_of_decoding(candidate, own_part_ms) + loss_of_waiting(candidate, own_part_ms);
         value.score = value.loss_to_others + m_request.queue_loss_per_ms * value.wait_ms +
                       m_value * (candidate.failure_share +
-                                 delay_weight * (value.wait_ms + own_part_ms) / objective_ms());
+                                 delay_weight * (value.wait_ms + own_part_ms) / objective_ms() +
+                                 (candidate.other_domain ? m_options.other_domain_helper_cost : 0));
         return value;
     }
 
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -56,6 +56,9 @@
     double packing_cost = 0.1;
     // Fraction of the value charged for the traffic between failure domains.
     double cross_domain_cost = 0.05;
+    // The same for each endpoint of another failure domain that prefills a part: schedulers of other domains
+    // that decide at the same time may choose it as well.
+    double other_domain_helper_cost = 0.01;
     // Predictions must stay below this fraction of a limit, because their median error is about a tenth.
     double prediction_margin = 0.9;
     // Fraction of an endpoint's memory that its requests may use together.
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -112,6 +112,12 @@
     return m_cancelled;
 }
 
+std::size_t platform_runner::refused() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_refused;
+}
+
 runner_fault platform_runner::take_fault()
 {
     const std::lock_guard lock(m_mutex);
@@ -176,6 +182,10 @@
     }
     const runner_fault fault = take_fault();
     if (fault == runner_fault::refuse || fault == runner_fault::refuse_for_2s) {
+        {
+            const std::lock_guard lock(m_mutex);
+            ++m_refused;
+        }
         const std::string wait = fault == runner_fault::refuse ? "" : "Retry-After: 2\r\n";
         co_await write(socket, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: " + request.id + "\r\n" +
                                    wait + "Content-Length: 0\r\n\r\n");
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -80,6 +80,8 @@
     std::vector<runner_order> orders() const;
     // Number of connections that the caller closed before the answer was complete.
     std::size_t cancelled() const;
+    // Requests that were refused because of a fault.
+    std::size_t refused() const;
 
     // Reports the state "ready" or "draining" to the control member. Returns the HTTP status of the
     // response, or 0 when there is none.
@@ -110,6 +112,7 @@
 
     mutable std::mutex m_mutex;
     std::deque<runner_fault> m_faults;
+    std::size_t m_refused = 0;
     std::vector<runner_request> m_requests;
     std::vector<runner_order> m_orders;
     std::size_t m_cancelled = 0;
--- a/test/control_join_test.cpp
+++ b/test/control_join_test.cpp
@@ -1,5 +1,6 @@
 #include "control/control_service.h"
 #include "net/http_client.h"
+#include "net_fixture.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
@@ -15,13 +16,6 @@
 // Timeout of each step. Steps normally take well under a second.
 constexpr std::chrono::seconds step_timeout{30};
 
-std::uint16_t free_port()
-{
-    net::asio::io_context io;
-    net::tcp::acceptor acceptor(io, net::tcp::endpoint(net::asio::ip::make_address("127.0.0.1"), 0));
-    return acceptor.local_endpoint().port();
-}
-
 std::string local(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
--- a/test/forward_scheduler_test.cpp
+++ b/test/forward_scheduler_test.cpp
@@ -130,13 +130,6 @@
     entry_process& first = keep<entry_process>(threads, 11, first_port);
     entry_process& second = keep<entry_process>(threads, 12, second_port);
 
-    static std::uint16_t free_port()
-    {
-        net::asio::io_context io;
-        net::tcp::acceptor acceptor(io, net::tcp::endpoint(net::asio::ip::address_v4::loopback(), 0));
-        return acceptor.local_endpoint().port();
-    }
-
     scheduler_fixture() = default;
     scheduler_fixture(const scheduler_fixture&) = delete;
     scheduler_fixture& operator=(const scheduler_fixture&) = delete;
@@ -193,9 +186,9 @@
 BOOST_AUTO_TEST_CASE(chooses_alone_when_the_scheduler_is_silent)
 {
     auto& threads = keep<net_threads>(1);
-    const std::uint16_t silent_port = scheduler_fixture::free_port();
+    const std::uint16_t silent_port = free_port();
     const std::string silent_address = "127.0.0.1:" + std::to_string(silent_port);
-    const std::uint16_t port = scheduler_fixture::free_port();
+    const std::uint16_t port = free_port();
     auto& silent = keep<entry_process>(threads, 11, silent_port, true);
     auto& entry = keep<entry_process>(threads, 12, port);
     entry.list({silent_address});
--- a/test/net_fixture.h
+++ b/test/net_fixture.h
@@ -5,11 +5,13 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <exception>
 #include <functional>
 #include <future>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 // Runs an io_context on several threads, so that sanitizer builds exercise the thread interleavings of a real
@@ -57,6 +59,27 @@
     std::vector<std::thread> m_threads;
 };
 
+// Returns a port on loopback that is free now. The kernel gives connections ports from 32,768 upwards, so a
+// lower port is not taken by a connection before the test listens on it; test processes begin at different
+// ports.
+inline std::uint16_t free_port()
+{
+    constexpr unsigned first = 10'000;
+    constexpr unsigned count = 22'000;
+    static std::atomic<unsigned> next{static_cast<unsigned>(::getpid()) * 97};
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(first + next++ % count);
+        verbena::net::asio::io_context io;
+        verbena::net::tcp::acceptor acceptor(io);
+        boost::system::error_code failure;
+        acceptor.open(verbena::net::tcp::v4());
+        acceptor.bind({verbena::net::asio::ip::address_v4::loopback(), port}, failure);
+        if (!failure) {
+            return port;
+        }
+    }
+}
+
 // Waits until `condition` holds. Returns false after a timeout, which only stops a test that hangs.
 template <typename Condition>
 bool eventually(Condition condition)
--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -19,13 +19,6 @@
 constexpr std::size_t member_count = 3;
 constexpr std::size_t entry_count = 2;
 
-std::uint16_t free_port()
-{
-    net::asio::io_context io;
-    net::tcp::acceptor acceptor(io, net::tcp::endpoint(net::asio::ip::make_address("127.0.0.1"), 0));
-    return acceptor.local_endpoint().port();
-}
-
 std::string local(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
--- a/test/platform_system_test.cpp
+++ b/test/platform_system_test.cpp
@@ -247,10 +247,20 @@
     }
     const std::size_t before = system.requests_at("model-a") + system.requests_at("model-b");
     const auto begin = verbena::clock::now();
-    const platform_deployment::answer refused = system.request({});
-    BOOST_TEST(refused.status == 503U);
-    BOOST_TEST(refused.headers.contains("Retry-After"));
+    const auto refused = [&] {
+        return std::min<std::size_t>(system.runner("model-a").refused(), 1) +
+               std::min<std::size_t>(system.runner("model-b").refused(), 1);
+    };
+    const bool both_refused = eventually([&] {
+        const platform_deployment::answer answer = system.request({});
+        BOOST_TEST(answer.status == 503U, answer.body);
+        BOOST_TEST(answer.headers.contains("Retry-After"));
+        return refused() == 2;
+    });
+    BOOST_TEST(both_refused);
+    const std::size_t refusals = system.runner("model-a").refused() + system.runner("model-b").refused();
     BOOST_TEST(system.request({}).status == 503U);
+    BOOST_TEST(system.runner("model-a").refused() + system.runner("model-b").refused() == refusals);
     BOOST_TEST(system.requests_at("model-a") + system.requests_at("model-b") == before);
     for (const char* name : {"model-a", "model-b"}) {
         system.runner(name).set_faults({});
