--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -1,10 +1,14 @@
 #include "forward/fleet.h"
 
+#include "forward/fleet_detail.h"
+
 #include <algorithm>
 #include <cmath>
 
 namespace verbena::forward {
 
+using detail::to_waiting_prompt;
+
 namespace {
 
 // An endpoint that no control member lists stays in use for this long. Control members that have just started
@@ -12,19 +16,6 @@
 // no harm.
 constexpr milliseconds unlisted_grace{5'000};
 
-// Backoff after a connection was refused or timed out, doubled with each consecutive failure.
-constexpr milliseconds initial_backoff{300};
-constexpr milliseconds max_backoff{3'000};
-
-// Weight of the newest answer in the moving average of the failure rate, and half-life of its decay to 0.
-constexpr double failure_weight = 0.25;
-constexpr double failure_half_life_s = 3;
-
-// Weight of the newest measurement in an endpoint's slowdown, and half-life of its decay to 1.
-constexpr double slowdown_weight = 0.5;
-constexpr double slowdown_half_life_s = 4;
-constexpr double max_slowdown = 16;
-
 // Fraction of the slots of an endpoint that the schedulers of other failure domains leave free.
 constexpr double other_domain_slot_reserve = 0.3;
 
@@ -37,11 +28,6 @@
 // rest.
 constexpr double shared_prefill_fraction = 0.35;
 
-constexpr std::uint8_t phase_started = 0;
-constexpr std::uint8_t phase_answering = 1;
-constexpr std::uint8_t phase_ended = 2;
-constexpr std::uint8_t phase_waiting = 3;
-
 // Bounds of the interval at which a waiting request retries its dispatch. A shorter interval gains nothing:
 // the load notes of the other entries are a few milliseconds old.
 constexpr milliseconds min_wait{4};
@@ -50,53 +36,12 @@
 // The same for a request that waits for others in the queue to go first.
 constexpr milliseconds line_wait{10};
 
-double seconds(clock::duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 milliseconds to_ms(double value)
 {
     constexpr double longest = 1e9;
     return milliseconds(static_cast<std::int64_t>(std::min(value, longest)));
 }
 
-std::uint32_t to_u32(clock::duration value)
-{
-    const std::int64_t count = std::chrono::duration_cast<milliseconds>(value).count();
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(count, 0));
-}
-
-policy::waiting_prompt to_waiting_prompt(const dispatch_request& request, const policy::work_key& key,
-                                         time_point now)
-{
-    policy::waiting_prompt prompt;
-    prompt.key = key;
-    prompt.due = now + (request.model.objective - request.model.used);
-    prompt.value = request.model.value;
-    prompt.loss_per_ms = policy::loss_per_ms(request.model);
-    if (request.service->engine) {
-        prompt.prefill_ms =
-            policy::engine_cost(*request.service->engine).prefill_ms(request.model.prompt_tokens);
-    }
-    return prompt;
-}
-
-policy::endpoint_work to_work(const wire::dispatch_noteT& note, time_point now)
-{
-    policy::endpoint_work work;
-    work.prefill_ms = note.read_us / 1000.0;
-    work.context_tokens = note.share_tokens;
-    work.held_tokens = note.held_tokens;
-    work.prefill_only = note.reads_for_other;
-    work.parts = note.parts;
-    work.due = now + milliseconds(note.first_event_ms);
-    work.objective = milliseconds(note.objective_ms);
-    work.pause = milliseconds(note.pause_ms);
-    work.value = note.value;
-    return work;
-}
-
 } // namespace
 
 const char* to_string(dispatch_refusal::reason value)
@@ -191,12 +136,6 @@
     return found != m_endpoints.end() && accepts_work(found->second, now);
 }
 
-// What an endpoint has answered to this entry holds whatever other entries or control members say of it.
-bool fleet::is_blocked(const endpoint_state& state, time_point now) const
-{
-    return state.announced_leaving || now < state.retry_after;
-}
-
 // The limit holds for the sum over all entries, so an entry that does not know the others' dispatches sends
 // nothing to a cold endpoint.
 bool fleet::at_cold_limit(endpoint_state& state, const dispatch_request& request, time_point now) const
@@ -214,17 +153,6 @@
     return static_cast<double>(state.recent_dispatches.size()) + 1 > service.cold_rate * m_cold_fraction;
 }
 
-double fleet::slowdown_of(const endpoint_state& state, time_point now) const
-{
-    const double remaining = std::exp2(-seconds(now - state.slowdown_updated) / slowdown_half_life_s);
-    return 1 + (state.slowdown - 1) * remaining;
-}
-
-double fleet::failure_rate_of(const endpoint_state& state, time_point now) const
-{
-    return state.failure_rate * std::exp2(-seconds(now - state.failure_rate_updated) / failure_half_life_s);
-}
-
 // Endpoints in backoff are returned only when there are no others, so that an outage of many endpoints does
 // not leave a service without any. The same holds for endpoints of failure domains whose load is not known.
 std::vector<fleet::endpoint_state*> fleet::eligible_endpoints(const dispatch_request& request, time_point now)
@@ -385,44 +313,6 @@
     return m_next_number++;
 }
 
-policy::work_key fleet::begin_wait(const dispatch_request& request, time_point now)
-{
-    wire::dispatch_noteT note;
-    policy::work_key key;
-    {
-        const std::lock_guard lock(m_mutex);
-        key = request.key.value_or(policy::work_key{m_self, 0});
-        if (!request.key) {
-            key.number = m_next_number++;
-        }
-        const policy::waiting_prompt prompt = to_waiting_prompt(request, key, now);
-        m_waiting[key] = {key.entry, request.service->name, prompt};
-        note.endpoint = request.service->name;
-        note.first_event_ms = to_u32(prompt.due - now);
-        note.read_us = static_cast<std::uint32_t>(prompt.prefill_ms * 1000);
-        note.value = static_cast<float>(prompt.value);
-        note.objective_ms = to_u32(request.model.objective);
-        note.phase = phase_waiting;
-        note = to_published(key, std::move(note));
-    }
-    m_on_note(std::move(note));
-    return key;
-}
-
-void fleet::end_wait(const policy::work_key& key)
-{
-    wire::dispatch_noteT note;
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_waiting.erase(key) == 0) {
-            return;
-        }
-        note.phase = phase_ended;
-        note = to_published(key, std::move(note));
-    }
-    m_on_note(std::move(note));
-}
-
 dispatch_result fleet::dispatch_plain(const dispatch_request& request,
                                       const std::vector<endpoint_state*>& found, time_point now)
 {
@@ -449,412 +339,12 @@
     return outcome;
 }
 
-void fleet::record_dispatch(dispatch_choice& choice, const dispatch_request& request,
-                            const std::vector<endpoint_state*>& parts, time_point now)
-{
-    const policy::work_key key = request.key.value_or(policy::work_key{m_self, m_next_number});
-    m_next_number += request.key ? 0 : 1;
-    choice.number = key.number;
-    m_waiting.erase(key);
-    dispatch_record& record = m_dispatches[key];
-    record = dispatch_record{};
-    record.reporter = key.entry;
-    std::uint64_t reserved = 0;
-    for (const chosen_endpoint& endpoint : choice.endpoints) {
-        reserved += endpoint.reserved_tokens;
-    }
-    const std::uint64_t needed = std::uint64_t{request.model.prompt_tokens} + request.model.output_tokens;
-    for (std::size_t i = 0; i < parts.size(); ++i) {
-        wire::dispatch_noteT note;
-        note.number = choice.number;
-        note.endpoint = choice.endpoints[i].name;
-        note.reads_for_other = i != 0;
-        note.parts = static_cast<std::uint32_t>(parts.size());
-        note.share_tokens = static_cast<std::uint32_t>(request.model.prompt_tokens / parts.size());
-        const std::uint64_t held =
-            i != 0 ? choice.endpoints[i].reserved_tokens : needed - std::min(needed, reserved);
-        note.held_tokens = static_cast<std::uint32_t>(held);
-        note.first_event_ms = to_u32(request.model.objective - request.model.used);
-        note.objective_ms = to_u32(request.model.objective);
-        note.pause_ms = static_cast<std::uint32_t>(request.model.pause.count());
-        note.value = static_cast<float>(policy::value_left(request.model));
-        if (request.service->engine) {
-            const policy::engine_cost cost(*request.service->engine);
-            note.read_us =
-                static_cast<std::uint32_t>(cost.prefill_ms(request.model.prompt_tokens, parts.size()) * 1000);
-        }
-        parts[i]->load.start(key, to_work(note, now), slowdown_of(*parts[i], now), now);
-        if (i == 0) {
-            parts[i]->recent_dispatches.push_back(now);
-        }
-        record.notes.push_back(std::move(note));
-    }
-}
-
-std::optional<dispatch_choice> fleet::adopt(std::uint64_t number,
-                                            const std::vector<std::unique_ptr<wire::dispatch_noteT>>& notes,
-                                            std::string& rejected, time_point now)
-{
-    dispatch_choice choice;
-    choice.number = number;
-    const policy::work_key key{m_self, number};
-    const std::lock_guard lock(m_mutex);
-    for (const auto& note : notes) {
-        const auto found = m_endpoints.find(note->endpoint);
-        if (found == m_endpoints.end() || !accepts_work(found->second, now) ||
-            is_blocked(found->second, now)) {
-            rejected = note->endpoint;
-            return std::nullopt;
-        }
-        const std::uint64_t reserved = note->reads_for_other ? note->held_tokens : 0;
-        choice.endpoints.push_back({note->endpoint, found->second.address, reserved});
-    }
-    if (choice.endpoints.empty()) {
-        return std::nullopt;
-    }
-    for (const auto& note : notes) {
-        start_part(key, m_self, *note, now);
-    }
-    return choice;
-}
-
-std::vector<wire::dispatch_noteT> fleet::notes_of(const policy::work_key& key) const
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_dispatches.find(key);
-    return found == m_dispatches.end() ? note_list{} : found->second.notes;
-}
-
-// A dispatch is direct if it is this entry's own or was reported by the entry that has sent it. Only direct
-// dispatches are reported further, so that no report goes round between schedulers.
-bool fleet::is_direct(const policy::work_key& key, incarnation reporter) const
-{
-    return key.entry == m_self || key.entry == reporter;
-}
-
-wire::dispatch_noteT fleet::to_published(const policy::work_key& key, wire::dispatch_noteT note) const
-{
-    note.number = key.number;
-    note.entry = key.entry == m_self ? 0 : key.entry;
-    return note;
-}
-
-fleet::note_list fleet::notes_to_publish(const policy::work_key& key, const dispatch_record& record) const
-{
-    note_list notes;
-    for (const wire::dispatch_noteT& note : record.notes) {
-        notes.push_back(to_published(key, note));
-        notes.back().phase = record.phase;
-    }
-    return notes;
-}
-
-void fleet::start_part(const policy::work_key& key, incarnation reporter, const wire::dispatch_noteT& note,
-                       time_point now)
-{
-    m_waiting.erase(key);
-    dispatch_record& record = m_dispatches[key];
-    record.reporter = reporter;
-    const bool known = std::any_of(record.notes.begin(), record.notes.end(),
-                                   [&note](const auto& item) { return item.endpoint == note.endpoint; });
-    if (known) {
-        return;
-    }
-    record.notes.push_back(note);
-    record.notes.back().phase = phase_started;
-    const auto found = m_endpoints.find(note.endpoint);
-    if (found == m_endpoints.end()) {
-        return;
-    }
-    const double slowdown = slowdown_of(found->second, now);
-    found->second.load.start(key, to_work(note, now), slowdown, now);
-    if (record.phase == phase_answering) {
-        found->second.load.first_event(key, slowdown, now);
-    }
-    if (!note.reads_for_other && note.phase == phase_started) {
-        found->second.recent_dispatches.push_back(now);
-    }
-}
-
-void fleet::advance_phase(const policy::work_key& key, const wire::dispatch_noteT& note, time_point now)
-{
-    const auto found = m_dispatches.find(key);
-    if (found == m_dispatches.end() || found->second.phase >= note.phase) {
-        return;
-    }
-    dispatch_record& record = found->second;
-    record.phase = note.phase;
-    if (note.phase == phase_ended) {
-        apply_report(record, note, now);
-    }
-    for (const wire::dispatch_noteT& part : record.notes) {
-        const auto endpoint = m_endpoints.find(part.endpoint);
-        if (endpoint == m_endpoints.end()) {
-            continue;
-        }
-        endpoint_state& state = endpoint->second;
-        if (note.phase == phase_ended) {
-            state.load.end(key, slowdown_of(state, now), now);
-        } else {
-            state.load.first_event(key, slowdown_of(state, now), now);
-        }
-    }
-    if (note.phase == phase_ended) {
-        m_dispatches.erase(found);
-    }
-}
-
-void fleet::apply_report(const dispatch_record& record, const wire::dispatch_noteT& note, time_point now)
-{
-    for (const std::string& name : note.unreachable) {
-        const auto found = m_endpoints.find(name);
-        if (found != m_endpoints.end()) {
-            apply_health(found->second, attempt_health::unreachable, now);
-        }
-    }
-    const auto found =
-        record.notes.empty() ? m_endpoints.end() : m_endpoints.find(record.notes.front().endpoint);
-    if (found == m_endpoints.end()) {
-        return;
-    }
-    if (note.health <= static_cast<std::uint8_t>(attempt_health::misdirected)) {
-        apply_health(found->second, static_cast<attempt_health>(note.health), now);
-    }
-    found->second.announced_leaving = found->second.announced_leaving || note.leaving;
-    apply_interval(found->second, std::chrono::microseconds(note.interval_us), now);
-}
-
-void fleet::update_own_phase(std::uint64_t number, wire::dispatch_noteT note, time_point now)
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        const policy::work_key key{m_self, number};
-        const auto found = m_dispatches.find(key);
-        if (found == m_dispatches.end() || found->second.phase >= note.phase) {
-            return;
-        }
-        advance_phase(key, note, now);
-        note.number = number;
-    }
-    m_on_note(std::move(note));
-}
-
-void fleet::record_first_event(std::uint64_t number, time_point now)
-{
-    wire::dispatch_noteT note;
-    note.phase = phase_answering;
-    update_own_phase(number, std::move(note), now);
-}
-
-void fleet::record_end(std::uint64_t number, time_point now, const attempt_report& report)
-{
-    wire::dispatch_noteT note;
-    note.phase = phase_ended;
-    note.health = static_cast<std::uint8_t>(report.health);
-    note.interval_us = static_cast<std::uint32_t>(report.interval.count());
-    note.unreachable = report.unreachable;
-    note.leaving = report.leaving;
-    update_own_phase(number, std::move(note), now);
-}
-
-void fleet::publish(const note_list& notes)
-{
-    for (const wire::dispatch_noteT& note : notes) {
-        m_on_note(note);
-    }
-}
-
-void fleet::apply_note(incarnation reporter, const wire::dispatch_noteT& note, time_point now)
-{
-    const policy::work_key key{note.entry == 0 ? reporter : note.entry, note.number};
-    if (key.entry == m_self || note.phase > phase_waiting) {
-        return;
-    }
-    if (note.phase == phase_waiting) {
-        policy::model_request model;
-        model.objective = milliseconds(note.objective_ms);
-        model.used = model.objective - milliseconds(note.first_event_ms);
-        model.value = note.value;
-        const time_point due = now + milliseconds(note.first_event_ms);
-        m_waiting[key] = {reporter,
-                          note.endpoint,
-                          {key, due, note.read_us / 1000.0, note.value, policy::loss_per_ms(model)}};
-        return;
-    }
-    if (!note.endpoint.empty() && note.phase != phase_ended) {
-        start_part(key, reporter, note, now);
-    }
-    const auto waiting = m_waiting.find(key);
-    if (waiting != m_waiting.end() && waiting->second.reporter == reporter) {
-        m_waiting.erase(waiting);
-    }
-    const auto found = m_dispatches.find(key);
-    // After a move to another scheduler, the former one may report an end that is not one.
-    if (found != m_dispatches.end() && found->second.reporter == reporter && note.phase != phase_started) {
-        advance_phase(key, note, now);
-    }
-}
-
-void fleet::apply_notes(const wire::load_notesT& notes, time_point now)
-{
-    note_list published;
-    {
-        const std::lock_guard lock(m_mutex);
-        if (notes.whole) {
-            published = remove_reporter(notes.incarnation, now);
-        }
-        for (const auto& note : notes.notes) {
-            apply_note(notes.incarnation, *note, now);
-            const policy::work_key key{note->entry == 0 ? notes.incarnation : note->entry, note->number};
-            if (key.entry == notes.incarnation && key.entry != m_self) {
-                published.push_back(to_published(key, *note));
-            }
-        }
-    }
-    publish(published);
-}
-
-// Returns the notes that end the removed work at the schedulers to which it was reported further.
-fleet::note_list fleet::remove_reporter(incarnation reporter, time_point now)
-{
-    note_list ended;
-    std::vector<policy::work_key> removed;
-    for (const auto& [key, record] : m_dispatches) {
-        if (record.reporter == reporter) {
-            removed.push_back(key);
-        }
-    }
-    wire::dispatch_noteT end;
-    end.phase = phase_ended;
-    for (const policy::work_key& key : removed) {
-        advance_phase(key, end, now);
-        if (is_direct(key, reporter)) {
-            ended.push_back(to_published(key, end));
-        }
-    }
-    for (auto item = m_waiting.begin(); item != m_waiting.end();) {
-        if (item->second.reporter != reporter) {
-            ++item;
-            continue;
-        }
-        if (is_direct(item->first, reporter)) {
-            ended.push_back(to_published(item->first, end));
-        }
-        item = m_waiting.erase(item);
-    }
-    return ended;
-}
-
-void fleet::remove_entry(incarnation entry, time_point now)
-{
-    note_list ended;
-    {
-        const std::lock_guard lock(m_mutex);
-        ended = remove_reporter(entry, now);
-    }
-    publish(ended);
-}
-
-std::vector<wire::dispatch_noteT> fleet::own_notes() const
-{
-    const std::lock_guard lock(m_mutex);
-    note_list notes;
-    for (const auto& [key, record] : m_dispatches) {
-        if (is_direct(key, record.reporter)) {
-            const note_list found = notes_to_publish(key, record);
-            notes.insert(notes.end(), found.begin(), found.end());
-        }
-    }
-    return notes;
-}
-
-void fleet::record_health(const std::string& endpoint, attempt_health health, time_point now)
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_endpoints.find(endpoint);
-    if (found != m_endpoints.end()) {
-        apply_health(found->second, health, now);
-    }
-}
-
-void fleet::apply_health(endpoint_state& state, attempt_health health, time_point now)
-{
-    if (health == attempt_health::neutral) {
-        return;
-    }
-    if (health == attempt_health::misdirected) {
-        state.misdirected = true;
-        return;
-    }
-    if (health == attempt_health::unreachable) {
-        const auto backoff = initial_backoff * (1U << std::min(state.unreachable_count, 6U));
-        state.backoff_until = now + std::min<milliseconds>(backoff, max_backoff);
-        ++state.unreachable_count;
-        return;
-    }
-    state.unreachable_count = 0;
-    state.backoff_until = {};
-    const double failed = health == attempt_health::failed ? 1 : 0;
-    const double previous = failure_rate_of(state, now);
-    state.failure_rate = previous + (failed - previous) * failure_weight;
-    state.failure_rate_updated = now;
-}
-
-void fleet::record_leaving(const std::string& endpoint)
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_endpoints.find(endpoint);
-    if (found != m_endpoints.end()) {
-        found->second.announced_leaving = true;
-    }
-}
-
-void fleet::record_retry_after(const std::string& endpoint, milliseconds time, time_point now)
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_endpoints.find(endpoint);
-    if (found != m_endpoints.end()) {
-        found->second.retry_after = std::max(found->second.retry_after, now + time);
-    }
-}
-
-std::set<std::string> fleet::blocked(const std::string& service, time_point now) const
-{
-    std::set<std::string> names;
-    const std::lock_guard lock(m_mutex);
-    for (const auto& [name, state] : m_endpoints) {
-        if (state.info.service == service && is_blocked(state, now)) {
-            names.insert(name);
-        }
-    }
-    return names;
-}
-
 void fleet::set_unknown_domains(std::set<std::string> domains)
 {
     const std::lock_guard lock(m_mutex);
     m_unknown_domains = std::move(domains);
 }
 
-// Derives an endpoint's slowdown from the measured and the predicted time between events of an answer.
-void fleet::apply_interval(endpoint_state& state, std::chrono::microseconds interval, time_point now)
-{
-    const auto engine = m_engines.find(state.info.service);
-    if (interval <= std::chrono::microseconds::zero() || engine == m_engines.end()) {
-        return;
-    }
-    const double predicted_ms =
-        policy::engine_cost(engine->second)
-            .event_interval_ms(state.load.decoding_requests(), state.load.context_tokens());
-    if (predicted_ms <= 0) {
-        return;
-    }
-    const double measured = static_cast<double>(interval.count()) / 1000 / predicted_ms;
-    const double previous = slowdown_of(state, now);
-    state.slowdown = previous + (std::clamp(measured, 1.0, max_slowdown) - previous) * slowdown_weight;
-    state.slowdown_updated = now;
-}
-
 std::string fleet::endpoint_at(const std::string& address) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/forward/placement_messages.cpp
+++ b/src/forward/placement_messages.cpp
@@ -1,13 +1,13 @@
 #include "forward/placement_messages.h"
 
+#include "forward/fleet_detail.h"
+
 #include <algorithm>
 
 namespace verbena::forward {
 
 namespace {
 
-constexpr std::uint8_t phase_ended = 2;
-
 std::uint32_t to_u32(milliseconds value)
 {
     constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
@@ -91,7 +91,7 @@
 {
     wire::dispatch_noteT note;
     note.number = number;
-    note.phase = phase_ended;
+    note.phase = detail::phase_ended;
     return note;
 }
 
--- a/src/forward/scheduler_client.cpp
+++ b/src/forward/scheduler_client.cpp
@@ -61,8 +61,16 @@
 
 void choice_call::attach(std::shared_ptr<net::frame_stream> stream)
 {
-    const std::lock_guard lock(m_mutex);
-    m_stream = std::move(stream);
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_cancelled) {
+            m_stream = std::move(stream);
+            return;
+        }
+    }
+    if (stream) {
+        stream->close(make_error(error_kind::unavailable, "the request has ended"));
+    }
 }
 
 scheduler_client::scheduler_client(const node::scheduler_list& schedulers, std::string own_address,
