--- a/src/forward/scheduler_client.cpp
+++ b/src/forward/scheduler_client.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds reply_timeout{150};
 constexpr milliseconds waiting_timeout{600};
 
-// A failed scheduler is not asked for this long, unless there is no other candidate.
+// A failed scheduler is not asked for this long.
 constexpr milliseconds suspicion{2'000};
 
 // Tries with different schedulers or excluded endpoints before this entry chooses alone.
