Log who votes in the control group, failed elections and membership requests

Each member now writes group_state when its members or its leader change, election_failed (at most one line a second) with the voters that granted, denied or did not answer, membership_requested when the outcome of its requests changes, and the leader membership_changed with the reason. No decision changes. raft_members/a_failed_election_names_the_missing_votes covers the tally.

--- a/src/control/group_membership.cpp
+++ b/src/control/group_membership.cpp
@@ -1,3 +1,4 @@
+#include "base/event_log.h"
 #include "base/log.h"
 #include "base/random.h"
 #include "control/raft_host.h"
@@ -22,6 +23,16 @@
     return address.host + ":" + std::to_string(address.port);
 }
 
+// Logs the outcome of a membership change.
+std::function<void(const result<void>&)> change_logger(const char* action, const raft::member& member,
+                                                       const char* reason)
+{
+    return [action, id = member.id, address = member.address, reason](const result<void>& outcome) {
+        event_log::write(event::membership_changedT{
+            {}, action, id, address, reason, outcome ? "committed" : describe(outcome.error())});
+    };
+}
+
 // Never returns 0, which marks folders that were initialised together with the group.
 raft::folder_id make_folder_id()
 {
@@ -105,6 +116,7 @@
                 reply = co_await send_join_request(leader.value(), own_folder);
             }
         }
+        log_join_outcome(target, reply);
         const bool still_without_leader = !knows_leader() && m_options.member_id == previous_id;
         if (reply && reply->member_id != 0 && reply->member_id != previous_id && still_without_leader) {
             stop_on_error(become_member(reply->member_id, make_folder_id()));
@@ -115,6 +127,24 @@
     m_requesting_membership = false;
 }
 
+void raft_host::log_join_outcome(const host_port& target, const std::optional<wire::join_replyT>& reply)
+{
+    const char* outcome = !reply                  ? "no_reply"
+                          : reply->member_id != 0 ? "assigned"
+                          : reply->leader.empty() ? "no_leader"
+                                                  : "wait";
+    if (outcome == m_logged_join_outcome) {
+        return;
+    }
+    m_logged_join_outcome = outcome;
+    event_log::write(event::membership_requestedT{{},
+                                                  m_options.member_id,
+                                                  text_of(target),
+                                                  outcome,
+                                                  reply ? reply->leader : std::string(),
+                                                  reply ? reply->member_id : 0});
+}
+
 net::task<std::optional<wire::join_replyT>> raft_host::send_join_request(host_port address,
                                                                          std::uint64_t folder)
 {
@@ -166,12 +196,6 @@
     if (!is_leader() || !parse_host_port(address)) {
         return reply;
     }
-    const auto log_outcome = [address](const char* action) {
-        return [address, action](const result<void>& outcome) {
-            log::info(std::string(action) + " " + address + ": " +
-                      (outcome ? std::string("committed") : describe(outcome.error())));
-        };
-    };
     const raft::membership& group = m_replica->consensus().membership();
     for (const raft::member& member : group.members) {
         if (member.address != address) {
@@ -183,10 +207,11 @@
             return reply;
         }
         // The process at this address has lost the data folder with which this member voted.
-        remove_member(member.id, log_outcome("remove member that lost its data folder"));
+        remove_member(member.id, change_logger("remove", member, "it lost its data folder"));
         return reply;
     }
-    add_member(group.highest_id + 1, address, log_outcome("add member"));
+    const raft::member added{group.highest_id + 1, 0, false, address};
+    add_member(added.id, address, change_logger("add", added, "it requested membership"));
     return reply;
 }
 
@@ -219,7 +244,6 @@
         return;
     }
     const raft::core_status state = m_replica->consensus().status(now);
-    const std::size_t needed_voters = 2 * m_options.tolerated_losses + 1;
     raft::member_id silent = 0;
     for (const raft::member_status& status : state.members) {
         if (status.active || status.member.id == m_options.member_id) {
@@ -238,14 +262,11 @@
     }
     const raft::membership& group = m_replica->consensus().membership();
     const raft::member* member = group.find(silent);
-    if (member == nullptr || (member->voter && group.voter_count() <= needed_voters)) {
+    if (member == nullptr || (member->voter && group.voter_count() <= needed_voters())) {
         return;
     }
     m_silent_since[silent] = now;
-    remove_member(silent, [silent](const result<void>& outcome) {
-        log::info("remove unresponsive member " + std::to_string(silent) + ": " +
-                  (outcome ? std::string("committed") : describe(outcome.error())));
-    });
+    remove_member(silent, change_logger("remove", *member, "it does not answer"));
 }
 
 } // namespace verbena::control
--- a/src/control/raft_host.cpp
+++ b/src/control/raft_host.cpp
@@ -135,6 +135,8 @@
             stop_on_error(m_replica->tick(now));
             connect_members(now);
             remove_silent_members(now);
+            log_group(now);
+            log_failed_election(now);
         }
         if (knows_leader()) {
             m_last_leader_contact = now;
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -148,10 +148,16 @@
     result<void> form_group();
     net::task<void> request_membership();
     net::task<std::optional<wire::join_replyT>> send_join_request(host_port address, std::uint64_t folder);
+    void log_join_outcome(const host_port& target, const std::optional<wire::join_replyT>& reply);
     result<void> become_member(raft::member_id id, raft::folder_id folder);
     void remove_silent_members(time_point now);
+    // Voters with which the group keeps a majority after losing as many members as the settings tolerate.
+    std::size_t needed_voters() const { return 2 * m_options.tolerated_losses + 1; }
     result<void> initialise_folder(const options& settings);
     net::task<void> run_timer();
+    // Logs the group when its members or its leader have changed, and elections that fail.
+    void log_group(time_point now);
+    void log_failed_election(time_point now);
     // Connects to members before the first message is sent, so that no messages are lost after a restart.
     void connect_members(time_point now);
     void connect_in_background(raft::member_id id, time_point now);
@@ -177,6 +183,10 @@
     time_point m_last_leader_contact;
     std::size_t m_next_join_target = 0;
     bool m_requesting_membership = false;
+    std::string m_logged_join_outcome;
+    raft::membership m_logged_membership;
+    raft::member_id m_logged_leader = 0;
+    time_point m_last_election_line;
     std::string m_leader_operator_address;
     std::string m_leader_operator_source; // frame address of the leader that reported it
     bool m_flush_scheduled = false;
--- a/src/raft/core.h
+++ b/src/raft/core.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <tuple>
+#include <utility>
 
 namespace verbena::raft {
 
@@ -29,6 +30,15 @@
     bytes image;
 };
 
+// Votes of an election attempt that ended without a majority.
+struct failed_election {
+    bool pre_vote = false;
+    term_number term = 0;           // the term that the candidate asked for
+    std::vector<member_id> granted; // own vote included
+    std::vector<member_id> denied;
+    std::vector<member_id> unanswered;
+};
+
 // State that a member loads from its data folder at start.
 struct start_state {
     member_id self = 0;
@@ -129,6 +139,12 @@
     std::optional<milliseconds> confirm_age(time_point now) const;
 
     core_status status(time_point now) const;
+
+    // Returns and clears the newest election attempt that failed.
+    std::optional<failed_election> take_failed_election()
+    {
+        return std::exchange(m_failed_election, std::nullopt);
+    }
     raft::role role() const { return m_role; }
     member_id leader() const { return m_leader; }
     term_number term() const { return m_hard_state.term; }
@@ -180,6 +196,7 @@
     void start_pre_vote(time_point now);
     void start_election(time_point now);
     void request_votes(message_kind kind, term_number term);
+    void record_failed_election();
     void on_vote_request(const message& input, time_point now);
     void on_vote_reply(const message& input, time_point now);
     void become_leader(time_point now);
@@ -248,6 +265,7 @@
     time_point m_last_leader_contact;
     time_point m_election_deadline;
     std::map<member_id, bool> m_votes;
+    std::optional<failed_election> m_failed_election;
 
     std::map<member_id, progress> m_peers;
     time_point m_next_heartbeat;
--- a/src/raft/core_election.cpp
+++ b/src/raft/core_election.cpp
@@ -42,8 +42,31 @@
     return input.index >= m_log.last();
 }
 
+// Called when the next attempt begins, so the replies to the last one have had their time.
+void core::record_failed_election()
+{
+    if (m_role != role::pre_candidate && m_role != role::candidate) {
+        return;
+    }
+    const bool pre_vote = m_role == role::pre_candidate;
+    failed_election failed{pre_vote, m_hard_state.term + (pre_vote ? 1 : 0), {}, {}, {}};
+    for (const member& voter : membership().members) {
+        const auto vote = m_votes.find(voter.id);
+        if (!voter.voter) {
+            continue;
+        }
+        if (vote == m_votes.end()) {
+            failed.unanswered.push_back(voter.id);
+        } else {
+            (vote->second ? failed.granted : failed.denied).push_back(voter.id);
+        }
+    }
+    m_failed_election = std::move(failed);
+}
+
 void core::start_pre_vote(time_point now)
 {
+    record_failed_election();
     m_role = role::pre_candidate;
     m_leader = 0;
     m_votes = {{m_self, true}};
--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -78,6 +78,9 @@
 
     const core& consensus() const { return m_core; }
 
+    // Returns and clears the newest election attempt of this member that failed.
+    std::optional<failed_election> take_failed_election() { return m_core.take_failed_election(); }
+
 private:
     replica(std::unique_ptr<storage> files, state_machine& machine, transport& network,
             const options& settings, random_engine random, time_point now);
--- a/test/raft_members_test.cpp
+++ b/test/raft_members_test.cpp
@@ -200,6 +200,26 @@
     require_no_violations(cluster);
 }
 
+// Guards against a group without a leader whose log lines don't say which votes are missing.
+BOOST_AUTO_TEST_CASE(a_failed_election_names_the_missing_votes)
+{
+    raft_cluster cluster(13, 3);
+    const member_id leader = wait_for_leader(cluster);
+    for (const member_id id : cluster.ids()) {
+        if (id != leader) {
+            cluster.crash(id, crash_kind::power);
+        }
+    }
+    cluster.run(milliseconds(3000));
+    const auto failed = cluster.at(leader)->take_failed_election();
+    BOOST_TEST_REQUIRE(failed.has_value());
+    BOOST_TEST(failed->pre_vote);
+    BOOST_TEST((failed->granted == std::vector<member_id>{leader}));
+    BOOST_TEST(failed->denied.empty());
+    BOOST_TEST(failed->unanswered.size() == 2U);
+    BOOST_TEST(!cluster.at(leader)->take_failed_election().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_leadership_transfer_takes_effect_at_once)
 {
     raft_cluster cluster(8, 3);
