--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::size_t member_count = 3;
+constexpr std::size_t seed_count = 3;
 constexpr std::size_t entry_count = 2;
 
 std::string local(std::uint16_t port)
@@ -35,18 +35,14 @@
 
 } // namespace
 
-platform_deployment::platform_deployment()
+platform_deployment::platform_deployment(std::uint32_t tolerated_losses)
+    : m_tolerated_losses(tolerated_losses)
 {
-    m_members.resize(member_count);
     m_entries.resize(entry_count);
-    for (member& value : m_members) {
-        std::string pattern = (std::filesystem::temp_directory_path() / "verbena-platform-XXXXXX").string();
-        BOOST_TEST_REQUIRE(mkdtemp(pattern.data()) != nullptr);
-        value.folder = pattern;
-        value.frame_port = free_port();
-        value.operator_port = free_port();
+    for (std::size_t i = 0; i < seed_count; ++i) {
+        m_members.push_back(make_member(true));
     }
-    for (std::size_t i = 0; i < member_count; ++i) {
+    for (std::size_t i = 0; i < seed_count; ++i) {
         start_member(i, true);
     }
     for (std::size_t i = 0; i < entry_count; ++i) {
@@ -58,6 +54,26 @@
     add_runner("desk-b", "desk", "domain-b");
 }
 
+platform_deployment::member platform_deployment::make_member(bool has_disk)
+{
+    member value;
+    if (has_disk) {
+        std::string pattern = (std::filesystem::temp_directory_path() / "verbena-platform-XXXXXX").string();
+        BOOST_TEST_REQUIRE(mkdtemp(pattern.data()) != nullptr);
+        value.folder = pattern;
+    }
+    value.frame_port = free_port();
+    value.operator_port = free_port();
+    return value;
+}
+
+std::size_t platform_deployment::add_member(bool has_disk)
+{
+    m_members.push_back(make_member(has_disk));
+    start_member(m_members.size() - 1, true);
+    return m_members.size() - 1;
+}
+
 platform_deployment::~platform_deployment()
 {
     for (const auto& [id, value] : m_runners) {
@@ -70,7 +86,9 @@
     }
     for (std::size_t i = 0; i < m_members.size(); ++i) {
         stop_member(i);
-        std::filesystem::remove_all(m_members[i].folder);
+        if (!m_members[i].folder.empty()) {
+            std::filesystem::remove_all(m_members[i].folder);
+        }
     }
     m_threads.stop();
 }
@@ -78,8 +96,8 @@
 std::string platform_deployment::seed_addresses() const
 {
     std::string text;
-    for (const member& value : m_members) {
-        text += (text.empty() ? "" : ",") + local(value.frame_port);
+    for (std::size_t i = 0; i < seed_count; ++i) {
+        text += (text.empty() ? "" : ",") + local(m_members[i].frame_port);
     }
     return text;
 }
@@ -101,6 +119,7 @@
     control.data = value.folder;
     control.member_id = 0;
     control.bootstrap = bootstrap ? "true" : "false";
+    control.tolerated_losses = m_tolerated_losses;
     auto service =
         control::control_service::create(*value.process, control, false,
                                          std::make_shared<platform::platform_call_handler>(
@@ -310,15 +329,23 @@
     start_member(index, false);
 }
 
-void platform_deployment::restart_members(const std::function<void()>& while_down)
+void platform_deployment::restart_members(const std::function<void()>& while_down,
+                                          const std::set<std::size_t>& lost_disks)
 {
     for (std::size_t i = 0; i < m_members.size(); ++i) {
         m_members[i].service->stop();
         stop_member(i, false);
         // The stopped member is not destroyed, so it still holds the lock on its folder; the new one uses a
         // copy.
+        if (m_members[i].folder.empty()) {
+            continue;
+        }
         const std::string copy = m_members[i].folder + "-again";
-        std::filesystem::copy(m_members[i].folder, copy, std::filesystem::copy_options::recursive);
+        if (lost_disks.contains(i)) {
+            std::filesystem::create_directory(copy);
+        } else {
+            std::filesystem::copy(m_members[i].folder, copy, std::filesystem::copy_options::recursive);
+        }
         std::filesystem::remove_all(m_members[i].folder);
         m_members[i].folder = copy;
     }
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -9,6 +9,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,7 +17,7 @@
 // their group from seed addresses, two entries and stand-in runners of two services.
 class platform_deployment {
 public:
-    platform_deployment();
+    explicit platform_deployment(std::uint32_t tolerated_losses = 1);
     platform_deployment(const platform_deployment&) = delete;
     platform_deployment& operator=(const platform_deployment&) = delete;
     ~platform_deployment();
@@ -63,8 +64,13 @@
     // Stops a member, empties its data folder and starts it again at the same address.
     void lose_disk(std::size_t index);
 
-    // Stops all members, calls `while_down`, and starts them again with copies of their data folders.
-    void restart_members(const std::function<void()>& while_down = [] {});
+    // Stops all members, calls `while_down`, and starts them again with copies of their data folders; those
+    // in `lost_disks` start with empty ones.
+    void restart_members(
+        const std::function<void()>& while_down = [] {}, const std::set<std::size_t>& lost_disks = {});
+
+    // Starts one more control process, which is no seed; returns its index.
+    std::size_t add_member(bool has_disk = true);
 
     // Starts one more entry; returns its index.
     std::size_t add_entry();
@@ -79,7 +85,7 @@
         std::unique_ptr<verbena::node::process> process;
         std::shared_ptr<verbena::control::control_service> service;
         std::unique_ptr<std::thread> worker;
-        std::string folder;
+        std::string folder; // empty: no disk
         std::uint16_t frame_port = 0;
         std::uint16_t operator_port = 0;
     };
@@ -91,6 +97,7 @@
     };
 
     std::string seed_addresses() const;
+    static member make_member(bool has_disk);
     void start_member(std::size_t index, bool bootstrap);
     void stop_member(std::size_t index, bool immediately = true);
     void start_entry(std::size_t index);
@@ -100,6 +107,7 @@
     verbena::net::http_call make_http_call(const call& spec);
 
     net_threads m_threads;
+    std::uint32_t m_tolerated_losses;
     std::vector<member> m_members;
     std::vector<entry> m_entries;
     std::map<std::string, std::shared_ptr<verbena::standin::platform_runner>> m_runners;
