--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/experimental/concurrent_channel.hpp>
 
+#include <limits>
 #include <xxhash.h>
 
 namespace verbena::control {
@@ -190,9 +191,9 @@
 {
     while (true) {
         if (!m_raft->is_leader()) {
-            const result<host_port> leader = parse_host_port(m_raft->leader_address());
-            if (leader) {
-                co_await query_leader(leader.value());
+            const std::optional<host_port> target = m_raft->leader_query_target();
+            if (target) {
+                co_await query_leader(*target);
             }
         }
         co_await net::sleep_for(leader_query_interval);
@@ -201,34 +202,43 @@
 
 net::task<void> control_service::query_leader(host_port leader)
 {
+    const std::string name = leader.host + ":" + std::to_string(leader.port);
     auto opened = co_await m_pool->open_stream(std::move(leader), leader_query_timeout);
     if (!opened) {
+        m_raft->set_reported_leader("");
         co_return;
     }
     const std::shared_ptr<net::frame_stream> stream = opened.value();
     const net::stream_guard guard(stream);
     const time_point sent_at = clock::now();
     wire::freshness_queryT query;
-    query.revision = m_leader_view.held_revision();
+    // A process that is not a member serves no reads, so it does not ask for the configuration.
+    query.revision =
+        m_raft->is_member() ? m_leader_view.held_revision() : std::numeric_limits<std::uint64_t>::max();
     stream->send(net::make_frame(std::move(query)));
     net::asio::steady_timer timer(m_raft->strand());
     node::close_after(timer, stream, leader_query_timeout);
     const result<net::received_frame> answer = co_await stream->receive();
     timer.cancel();
-    if (!answer) {
+    const wire::freshness_reply* reply =
+        answer ? answer.value().frame->message_as_freshness_reply() : nullptr;
+    const std::string named =
+        reply != nullptr && reply->leader() != nullptr ? reply->leader()->str() : std::string();
+    m_raft->set_reported_leader(named);
+    if (reply == nullptr || !reply->confirmed()) {
         co_return;
     }
-    const wire::freshness_reply* reply = answer.value().frame->message_as_freshness_reply();
-    if (reply == nullptr || !reply->confirmed()) {
+    const bool from_leader = named == name || (named.empty() && m_raft->is_member());
+    if (reply->operator_address() != nullptr && from_leader) {
+        m_raft->set_leader_operator_address(reply->operator_address()->str(), name);
+    }
+    if (!m_raft->is_member()) {
         co_return;
     }
     if (reply->config() != nullptr) {
         m_leader_view.update({reply->config()->data(), reply->config()->size()});
     }
     m_leader_view.confirm(reply->revision(), sent_at - milliseconds(reply->age_ms()));
-    if (reply->operator_address() != nullptr) {
-        m_raft->set_leader_operator_address(reply->operator_address()->str());
-    }
 }
 
 void control_service::on_stream(const std::shared_ptr<net::frame_stream>& stream, net::received_frame first)
@@ -299,6 +309,7 @@
     reply.config = found.config;
     reply.operator_address = m_settings.operator_listen;
     reply.applied_revision = m_machine.config().current_revision();
+    reply.leader = m_raft->leader_address();
     stream->send(net::make_frame(std::move(reply)));
 }
 
@@ -411,6 +422,9 @@
             copy.content = std::move(content.value());
         }
     }
+    if (!m_raft->is_member()) {
+        copy.leader = m_raft->leader_operator_address();
+    }
     return copy;
 }
 
@@ -465,16 +479,33 @@
     return true;
 }
 
-net::task<bool> control_service::announce(wire::announcementT announcement)
+change_outcome control_service::take_announcement(const wire::announcementT& announcement, time_point now)
 {
-    using channel = net::asio::experimental::concurrent_channel<void(net::error_code, bool)>;
+    change_outcome outcome;
+    if (m_raft->is_member()) {
+        outcome.state = accept_announcement(announcement, now) ? change_outcome::kind::accepted
+                                                               : change_outcome::kind::unavailable;
+        outcome.message = "too few entries poll this member";
+    } else {
+        outcome.leader = m_raft->leader_operator_address();
+        outcome.state =
+            outcome.leader.empty() ? change_outcome::kind::unavailable : change_outcome::kind::not_leader;
+        outcome.message = "this process is not a member of the group";
+    }
+    outcome.remedy = "check in at another member";
+    return outcome;
+}
+
+net::task<change_outcome> control_service::announce(wire::announcementT announcement)
+{
+    using channel = net::asio::experimental::concurrent_channel<void(net::error_code, change_outcome)>;
     auto reply_channel = std::make_shared<channel>(co_await net::asio::this_coro::executor, 1);
     net::asio::post(
         m_raft->strand(), [self = shared_from_this(), reply_channel, value = std::move(announcement)] {
-            reply_channel->try_send(net::error_code(), self->accept_announcement(value, clock::now()));
+            reply_channel->try_send(net::error_code(), self->take_announcement(value, clock::now()));
         });
-    auto [failure, accepted] = co_await reply_channel->async_receive(net::no_throw);
-    co_return accepted;
+    auto [failure, outcome] = co_await reply_channel->async_receive(net::no_throw);
+    co_return std::move(outcome);
 }
 
 void control_service::reload(const settings_root& root)
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -32,7 +32,7 @@
     net::task<change_outcome> publish(std::uint64_t version, std::string content) override;
     net::task<change_outcome> set_domain(std::string name, op::admin_state state) override;
     net::task<published_document> read_published() override;
-    net::task<bool> announce(wire::announcementT announcement) override;
+    net::task<change_outcome> announce(wire::announcementT announcement) override;
 
     // Applies the control members listed in reloaded settings.
     void reload(const settings_root& root);
@@ -57,6 +57,7 @@
     net::task<change_outcome> change(op::change_requestT request);
     published_document copy_published(time_point now) const;
     void forward_announcement(const std::string& endpoint);
+    change_outcome take_announcement(const wire::announcementT& announcement, time_point now);
     bool accept_announcement(const wire::announcementT& announcement, time_point now);
 
     node::process& m_process;
--- a/src/control/group_membership.cpp
+++ b/src/control/group_membership.cpp
@@ -15,6 +15,9 @@
 
 constexpr milliseconds join_request_timeout{500};
 
+// Members beyond this number add messages and no safety; further processes wait until one is removed.
+constexpr std::size_t max_members = 9;
+
 // Interval between join requests.
 constexpr milliseconds join_request_interval{150};
 
@@ -81,7 +84,8 @@
 
 void raft_host::request_membership_in_background()
 {
-    if (m_requesting_membership || m_options.initial_members.empty() || m_options.address.port == 0) {
+    if (!m_disk || m_requesting_membership || m_options.initial_members.empty() ||
+        m_options.address.port == 0) {
         return;
     }
     m_requesting_membership = true;
@@ -210,11 +214,41 @@
         remove_member(member.id, change_logger("remove", member, "it lost its data folder"));
         return reply;
     }
+    const auto answering = static_cast<std::size_t>(
+        std::count_if(group.members.begin(), group.members.end(),
+                      [this](const raft::member& member) { return !m_silent_since.contains(member.id); }));
+    if (answering >= max_members) {
+        return reply;
+    }
     const raft::member added{group.highest_id + 1, 0, false, address};
     add_member(added.id, address, change_logger("add", added, "it requested membership"));
     return reply;
 }
 
+std::optional<host_port> raft_host::leader_query_target()
+{
+    const result<host_port> leader = parse_host_port(leader_address());
+    if (leader) {
+        return leader.value();
+    }
+    const std::vector<host_port>& candidates = m_options.initial_members;
+    if (is_member() || candidates.empty()) {
+        return std::nullopt;
+    }
+    const host_port& candidate = candidates[m_next_query_target++ % candidates.size()];
+    return candidate == m_options.address ? std::nullopt : std::optional(candidate);
+}
+
+void raft_host::set_reported_leader(std::string address)
+{
+    if (address == m_reported_leader || is_member()) {
+        return;
+    }
+    event_log::write(
+        event::dependencyT{{}, "control leader", address.empty() ? "lost" : "regained", address});
+    m_reported_leader = std::move(address);
+}
+
 void raft_host::broadcast(const wire::frameT& message)
 {
     for (auto& [id, peer] : m_links) {
@@ -231,6 +265,8 @@
         for (const raft::member& member : m_replica->consensus().membership().members) {
             addresses.push_back(member.address);
         }
+    } else if (!m_reported_leader.empty()) {
+        addresses.push_back(m_reported_leader);
     }
     return addresses;
 }
--- a/src/control/public_calls.h
+++ b/src/control/public_calls.h
@@ -28,6 +28,9 @@
     bool current = false;
     std::uint64_t version = 0; // 0 = nothing published
     std::string content;
+    // host:port of the leader's operator calls, from a process that holds no document because it is not a
+    // member; empty if the leader is not known.
+    std::string leader;
 };
 
 // Operations of a control member for an adapter that serves the operators and endpoints of another platform.
@@ -46,9 +49,10 @@
 
     virtual net::task<published_document> read_published() = 0;
 
-    // Stores an endpoint's announcement. Returns false when this member cannot accept it, for example while
-    // too few entries poll it; the endpoint has to announce itself to another member.
-    virtual net::task<bool> announce(wire::announcementT announcement) = 0;
+    // Stores an endpoint's announcement. `unavailable` when this member cannot accept it, for example while
+    // too few entries poll it: the endpoint has to announce itself to another member. `not_leader` when this
+    // process is not a member.
+    virtual net::task<change_outcome> announce(wire::announcementT announcement) = 0;
 };
 
 // Serves another platform's calls on the operator address.
--- a/src/control/raft_host.cpp
+++ b/src/control/raft_host.cpp
@@ -102,6 +102,14 @@
 
 result<void> raft_host::open(const options& settings)
 {
+    if (settings.data_folder.empty()) {
+        if (settings.member_id != 0) {
+            return make_error(error_kind::invalid_settings, "[control] data is empty",
+                              "set a data folder, or remove member_id from a process without a disk");
+        }
+        log::info("no data folder is set; this process redirects callers to the leader");
+        return success();
+    }
     BOOST_OUTCOME_TRY(m_disk, raft::posix_disk::open(settings.data_folder));
     m_last_leader_contact = clock::now();
     if (settings.member_id == 0) {
@@ -189,7 +197,7 @@
 
 std::string raft_host::leader_address() const
 {
-    return m_replica ? address_of(m_replica->consensus().leader()) : std::string();
+    return m_replica ? address_of(m_replica->consensus().leader()) : m_reported_leader;
 }
 
 void raft_host::send(raft::message output)
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -34,6 +34,7 @@
     struct options {
         std::string cluster;
         std::uint64_t member_id = 0;
+        // Empty: the process has no disk, never becomes a member and redirects callers to the leader.
         std::string data_folder;
         // First members of a new group as id=host:port; read only when `initialise` is set and the folder is
         // empty.
@@ -71,6 +72,13 @@
     }
     // Frame address of the leader; empty when no leader is known.
     std::string leader_address() const;
+    // Whether this process holds a copy of the log.
+    bool is_member() const { return m_replica != nullptr; }
+    // Frame address at which to ask for the leader's state. A process that is not a member asks the initial
+    // members in turn until one of them names the leader.
+    std::optional<host_port> leader_query_target();
+    // Leader named by another control process, for a process that is not a member. Empty = not known.
+    void set_reported_leader(std::string address);
     bool knows_leader() const { return m_replica && m_replica->consensus().leader() != 0; }
 
     // Handles a request to become a member. Member id 0 in the reply means that the process has to retry,
@@ -80,7 +88,7 @@
     // Sends a message to all connected members, without waiting for delivery.
     void broadcast(const wire::frameT& message);
 
-    // Frame addresses of all members.
+    // Frame addresses of all members; of the leader alone if this process is not a member.
     std::vector<std::string> member_addresses() const;
 
     // Addresses for membership requests, in addition to the members listed in the log.
@@ -88,10 +96,11 @@
     {
         m_options.initial_members = std::move(addresses);
     }
-    void set_leader_operator_address(std::string address)
+    // `source` is the frame address of the member that reported the address.
+    void set_leader_operator_address(std::string address, std::string source)
     {
         m_leader_operator_address = std::move(address);
-        m_leader_operator_source = leader_address();
+        m_leader_operator_source = std::move(source);
     }
     void transfer_leadership();
 
@@ -182,6 +191,8 @@
     std::map<raft::member_id, time_point> m_silent_since;
     time_point m_last_leader_contact;
     std::size_t m_next_join_target = 0;
+    std::size_t m_next_query_target = 0;
+    std::string m_reported_leader;
     bool m_requesting_membership = false;
     std::string m_logged_join_outcome;
     raft::membership m_logged_membership;
--- a/src/node/control_client.cpp
+++ b/src/node/control_client.cpp
@@ -108,6 +108,7 @@
         for (const host_port& seed : m_seeds) {
             m_poll_targets.insert(address_text(seed));
         }
+        m_poll_targets.insert(m_suggested_members.begin(), m_suggested_members.end());
     }
 }
 
@@ -314,6 +315,11 @@
                 m_members.insert(address->str());
             }
         }
+    } else if (reply.members() != nullptr && reply.members()->size() != 0) {
+        m_suggested_members.clear();
+        for (const auto* address : *reply.members()) {
+            m_suggested_members.insert(address->str());
+        }
     }
 }
 
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -103,6 +103,8 @@
     std::string m_leader; // frame address of the last known leader
     std::vector<host_port> m_seeds;
     std::set<std::string> m_members; // from the last reply of a member with a quorum
+    // From the last reply of a control process without one, polled like the seeds.
+    std::set<std::string> m_suggested_members;
     std::set<std::string> m_poll_targets;
     std::set<std::string> m_active_polls;
     time_point m_last_confirmed_reply;
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -55,6 +55,22 @@
     co_return !failure;
 }
 
+// Redirects that a runner follows.
+constexpr int max_redirects = 2;
+
+// The address to which a response redirects.
+result<host_port> redirect_target(const net::http_response& response)
+{
+    static constexpr std::string_view scheme = "http://";
+    for (const auto& [name, value] : response.headers) {
+        if (response.status == 307 && name == "Location" && value.starts_with(scheme)) {
+            const std::string rest = value.substr(scheme.size());
+            return parse_host_port(rest.substr(0, rest.find('/')));
+        }
+    }
+    return make_error(error_kind::not_found, "the response is no redirect", "use the response");
+}
+
 } // namespace
 
 result<std::shared_ptr<platform_runner>> platform_runner::create(net::asio::io_context& io,
@@ -306,9 +322,17 @@
     call.target = std::move(path);
     call.headers.emplace_back("Content-Type", "application/json");
     call.body = std::move(body);
-    const result<net::http_response> response =
-        co_await net::fetch_http(std::move(control), std::move(call), control_timeout);
-    co_return response ? response.value().status : 0;
+    for (int redirects = 0;; ++redirects) {
+        const result<net::http_response> response = co_await net::fetch_http(control, call, control_timeout);
+        if (!response) {
+            co_return 0;
+        }
+        const result<host_port> next = redirect_target(response.value());
+        if (!next || redirects == max_redirects) {
+            co_return response.value().status;
+        }
+        control = next.value();
+    }
 }
 
 net::task<unsigned> platform_runner::check_in(host_port control, std::string state)
--- /dev/null
+++ b/test/control_standby_test.cpp
@@ -0,0 +1,60 @@
+#include "platform/names.h"
+#include "platform_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace verbena;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string publish_call(platform::names::publish);
+const std::string read_call(platform::names::read_published);
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(control_standby)
+
+// Guards against a control process that ends, or that turns callers away, because its machine has no disk.
+BOOST_AUTO_TEST_CASE(a_process_without_a_disk_redirects_callers_to_the_leader)
+{
+    platform_deployment system;
+    const std::size_t standby = system.add_member(false);
+    const std::string first = platform_deployment::configuration(1);
+    BOOST_TEST(
+        eventually([&] { return system.control("POST", publish_call, first, standby).status == 200; }));
+    const platform_deployment::answer read = system.control("GET", read_call, "", standby);
+    BOOST_TEST(read.status == 200U);
+    BOOST_TEST(read.body == first);
+    BOOST_TEST(eventually(
+        [&] { return system.check_in("model-a", standby) && system.check_in("desk-a", standby); }));
+    BOOST_TEST(eventually([&] { return system.request({}).status == 200; }));
+    BOOST_TEST(system.voters(0) == 3U);
+}
+
+// Guards against redirects to a leader that is gone.
+BOOST_AUTO_TEST_CASE(a_process_without_a_disk_follows_a_change_of_the_leader)
+{
+    platform_deployment system;
+    const std::size_t standby = system.add_member(false);
+    system.start_serving();
+    for (const std::size_t lost : {std::size_t{0}, std::size_t{1}, std::size_t{2}}) {
+        system.lose_disk(lost);
+        const std::string next = platform_deployment::configuration(2 + lost);
+        BOOST_TEST(
+            eventually([&] { return system.control("POST", publish_call, next, standby).status == 200; }));
+        BOOST_TEST(eventually([&] { return system.voters(lost) == 3; }));
+    }
+}
+
+// Guards against an entry that finds no member because its seeds name only processes without a disk.
+BOOST_AUTO_TEST_CASE(an_entry_finds_the_members_through_a_process_without_a_disk)
+{
+    platform_deployment system;
+    const std::size_t standby = system.add_member(false);
+    system.start_serving();
+    const std::size_t entry = system.add_entry(standby);
+    BOOST_TEST(eventually([&] { return system.request({}, entry).status == 200; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -143,7 +143,7 @@
     keep_until_exit(std::move(value.service));
 }
 
-void platform_deployment::start_entry(std::size_t index)
+void platform_deployment::start_entry(std::size_t index, std::optional<std::size_t> seed)
 {
     entry& value = m_entries[index];
     value.port = free_port();
@@ -152,7 +152,7 @@
     node.cluster = "test";
     node.workers = 1;
     node.failure_domain = "domain-a";
-    node.control = seed_addresses();
+    node.control = seed ? local(m_members.at(*seed).frame_port) : seed_addresses();
     auto process = node::process::create(node);
     BOOST_TEST_REQUIRE(process.has_value());
     value.process = std::move(process.value());
@@ -293,14 +293,19 @@
            keys + R"(],"priority":1}]})";
 }
 
+bool platform_deployment::check_in(const std::string& id, std::size_t index)
+{
+    const std::function<net::task<unsigned>()> send = [runner = m_runners.at(id), index,
+                                                       this]() -> net::task<unsigned> {
+        co_return co_await runner->check_in(control_address(index), "ready");
+    };
+    return m_threads.run<unsigned>(send) == 200;
+}
+
 void platform_deployment::check_in_all()
 {
     for (const auto& [id, value] : m_runners) {
-        const std::function<net::task<unsigned>()> check_in = [runner = value,
-                                                               this]() -> net::task<unsigned> {
-            co_return co_await runner->check_in(control_address(1), "ready");
-        };
-        BOOST_TEST_REQUIRE(eventually([&] { return m_threads.run<unsigned>(check_in) == 200; }));
+        BOOST_TEST_REQUIRE(eventually([&, name = id] { return check_in(name, 1); }));
     }
 }
 
@@ -357,10 +362,10 @@
     check_in_all();
 }
 
-std::size_t platform_deployment::add_entry()
+std::size_t platform_deployment::add_entry(std::optional<std::size_t> seed)
 {
     m_entries.emplace_back();
-    start_entry(m_entries.size() - 1);
+    start_entry(m_entries.size() - 1, seed);
     return m_entries.size() - 1;
 }
 
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -9,6 +9,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -57,6 +58,9 @@
     // Checks all runners in as "ready"; repeats each check-in until it is accepted.
     void check_in_all();
 
+    // Checks a runner in once, at one control process, following redirects. Returns whether it was accepted.
+    bool check_in(const std::string& id, std::size_t index);
+
     verbena::standin::platform_runner& runner(const std::string& id) { return *m_runners.at(id); }
     std::size_t requests_at(const std::string& id) { return m_runners.at(id)->requests().size(); }
     verbena::host_port control_address(std::size_t index) const;
@@ -72,8 +76,9 @@
     // Starts one more control process, which is no seed; returns its index.
     std::size_t add_member(bool has_disk = true);
 
-    // Starts one more entry; returns its index.
-    std::size_t add_entry();
+    // Starts one more entry; returns its index. `seed`: the only control process in its settings, in place of
+    // the seeds.
+    std::size_t add_entry(std::optional<std::size_t> seed = {});
 
     // Number of voters in the group, as reported by the member at this index.
     std::size_t voters(std::size_t index);
@@ -100,7 +105,7 @@
     static member make_member(bool has_disk);
     void start_member(std::size_t index, bool bootstrap);
     void stop_member(std::size_t index, bool immediately = true);
-    void start_entry(std::size_t index);
+    void start_entry(std::size_t index, std::optional<std::size_t> seed = {});
     void add_runner(const std::string& id, const std::string& service, const std::string& domain);
     static verbena::net::task<answer> fetch_task(verbena::host_port address, verbena::net::http_call sent);
     answer fetch(const verbena::host_port& address, const verbena::net::http_call& sent);
