Accept no change before the group has the voters that its tolerated losses need

Callers could lose: a change acknowledged while the group was still the three seeds. With tolerated_losses = 2 a majority of three is two disks, and both may be lost at once.

Change: the leader of a group that forms itself refuses changes as unavailable (the operator sends them again) until it has 2 f + 1 voters. Members that have not come 5 s after the election count as lost: it then accepts changes and logs a warning. Groups whose members an operator lists are not affected.

Why it works: the first change is appended after the membership entry of the last needed voter, so it commits with a majority of at least 2 f + 1, that is on f + 1 disks.

--- a/src/control/group_membership.cpp
+++ b/src/control/group_membership.cpp
@@ -271,6 +271,25 @@
     return addresses;
 }
 
+bool raft_host::accepts_changes(time_point now)
+{
+    if (m_accepts_changes || !m_forms_itself || !m_machine.is_empty()) {
+        return true;
+    }
+    const std::size_t voters = m_replica->consensus().membership().voter_count();
+    const bool waited = m_leader_since && now - *m_leader_since > formation_timeout;
+    if (voters < needed_voters() && !waited) {
+        return false;
+    }
+    if (voters < needed_voters()) {
+        log::warn("accepting changes with " + std::to_string(voters) + " of " +
+                  std::to_string(needed_voters()) +
+                  " voters; the group cannot lose as many members as its settings tolerate");
+    }
+    m_accepts_changes = true;
+    return true;
+}
+
 // A voter that was replaced or has been unreachable for long makes the quorum larger than necessary. It is
 // removed once enough other voters exist. If it returns, it requests membership again.
 void raft_host::remove_silent_members(time_point now)
--- a/src/control/raft_host.cpp
+++ b/src/control/raft_host.cpp
@@ -113,6 +113,7 @@
     BOOST_OUTCOME_TRY(m_disk, raft::posix_disk::open(settings.data_folder));
     m_last_leader_contact = clock::now();
     if (settings.member_id == 0) {
+        m_forms_itself = true;
         BOOST_OUTCOME_TRY(determine_member_id());
         return m_options.member_id == 0 ? result<void>(success()) : open_replica();
     }
@@ -153,6 +154,7 @@
         }
         if (is_leader() != was_leader) {
             was_leader = is_leader();
+            m_leader_since = was_leader ? std::optional(now) : std::nullopt;
             const std::string term = std::to_string(m_replica->consensus().term());
             log::info(was_leader ? "became leader in term " + term : "lost leadership, term " + term);
             event_log::write(event::member_stateT{{},
@@ -294,6 +296,14 @@
         handler(not_member_error());
         return;
     }
+    if (is_leader() && !accepts_changes(clock::now())) {
+        handler(make_error(error_kind::unavailable,
+                           "the group has " +
+                               std::to_string(m_replica->consensus().membership().voter_count()) + " of " +
+                               std::to_string(needed_voters()) + " voters",
+                           "send the call again after a second; start more control processes"));
+        return;
+    }
     const auto accepted = m_replica->propose(std::move(command), done);
     if (!accepted) {
         handler(accepted.error());
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -19,6 +19,10 @@
 // fit into this time.
 inline constexpr milliseconds leader_loss_timeout{3'000};
 
+// Initial members that form a group wait this long for the others before they accept the first change. Longer
+// than an election, and a join and a promotion of each further member.
+inline constexpr milliseconds formation_timeout{5'000};
+
 // A surplus voter that has not answered for this long is removed. Longer than an election and a restart.
 inline constexpr milliseconds silent_voter_timeout{2'500};
 
@@ -136,6 +140,7 @@
         {
             return m_machine.restore(state);
         }
+        bool is_empty() const { return m_machine.config().current_revision() == 0; }
 
     private:
         control::state_machine& m_machine;
@@ -159,6 +164,10 @@
     net::task<std::optional<wire::join_replyT>> send_join_request(host_port address, std::uint64_t folder);
     void log_join_outcome(const host_port& target, const std::optional<wire::join_replyT>& reply);
     result<void> become_member(raft::member_id id, raft::folder_id folder);
+    // Whether this leader may accept changes. A group that forms itself from the initial members accepts none
+    // before it has needed_voters(): a change acknowledged by fewer could be lost with as many disks as the
+    // settings tolerate. Members that have not joined after formation_timeout count as lost.
+    bool accepts_changes(time_point now);
     void remove_silent_members(time_point now);
     // Voters with which the group keeps a majority after losing as many members as the settings tolerate.
     std::size_t needed_voters() const { return 2 * m_options.tolerated_losses + 1; }
@@ -200,6 +209,9 @@
     time_point m_last_election_line;
     std::string m_leader_operator_address;
     std::string m_leader_operator_source; // frame address of the leader that reported it
+    bool m_forms_itself = false;
+    bool m_accepts_changes = false;
+    std::optional<time_point> m_leader_since; // set by the timer, after the election
     bool m_flush_scheduled = false;
     bool m_faulted = false;
 };
--- a/test/control_group_test.cpp
+++ b/test/control_group_test.cpp
@@ -84,6 +84,15 @@
     BOOST_TEST(system.voters(0) == 5U);
 }
 
+// Guards against a group that refuses changes for ever because some of its members never come.
+BOOST_AUTO_TEST_CASE(accepts_changes_when_members_are_missing_for_long)
+{
+    platform_deployment system(2);
+    const std::string first = platform_deployment::configuration(1);
+    BOOST_TEST(publish(system, first));
+    BOOST_TEST(reads_back(system, first, 0));
+}
+
 // Guards against an acknowledged change that cannot be read after two of five disks are lost together with
 // the power of all members.
 BOOST_AUTO_TEST_CASE(recovers_from_two_lost_disks_and_a_loss_of_power)
