--- a/test/platform_soak_test.cpp
+++ b/test/platform_soak_test.cpp
@@ -1,11 +1,10 @@
 #include "base/random.h"
 #include "platform/names.h"
 #include "platform_fixture.h"
+#include "soak_seeds.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
-
 using namespace verbena;
 using namespace std::chrono_literals;
 using standin::runner_fault;
@@ -237,18 +236,6 @@
     std::string m_acknowledged = platform_deployment::configuration(1);
 };
 
-// VERBENA_SOAK_SEEDS=FIRST-LAST runs other seeds than the default, which CI uses.
-std::pair<std::uint64_t, std::uint64_t> seeds()
-{
-    const char* seed_range =
-        std::getenv("VERBENA_SOAK_SEEDS"); // NOLINT(concurrency-mt-unsafe): before any thread
-    if (seed_range == nullptr) {
-        return {1, 3};
-    }
-    const std::string text(seed_range);
-    return {std::stoull(text), std::stoull(text.substr(text.find('-') + 1))};
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(platform_soak)
@@ -258,7 +245,7 @@
 // configurations persist.
 BOOST_AUTO_TEST_CASE(guarantees_hold_under_random_faults)
 {
-    const auto [first, last] = seeds();
+    const auto [first, last] = soak_seeds();
     for (std::uint64_t seed = first; seed <= last; ++seed) {
         soak_run(seed).run();
     }
