Give each test process blocks of ports of its own

Four soaks side by side: one failed on 127.0.0.1:27760, address already in use, when a stopped member was started again. Each process began at 97 times its process id, so processes with neighbouring ids met after 97 ports, and a port whose program was down for a moment looked free to the other. Ports now come in blocks of 250 that a lock on a file keeps for one process.

--- a/test/net_fixture.h
+++ b/test/net_fixture.h
@@ -5,11 +5,16 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <atomic>
 #include <chrono>
 #include <exception>
+#include <fcntl.h>
+#include <filesystem>
 #include <functional>
 #include <future>
+#include <mutex>
+#include <stdexcept>
+#include <string>
+#include <sys/file.h>
 #include <thread>
 #include <unistd.h>
 #include <vector>
@@ -59,16 +64,54 @@
     std::vector<std::thread> m_threads;
 };
 
-// Returns a port on loopback that is free now. The kernel gives connections ports from 32,768 upwards, so a
-// lower port is not taken by a connection before the test listens on it; test processes begin at different
-// ports.
+// Ports of this test process, in blocks that no other test process uses. A block is held by a lock on a file
+// until the process ends, so that a port stays free while the program that listens on it is restarted. The
+// kernel gives connections ports from 32,768 upwards.
+class port_blocks {
+public:
+    std::uint16_t next()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_used == block_size) {
+            m_first = take_block();
+            m_used = 0;
+        }
+        return static_cast<std::uint16_t>(m_first + m_used++);
+    }
+
+private:
+    static constexpr unsigned first_port = 10'000;
+    static constexpr unsigned block_size = 250;
+    static constexpr unsigned block_count = 88;
+
+    static unsigned take_block()
+    {
+        const auto start = static_cast<unsigned>(::getpid());
+        for (unsigned i = 0; i < block_count; ++i) {
+            const unsigned block = (start + i) % block_count;
+            const std::string file =
+                (std::filesystem::temp_directory_path() / "verbena-test-ports-").string() +
+                std::to_string(block);
+            const int fd = ::open(file.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+            if (fd >= 0 && ::flock(fd, LOCK_EX | LOCK_NB) == 0) {
+                return first_port + block * block_size; // the lock is held until the process ends
+            }
+            ::close(fd);
+        }
+        throw std::runtime_error("all blocks of test ports are in use");
+    }
+
+    std::mutex m_mutex;
+    unsigned m_first = 0;
+    unsigned m_used = block_size;
+};
+
+// Returns a port on loopback that is free now and that no other test process uses.
 inline std::uint16_t free_port()
 {
-    constexpr unsigned first = 10'000;
-    constexpr unsigned count = 22'000;
-    static std::atomic<unsigned> next{static_cast<unsigned>(::getpid()) * 97};
+    static port_blocks blocks;
     while (true) {
-        const auto port = static_cast<std::uint16_t>(first + next++ % count);
+        const std::uint16_t port = blocks.next();
         verbena::net::asio::io_context io;
         verbena::net::tcp::acceptor acceptor(io);
         boost::system::error_code failure;
