Tell processes without a disk who leads

Change: a leader names itself twice a second to the processes in its settings that are not members. These keep the list of members that replies carry (freshness_reply.members), ask them in turn when the leader is gone, and hand the list to entries.

Tests: control_standby/all_processes_restart_with_seeds_that_have_no_disk fails when the notice is not sent (seen); .../finds_a_new_leader_through_the_other_members guards the list.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -20,6 +20,10 @@
 // the leader's by at most about this interval.
 constexpr milliseconds leader_query_interval{200};
 constexpr milliseconds leader_query_timeout{500};
+
+// Interval at which a leader names itself to processes that are not members.
+constexpr milliseconds leadership_notice_interval{500};
+
 constexpr milliseconds expiry_interval{250};
 
 // Longest wait for a leadership transfer before shutdown.
@@ -124,6 +128,8 @@
     m_http->start();
     net::asio::co_spawn(
         m_raft->strand(), [self] { return self->poll_leader(); }, net::asio::detached);
+    net::asio::co_spawn(
+        m_raft->strand(), [self] { return self->announce_leadership(); }, net::asio::detached);
     net::asio::co_spawn(
         m_raft->strand(), [self] { return self->expire_directory(); }, net::asio::detached);
     m_process.set_ready(true);
@@ -200,12 +206,33 @@
     }
 }
 
+net::task<void> control_service::announce_leadership()
+{
+    while (true) {
+        for (const host_port& address : m_raft->outsiders()) {
+            auto opened = co_await m_pool->open_stream(address, leader_query_timeout);
+            if (opened) {
+                const net::stream_guard guard(opened.value());
+                wire::freshness_queryT notice;
+                notice.revision = m_machine.config().current_revision();
+                notice.leader = m_raft->leader_address();
+                opened.value()->send(net::make_frame(std::move(notice)));
+                // The reply is not needed; receiving it keeps the stream open until the notice has arrived.
+                net::asio::steady_timer timer(m_raft->strand());
+                node::close_after(timer, opened.value(), leader_query_timeout);
+                co_await opened.value()->receive();
+            }
+        }
+        co_await net::sleep_for(leadership_notice_interval);
+    }
+}
+
 net::task<void> control_service::query_leader(host_port leader)
 {
     const std::string name = leader.host + ":" + std::to_string(leader.port);
     auto opened = co_await m_pool->open_stream(std::move(leader), leader_query_timeout);
     if (!opened) {
-        m_raft->set_reported_leader("");
+        m_raft->forget_reported_leader(name);
         co_return;
     }
     const std::shared_ptr<net::frame_stream> stream = opened.value();
@@ -224,7 +251,16 @@
         answer ? answer.value().frame->message_as_freshness_reply() : nullptr;
     const std::string named =
         reply != nullptr && reply->leader() != nullptr ? reply->leader()->str() : std::string();
-    m_raft->set_reported_leader(named);
+    std::vector<std::string> members;
+    if (reply != nullptr && reply->members() != nullptr) {
+        for (const auto* address : *reply->members()) {
+            members.push_back(address->str());
+        }
+    }
+    if (named.empty()) {
+        m_raft->forget_reported_leader(name);
+    }
+    m_raft->set_reported_group(named, std::move(members));
     if (reply == nullptr || !reply->confirmed()) {
         co_return;
     }
@@ -300,6 +336,9 @@
 void control_service::handle_freshness_query(const std::shared_ptr<net::frame_stream>& stream,
                                              const wire::freshness_query& query)
 {
+    if (query.leader() != nullptr) {
+        m_raft->set_reported_group(query.leader()->str(), {});
+    }
     const freshness found = make_freshness(confirmed_age(clock::now()), m_machine.config(), query.revision());
     wire::freshness_replyT reply;
     reply.nonce = query.nonce();
@@ -310,6 +349,7 @@
     reply.operator_address = m_settings.operator_listen;
     reply.applied_revision = m_machine.config().current_revision();
     reply.leader = m_raft->leader_address();
+    reply.members = m_raft->member_addresses();
     stream->send(net::make_frame(std::move(reply)));
 }
 
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -49,6 +49,7 @@
     std::optional<milliseconds> confirmed_age(time_point now) const;
     net::task<void> poll_leader();
     net::task<void> query_leader(host_port leader);
+    net::task<void> announce_leadership();
     net::task<void> expire_directory();
     net::task<void> shut_down();
     net::task<operator_reply> run_call(std::string call, std::string body);
--- a/src/control/group_membership.cpp
+++ b/src/control/group_membership.cpp
@@ -93,9 +93,7 @@
         m_strand, [self = shared_from_this()] { return self->request_membership(); }, net::asio::detached);
 }
 
-// Sends one join request per call, to the known members in turn. A reply that names another leader is
-// followed at once.
-net::task<void> raft_host::request_membership()
+std::vector<host_port> raft_host::join_targets() const
 {
     std::vector<host_port> targets = m_options.initial_members;
     for (const std::string& address : member_addresses()) {
@@ -105,6 +103,14 @@
         }
     }
     std::erase(targets, m_options.address);
+    return targets;
+}
+
+// Sends one join request per call, to the known members in turn. A reply that names another leader is
+// followed at once.
+net::task<void> raft_host::request_membership()
+{
+    const std::vector<host_port> targets = join_targets();
     raft::folder_id own_folder = 0;
     if (m_options.member_id != 0) {
         const result<raft::identity> stored = raft::detail::read_identity(*m_disk);
@@ -231,22 +237,49 @@
     if (leader) {
         return leader.value();
     }
-    const std::vector<host_port>& candidates = m_options.initial_members;
+    const std::vector<host_port> candidates = join_targets();
     if (is_member() || candidates.empty()) {
         return std::nullopt;
     }
-    const host_port& candidate = candidates[m_next_query_target++ % candidates.size()];
-    return candidate == m_options.address ? std::nullopt : std::optional(candidate);
+    return candidates[m_next_query_target++ % candidates.size()];
+}
+
+void raft_host::set_reported_group(std::string leader, std::vector<std::string> members)
+{
+    if (is_member()) {
+        return;
+    }
+    if (!members.empty()) {
+        m_reported_members = std::move(members);
+    }
+    if (!leader.empty() && leader != m_reported_leader) {
+        event_log::write(event::dependencyT{{}, "control leader", "regained", leader});
+        m_reported_leader = std::move(leader);
+    }
 }
 
-void raft_host::set_reported_leader(std::string address)
+void raft_host::forget_reported_leader(const std::string& address)
 {
-    if (address == m_reported_leader || is_member()) {
+    if (is_member() || address != m_reported_leader) {
         return;
     }
-    event_log::write(
-        event::dependencyT{{}, "control leader", address.empty() ? "lost" : "regained", address});
-    m_reported_leader = std::move(address);
+    event_log::write(event::dependencyT{{}, "control leader", "lost", address});
+    m_reported_leader.clear();
+}
+
+std::vector<host_port> raft_host::outsiders() const
+{
+    std::vector<host_port> found;
+    if (!is_leader()) {
+        return found;
+    }
+    const std::vector<std::string> members = member_addresses();
+    for (const host_port& address : m_options.initial_members) {
+        if (std::find(members.begin(), members.end(), text_of(address)) == members.end()) {
+            found.push_back(address);
+        }
+    }
+    return found;
 }
 
 void raft_host::broadcast(const wire::frameT& message)
@@ -265,8 +298,8 @@
         for (const raft::member& member : m_replica->consensus().membership().members) {
             addresses.push_back(member.address);
         }
-    } else if (!m_reported_leader.empty()) {
-        addresses.push_back(m_reported_leader);
+    } else {
+        addresses = m_reported_members;
     }
     return addresses;
 }
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -78,11 +78,18 @@
     std::string leader_address() const;
     // Whether this process holds a copy of the log.
     bool is_member() const { return m_replica != nullptr; }
-    // Frame address at which to ask for the leader's state. A process that is not a member asks the initial
-    // members in turn until one of them names the leader.
+    // Frame address at which to ask for the leader's state. A process that is not a member asks the members
+    // and the initial members in turn until one of them names the leader.
     std::optional<host_port> leader_query_target();
-    // Leader named by another control process, for a process that is not a member. Empty = not known.
-    void set_reported_leader(std::string address);
+    // Leader and members named by another control process, for a process that is not a member. What is empty
+    // leaves the known leader or members as they are.
+    void set_reported_group(std::string leader, std::vector<std::string> members);
+    // The process at this frame address does not answer or does not name a leader. If it was the leader that
+    // others had named, no leader is known any more.
+    void forget_reported_leader(const std::string& address);
+    // Initial members that are not in the group, on the leader: processes without a disk, to which nobody
+    // else may be able to name the leader after all of them have restarted.
+    std::vector<host_port> outsiders() const;
     bool knows_leader() const { return m_replica && m_replica->consensus().leader() != 0; }
 
     // Handles a request to become a member. Member id 0 in the reply means that the process has to retry,
@@ -92,7 +99,7 @@
     // Sends a message to all connected members, without waiting for delivery.
     void broadcast(const wire::frameT& message);
 
-    // Frame addresses of all members; of the leader alone if this process is not a member.
+    // Frame addresses of all members, as far as they are known.
     std::vector<std::string> member_addresses() const;
 
     // Addresses for membership requests, in addition to the members listed in the log.
@@ -160,6 +167,8 @@
     // Stays 0 until the group assigns one.
     result<void> determine_member_id();
     result<void> form_group();
+    // Control processes that may know the leader: the initial members and the members, without this one.
+    std::vector<host_port> join_targets() const;
     net::task<void> request_membership();
     net::task<std::optional<wire::join_replyT>> send_join_request(host_port address, std::uint64_t folder);
     void log_join_outcome(const host_port& target, const std::optional<wire::join_replyT>& reply);
@@ -202,6 +211,7 @@
     std::size_t m_next_join_target = 0;
     std::size_t m_next_query_target = 0;
     std::string m_reported_leader;
+    std::vector<std::string> m_reported_members;
     bool m_requesting_membership = false;
     std::string m_logged_join_outcome;
     raft::membership m_logged_membership;
--- a/test/control_standby_test.cpp
+++ b/test/control_standby_test.cpp
@@ -57,4 +57,37 @@
     BOOST_TEST(eventually([&] { return system.request({}, entry).status == 200; }));
 }
 
+// Guards against a group that nobody finds after all processes have restarted with seeds that name only
+// processes without a disk.
+BOOST_AUTO_TEST_CASE(all_processes_restart_with_seeds_that_have_no_disk)
+{
+    platform_deployment system;
+    const std::size_t first = system.add_member(false);
+    const std::size_t second = system.add_member(false);
+    system.start_serving();
+    system.set_seeds({first, second});
+    std::size_t entry = 0;
+    system.restart_members([&] { entry = system.add_entry(); });
+    BOOST_TEST(eventually([&] { return system.request({}, entry).status == 200; }));
+    const std::string next = platform_deployment::configuration(2);
+    BOOST_TEST(eventually([&] { return system.control("POST", publish_call, next, second).status == 200; }));
+}
+
+// Guards against a process without a disk that forgets the members when the leader it knew is gone.
+BOOST_AUTO_TEST_CASE(a_process_without_a_disk_finds_a_new_leader_through_the_other_members)
+{
+    platform_deployment system;
+    const std::size_t first = system.add_member(false);
+    system.set_seeds({first});
+    const std::size_t second = system.add_member(false);
+    system.start_serving();
+    for (const std::size_t lost : {std::size_t{0}, std::size_t{1}, std::size_t{2}}) {
+        system.lose_disk(lost);
+        const std::string next = platform_deployment::configuration(2 + lost);
+        BOOST_TEST(
+            eventually([&] { return system.control("POST", publish_call, next, second).status == 200; }));
+        BOOST_TEST(eventually([&] { return system.voters(lost) == 3; }));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -41,6 +41,7 @@
     m_entries.resize(entry_count);
     for (std::size_t i = 0; i < seed_count; ++i) {
         m_members.push_back(make_member(true));
+        m_seeds.push_back(i);
     }
     for (std::size_t i = 0; i < seed_count; ++i) {
         start_member(i, true);
@@ -96,8 +97,8 @@
 std::string platform_deployment::seed_addresses() const
 {
     std::string text;
-    for (std::size_t i = 0; i < seed_count; ++i) {
-        text += (text.empty() ? "" : ",") + local(m_members[i].frame_port);
+    for (const std::size_t seed : m_seeds) {
+        text += (text.empty() ? "" : ",") + local(m_members[seed].frame_port);
     }
     return text;
 }
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -80,6 +80,9 @@
     // the seeds.
     std::size_t add_entry(std::optional<std::size_t> seed = {});
 
+    // Control processes that the settings of processes name from their next start on.
+    void set_seeds(std::vector<std::size_t> seeds) { m_seeds = std::move(seeds); }
+
     // Number of voters in the group, as reported by the member at this index.
     std::size_t voters(std::size_t index);
 
@@ -114,6 +117,7 @@
     net_threads m_threads;
     std::uint32_t m_tolerated_losses;
     std::vector<member> m_members;
+    std::vector<std::size_t> m_seeds;
     std::vector<entry> m_entries;
     std::map<std::string, std::shared_ptr<verbena::standin::platform_runner>> m_runners;
     std::uint64_t m_next_request = 1;
