--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -227,10 +227,10 @@
     }
 }
 
-net::task<void> control_service::query_leader(host_port leader)
+net::task<void> control_service::query_leader(host_port target)
 {
-    const std::string name = leader.host + ":" + std::to_string(leader.port);
-    auto opened = co_await m_pool->open_stream(std::move(leader), leader_query_timeout);
+    const std::string name = target.host + ":" + std::to_string(target.port);
+    auto opened = co_await m_pool->open_stream(std::move(target), leader_query_timeout);
     if (!opened) {
         m_raft->forget_reported_leader(name);
         co_return;
@@ -264,6 +264,7 @@
     if (reply == nullptr || !reply->confirmed()) {
         co_return;
     }
+    // Members of an earlier version name no leader; a member queries only the leader that it follows.
     const bool from_leader = named == name || (named.empty() && m_raft->is_member());
     if (reply->operator_address() != nullptr && from_leader) {
         m_raft->set_leader_operator_address(reply->operator_address()->str(), name);
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -48,7 +48,9 @@
     member_view make_view(time_point now) const;
     std::optional<milliseconds> confirmed_age(time_point now) const;
     net::task<void> poll_leader();
-    net::task<void> query_leader(host_port leader);
+    // Asks `target` for its confirmed state and for the leader that it knows.
+    net::task<void> query_leader(host_port target);
+    // While this member leads, names it to the processes in its settings that are not members.
     net::task<void> announce_leadership();
     net::task<void> expire_directory();
     net::task<void> shut_down();
@@ -58,6 +60,7 @@
     net::task<change_outcome> change(op::change_requestT request);
     published_document copy_published(time_point now) const;
     void forward_announcement(const std::string& endpoint);
+    // Stores an announcement, or redirects it if this process is not a member.
     change_outcome take_announcement(const wire::announcementT& announcement, time_point now);
     bool accept_announcement(const wire::announcementT& announcement, time_point now);
 
--- a/src/control/group_membership.cpp
+++ b/src/control/group_membership.cpp
@@ -93,7 +93,7 @@
         m_strand, [self = shared_from_this()] { return self->request_membership(); }, net::asio::detached);
 }
 
-std::vector<host_port> raft_host::join_targets() const
+std::vector<host_port> raft_host::contacts() const
 {
     std::vector<host_port> targets = m_options.initial_members;
     for (const std::string& address : member_addresses()) {
@@ -110,7 +110,7 @@
 // followed at once.
 net::task<void> raft_host::request_membership()
 {
-    const std::vector<host_port> targets = join_targets();
+    const std::vector<host_port> targets = contacts();
     raft::folder_id own_folder = 0;
     if (m_options.member_id != 0) {
         const result<raft::identity> stored = raft::detail::read_identity(*m_disk);
@@ -237,7 +237,7 @@
     if (leader) {
         return leader.value();
     }
-    const std::vector<host_port> candidates = join_targets();
+    const std::vector<host_port> candidates = contacts();
     if (is_member() || candidates.empty()) {
         return std::nullopt;
     }
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -168,7 +168,7 @@
     result<void> determine_member_id();
     result<void> form_group();
     // Control processes that may know the leader: the initial members and the members, without this one.
-    std::vector<host_port> join_targets() const;
+    std::vector<host_port> contacts() const;
     net::task<void> request_membership();
     net::task<std::optional<wire::join_replyT>> send_join_request(host_port address, std::uint64_t folder);
     void log_join_outcome(const host_port& target, const std::optional<wire::join_replyT>& reply);
