--- a/test/control_standby_test.cpp
+++ b/test/control_standby_test.cpp
@@ -11,6 +11,18 @@
 const std::string publish_call(platform::names::publish);
 const std::string read_call(platform::names::read_published);
 
+// Publishes at one control process after each member in turn has lost its disk, so that the leader changes.
+void publish_after_each_loss(platform_deployment& system, std::size_t process)
+{
+    for (const std::size_t lost : {std::size_t{0}, std::size_t{1}, std::size_t{2}}) {
+        system.lose_disk(lost);
+        const std::string next = platform_deployment::configuration(2 + lost);
+        BOOST_TEST(
+            eventually([&] { return system.control("POST", publish_call, next, process).status == 200; }));
+        BOOST_TEST(eventually([&] { return system.voters(lost) == 3; }));
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(control_standby)
@@ -38,13 +50,7 @@
     platform_deployment system;
     const std::size_t standby = system.add_member(false);
     system.start_serving();
-    for (const std::size_t lost : {std::size_t{0}, std::size_t{1}, std::size_t{2}}) {
-        system.lose_disk(lost);
-        const std::string next = platform_deployment::configuration(2 + lost);
-        BOOST_TEST(
-            eventually([&] { return system.control("POST", publish_call, next, standby).status == 200; }));
-        BOOST_TEST(eventually([&] { return system.voters(lost) == 3; }));
-    }
+    publish_after_each_loss(system, standby);
 }
 
 // Guards against an entry that finds no member because its seeds name only processes without a disk.
@@ -81,13 +87,7 @@
     system.set_seeds({first});
     const std::size_t second = system.add_member(false);
     system.start_serving();
-    for (const std::size_t lost : {std::size_t{0}, std::size_t{1}, std::size_t{2}}) {
-        system.lose_disk(lost);
-        const std::string next = platform_deployment::configuration(2 + lost);
-        BOOST_TEST(
-            eventually([&] { return system.control("POST", publish_call, next, second).status == 200; }));
-        BOOST_TEST(eventually([&] { return system.voters(lost) == 3; }));
-    }
+    publish_after_each_loss(system, second);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
