--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <unistd.h>
+#include <utility>
 
 namespace verbena::event_log {
 
@@ -29,6 +30,7 @@
 struct state {
     std::mutex mutex;
     std::string process_name;
+    std::function<void(const std::string&)> destination; // empty: standard output
     bool configured = false;
     std::map<std::string, rate_limit, std::less<>> rate_limits;
     std::atomic<std::uint64_t> left_out{0};
@@ -84,6 +86,15 @@
     logger()->addAppender(appender());
 }
 
+void configure(const std::string& process_name, std::function<void(const std::string&)> destination)
+{
+    state& log = global_state();
+    const std::lock_guard lock(log.mutex);
+    log.process_name = process_name;
+    log.destination = std::move(destination);
+    log.configured = true;
+}
+
 std::uint64_t left_out()
 {
     return global_state().left_out + appender()->left_out();
@@ -132,7 +143,11 @@
     const auto first_field = fields.find('"');
     line.append(first_field == std::string_view::npos ? "" : ",");
     line.append(first_field == std::string_view::npos ? std::string_view("}") : fields.substr(first_field));
-    LOG4CXX_INFO(logger(), line);
+    if (log.destination) {
+        log.destination(line);
+    } else {
+        LOG4CXX_INFO(logger(), line);
+    }
 }
 
 } // namespace detail
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -6,6 +6,7 @@
 #include <flatbuffers/minireflect.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,10 @@
 // Starts the log of this process. Events before this call are not written.
 void configure(const std::string& process_name);
 
+// The same, with another destination than standard output: it takes one line a call, from any thread. Called
+// before other threads start.
+void configure(const std::string& process_name, std::function<void(const std::string&)> destination);
+
 // Number of lines dropped so far, over all kinds of event.
 std::uint64_t left_out();
 
