Let requests wait while the list of endpoints may be incomplete

Cause: an entry took its list for complete as soon as one control member had sent one. Members that have just started list only the endpoints that have checked in since, and each endpoint checks in with one member, every 1 to 2 s.

Ruled out: lost events on the connection to the caller (the server ends it with FIN, never RST); the retry budget (slack 112).

Change: until 2.5 s after an entry has heard the first list, a request that no listed endpoint can take waits, for at most half of its time, instead of being refused; later it is refused at once as before.

Why it works: the wait ends after the time in which each endpoint has checked in and each member has been polled, so what is refused then is refused with the whole list known.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -36,6 +36,9 @@
 // The same for a request that waits for others in the queue to go first.
 constexpr milliseconds line_wait{10};
 
+// The same for a request that waits for the list of endpoints to be complete.
+constexpr milliseconds list_wait{50};
+
 milliseconds to_ms(double value)
 {
     constexpr double longest = 1e9;
@@ -122,6 +125,12 @@
     m_domains_out = std::move(domains);
 }
 
+void fleet::set_complete_at(time_point time)
+{
+    const std::lock_guard lock(m_mutex);
+    m_complete_at = time;
+}
+
 bool fleet::accepts_work(const endpoint_state& state, time_point now) const
 {
     const bool listed = state.listed || now - state.unlisted_since < unlisted_grace;
@@ -191,15 +200,11 @@
     std::vector<wire::dispatch_noteT> notes;
     {
         const std::lock_guard lock(m_mutex);
-        const std::vector<endpoint_state*> found = eligible_endpoints(request, now);
-        if (found.empty()) {
-            return outcome;
-        }
-        if (request.service->engine) {
-            m_engines[request.service->name] = *request.service->engine;
+        outcome = choose(request, eligible_endpoints(request, now), now);
+        const bool refused = !outcome.choice && outcome.wait == milliseconds::zero();
+        if (refused && now < m_complete_at && request.model.used < request.time_left) {
+            outcome.wait = list_wait;
         }
-        outcome = request.service->engine ? dispatch_model(request, found, now)
-                                          : dispatch_plain(request, found, now);
         if (outcome.choice) {
             const policy::work_key key =
                 request.key.value_or(policy::work_key{m_self, outcome.choice->number});
@@ -210,6 +215,19 @@
     return outcome;
 }
 
+dispatch_result fleet::choose(const dispatch_request& request, const std::vector<endpoint_state*>& found,
+                              time_point now)
+{
+    if (found.empty()) {
+        return {};
+    }
+    if (request.service->engine) {
+        m_engines[request.service->name] = *request.service->engine;
+    }
+    return request.service->engine ? dispatch_model(request, found, now)
+                                   : dispatch_plain(request, found, now);
+}
+
 dispatch_result fleet::dispatch_model(const dispatch_request& request,
                                       const std::vector<endpoint_state*>& found, time_point now)
 {
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -95,6 +95,10 @@
     // Sets the failure domains that operators have taken out of service.
     void set_domains_out(std::set<std::string> domains);
 
+    // Until `time` endpoints may be missing from the list. A request that no listed endpoint can take waits
+    // until then, for at most half of its time, instead of being refused.
+    void set_complete_at(time_point time);
+
     // Selects endpoints and records the dispatch under one lock, so that two requests cannot take the same
     // slot.
     dispatch_result dispatch(const dispatch_request& request, time_point now);
@@ -187,6 +191,8 @@
 
     using note_list = std::vector<wire::dispatch_noteT>;
 
+    dispatch_result choose(const dispatch_request& request, const std::vector<endpoint_state*>& found,
+                           time_point now);
     // Endpoints that the waiting prompts which go before the request would use.
     std::size_t parts_before(const dispatch_request& request, std::size_t endpoints, time_point now) const;
     // Expected loss of all other waiting prompts per ms that this one makes them wait.
@@ -230,6 +236,7 @@
     std::map<std::string, route::engine_rule> m_engines; // by service, from the latest dispatch
     std::set<std::string> m_unknown_domains;
     std::set<std::string> m_domains_out;
+    time_point m_complete_at{};
     std::uint64_t m_next_number = 1;
     random_engine m_random;
 };
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -23,6 +23,11 @@
 constexpr std::size_t assumed_entries = 10;
 constexpr std::size_t min_entries = 6;
 
+// The list of endpoints may lack some for this long after a control member has first sent one: endpoints
+// check in with restarted members every 1 to 2 s, and members in other failure domains are polled every 0.9
+// s.
+constexpr milliseconds list_settle_time{2'500};
+
 // Longest time that a caller is kept waiting when neither the route nor the caller bounds it.
 constexpr milliseconds max_wait{3'600'000};
 
@@ -85,6 +90,7 @@
       }),
       m_budget(entry_retry_options(settings, assumed_entries))
 {
+    m_fleet.set_complete_at(time_point::max());
 }
 
 result<void> forward_service::open()
@@ -229,7 +235,12 @@
 net::task<void> forward_service::refresh()
 {
     bool ready = false;
+    bool listed = false;
     while (!m_stopping) {
+        if (m_directory.loaded() != listed) {
+            listed = !listed;
+            m_fleet.set_complete_at(listed ? clock::now() + list_settle_time : time_point::max());
+        }
         const bool serving = can_serve(clock::now()) && update_rules() != nullptr;
         if (serving != ready) {
             ready = serving;
--- a/test/forward_fleet_test.cpp
+++ b/test/forward_fleet_test.cpp
@@ -107,6 +107,24 @@
     BOOST_TEST(choose() != "none");
 }
 
+// An entry that has just started knows only some of the endpoints.
+BOOST_FIXTURE_TEST_CASE(does_not_refuse_while_endpoints_may_be_missing, fleet_fixture)
+{
+    const time_point now = clock::now();
+    fleet.set_complete_at(now + 2s);
+    forward::dispatch_request value = request();
+    value.excluded = {"e1", "e2"};
+    BOOST_TEST((fleet.dispatch(value, now).wait > 0ms));
+    add("e3", "a");
+    BOOST_TEST(fleet.dispatch(value, now).choice.has_value());
+    value.excluded.insert("e3");
+    BOOST_TEST((fleet.dispatch(value, now).wait > 0ms));
+    BOOST_TEST((fleet.dispatch(value, now + 2s).wait == 0ms));
+    value.model.used = 600ms;
+    value.time_left = 400ms;
+    BOOST_TEST((fleet.dispatch(value, now).wait == 0ms));
+}
+
 // When two endpoints announce the same address, only the one started last gets work.
 BOOST_FIXTURE_TEST_CASE(prefers_the_newest_endpoint_of_an_address, fleet_fixture)
 {
--- a/test/platform_system_test.cpp
+++ b/test/platform_system_test.cpp
@@ -19,6 +19,14 @@
         return system.requests_at(first) + system.requests_at(second);
     }
 
+    // A prompt that no endpoint can take is refused once the entry takes its list of endpoints for complete.
+    void await_complete_list()
+    {
+        platform_deployment::call call;
+        call.tokens = "900000,1";
+        BOOST_TEST_REQUIRE(system.request(call).status == 503U);
+    }
+
     unsigned run_task(const std::function<net::task<unsigned>()>& task)
     {
         return system.threads().run<unsigned>(task);
@@ -242,6 +250,7 @@
 // A runner that refuses with a time to return gets nothing from that entry until then.
 BOOST_FIXTURE_TEST_CASE(honours_the_time_to_return_of_a_refusing_endpoint, system_fixture)
 {
+    await_complete_list();
     for (const char* name : {"model-a", "model-b"}) {
         system.runner(name).set_faults({runner_fault::refuse_for_2s, runner_fault::refuse_for_2s});
     }
@@ -382,4 +391,25 @@
     BOOST_TEST(early.get().status == 200U);
 }
 
+// Guards against refusals for want of endpoints that have not checked in yet since the control members
+// started.
+BOOST_AUTO_TEST_CASE(holds_requests_until_the_list_of_endpoints_is_complete)
+{
+    platform_deployment system;
+    BOOST_TEST_REQUIRE(eventually([&] {
+        return system
+                   .control("POST", std::string(platform::names::publish),
+                            platform_deployment::configuration(1))
+                   .status == 200;
+    }));
+    BOOST_TEST_REQUIRE(eventually([&] { return system.check_in("model-a", 1); }));
+    const std::size_t entry = system.add_entry();
+    platform_deployment::call call;
+    call.tokens = "235000,100"; // needs the memory of two endpoints
+    auto answer = system.request_later(call, entry);
+    std::this_thread::sleep_for(300ms);
+    BOOST_TEST(eventually([&] { return system.check_in("model-b", 1); }));
+    BOOST_TEST(answer.get().status == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
