Check endpoints in before the last request of control_soak

Cause, shown by runs: endpoints of the soak checked in only when a fault was injected, while those of the platform do so every 1 to 2 s. A control member that loses its disk loses its list, and a listed endpoint is dropped after 8 s; entries use it for 5 s more. When the group needs longer than that to take its voters back, nobody lists an endpoint at the last request.

Change: endpoints check in before the last request. The check and its bound are as before.

--- a/test/control_soak_test.cpp
+++ b/test/control_soak_test.cpp
@@ -39,6 +39,8 @@
                 check_published();
                 wait_for_all_voters();
             }
+            // Runners of the platform check in again every 1 to 2 s; these were listed for 8 s.
+            m_system.check_in_all();
             BOOST_TEST(eventually([&] { return m_system.request({}).status == 200; }));
         }
     }
