Count the time for which a machine is suspended

Callers would see, after a machine was suspended for some seconds: an entry serves under the configuration from before, for example a key that was revoked meanwhile; a control member that led before answers a read with an older version.

Cause: all leases, confirmations and timeouts were measured with std::chrono::steady_clock (CLOCK_MONOTONIC). A class of fault: a permission that is timed by a clock that stops together with its holder.

Change: verbena::clock reads CLOCK_BOOTTIME; net::steady_timer expires by it. A timer still runs on the kernel's monotonic clock, so it may fire late after a suspension; each use compares the time again.

Why it works: every age and lease is the difference of two times of verbena::clock, so a suspended process finds its permissions expired when it continues.

--- a/src/base/types.h
+++ b/src/base/types.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <ctime>
 #include <functional>
 #include <string>
 
@@ -11,7 +12,24 @@
 
 // Basic types used by all other headers; docs/design.md describes the concepts.
 
-using clock = std::chrono::steady_clock;
+// Monotonic clock that includes the time for which the machine is suspended, unlike
+// std::chrono::steady_clock: a lease or a confirmation must not seem younger to a process that has been
+// suspended meanwhile.
+struct clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept
+    {
+        std::timespec since_boot{};
+        clock_gettime(CLOCK_BOOTTIME, &since_boot);
+        return time_point(std::chrono::seconds(since_boot.tv_sec) + duration(since_boot.tv_nsec));
+    }
+};
+
 using time_point = clock::time_point;
 using std::chrono::milliseconds;
 
--- a/src/control/bootstrap.cpp
+++ b/src/control/bootstrap.cpp
@@ -18,7 +18,7 @@
     const std::shared_ptr<net::frame_stream> stream = opened.value();
     const net::stream_guard guard(stream);
     stream->send(net::make_frame(wire::freshness_queryT{}));
-    net::asio::steady_timer timer(co_await net::asio::this_coro::executor);
+    net::steady_timer timer(co_await net::asio::this_coro::executor);
     node::close_after(timer, stream, timeout);
     const result<net::received_frame> answer = co_await stream->receive();
     timer.cancel();
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -218,7 +218,7 @@
                 notice.leader = m_raft->leader_address();
                 opened.value()->send(net::make_frame(std::move(notice)));
                 // The reply is not needed; receiving it keeps the stream open until the notice has arrived.
-                net::asio::steady_timer timer(m_raft->strand());
+                net::steady_timer timer(m_raft->strand());
                 node::close_after(timer, opened.value(), leader_query_timeout);
                 (void)co_await opened.value()->receive();
             }
@@ -243,7 +243,7 @@
     query.revision =
         m_raft->is_member() ? m_leader_view.held_revision() : std::numeric_limits<std::uint64_t>::max();
     stream->send(net::make_frame(std::move(query)));
-    net::asio::steady_timer timer(m_raft->strand());
+    net::steady_timer timer(m_raft->strand());
     node::close_after(timer, stream, leader_query_timeout);
     const result<net::received_frame> answer = co_await stream->receive();
     timer.cancel();
--- a/src/control/group_membership.cpp
+++ b/src/control/group_membership.cpp
@@ -169,7 +169,7 @@
     request.folder = folder;
     request.member_id = m_options.member_id;
     stream->send(net::make_frame(std::move(request)));
-    net::asio::steady_timer timer(m_strand);
+    net::steady_timer timer(m_strand);
     node::close_after(timer, stream, join_request_timeout);
     const result<net::received_frame> answer = co_await stream->receive();
     timer.cancel();
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -299,7 +299,7 @@
             }
         },
         net::asio::detached);
-    net::asio::steady_timer deadline(executor, request.deadline);
+    net::steady_timer deadline(executor, request.deadline);
     if (request.repeatable) {
         deadline.async_wait([cancellation, ended, &exchange](const net::error_code& failure) {
             if (!failure && !*ended) {
--- a/src/entry/key_dispatcher.cpp
+++ b/src/entry/key_dispatcher.cpp
@@ -235,7 +235,7 @@
     message.attempt = bound.id.number;
     message.agent_incarnation = bound.agent;
     stream->send(net::make_frame(std::move(message)));
-    net::asio::steady_timer timer(co_await net::asio::this_coro::executor);
+    net::steady_timer timer(co_await net::asio::this_coro::executor);
     node::close_after(timer, stream, query_timeout);
     const result<net::received_frame> answer = co_await stream->receive();
     timer.cancel();
--- a/src/forward/endpoint_call.h
+++ b/src/forward/endpoint_call.h
@@ -43,7 +43,7 @@
     void arm(time_point deadline, deadline_extension extend = nullptr);
 
     net::tcp::socket m_socket;
-    net::asio::steady_timer m_timer;
+    net::steady_timer m_timer;
     bool m_expired = false;
     // Number of the current operation; identifies a timer handler that was already queued when it was
     // cancelled.
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -449,7 +449,7 @@
             }
         },
         net::asio::detached);
-    net::asio::steady_timer timer(executor, deadline + drain_interval);
+    net::steady_timer timer(executor, deadline + drain_interval);
     timer.async_wait([ended, forwarder, &exchange](const net::error_code& failure) {
         if (!failure && !*ended && exchange.started()) {
             // Otherwise a write to a caller that does not read would outlast the deadline.
--- a/src/forward/load_exchange.h
+++ b/src/forward/load_exchange.h
@@ -121,7 +121,7 @@
     std::shared_ptr<placement_handler> m_placements;
     std::shared_ptr<net::peer_pool> m_pool;
     std::shared_ptr<net::frame_server> m_server;
-    net::asio::steady_timer m_flush_timer;
+    net::steady_timer m_flush_timer;
 
     // Guards the members below. In the lock order it comes last, except for metrics.
     mutable std::mutex m_mutex;
--- a/src/forward/scheduler_client.cpp
+++ b/src/forward/scheduler_client.cpp
@@ -198,7 +198,7 @@
     }
     stream->send(net::make_frame(to_message(request, wait_limit, m_exchange->self(), number)));
     call->attach(stream);
-    net::asio::steady_timer timer(co_await net::asio::this_coro::executor);
+    net::steady_timer timer(co_await net::asio::this_coro::executor);
     milliseconds timeout = reply_timeout;
     while (true) {
         node::close_after(timer, stream, timeout);
@@ -252,7 +252,7 @@
             wire::backlog_queryT query;
             query.endpoint = endpoint;
             stream->send(net::make_frame(std::move(query)));
-            net::asio::steady_timer timer(co_await net::asio::this_coro::executor);
+            net::steady_timer timer(co_await net::asio::this_coro::executor);
             node::close_after(timer, stream, backlog_timeout);
             const result<net::received_frame> received = co_await stream->receive();
             timer.cancel();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -117,7 +117,7 @@
         }
 
         beast::tcp_stream& stream;
-        asio::steady_timer timer;
+        steady_timer timer;
         time_point deadline = time_point::max();
         bool expired = false;
         bool ended = false;
--- a/src/net/peer_pool.cpp
+++ b/src/net/peer_pool.cpp
@@ -80,7 +80,7 @@
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     connect_outcome outcome;
     boost::beast::tcp_stream stream(executor);
-    stream.expires_at(deadline);
+    stream.expires_after(timeout);
     auto [failure] = co_await stream.async_connect(endpoint, no_throw);
     if (failure) {
         outcome.failed = io_error("connect", failure);
@@ -89,7 +89,7 @@
     outcome.opened = std::make_shared<connection>(stream.release_socket(), m_options, m_handler, true);
     // A peer that accepts the connection but does not reply to hello must not delay the caller beyond its
     // timeout.
-    asio::steady_timer hello_timer(executor, deadline);
+    steady_timer hello_timer(executor, deadline);
     hello_timer.async_wait([weak_connection = std::weak_ptr(outcome.opened)](const error_code& cancelled) {
         const auto unanswered = weak_connection.lock();
         if (!cancelled && unanswered) {
--- a/src/node/control_client.cpp
+++ b/src/node/control_client.cpp
@@ -50,7 +50,7 @@
 
 } // namespace
 
-void close_after(net::asio::steady_timer& timer, const std::shared_ptr<net::frame_stream>& stream,
+void close_after(net::steady_timer& timer, const std::shared_ptr<net::frame_stream>& stream,
                  milliseconds timeout)
 {
     timer.expires_after(timeout);
@@ -258,7 +258,7 @@
     poll.nonce = static_cast<std::uint64_t>(sent_at.time_since_epoch().count());
     const std::uint64_t nonce = poll.nonce;
     stream->send(net::make_frame(std::move(poll)));
-    net::asio::steady_timer timer(co_await net::asio::this_coro::executor);
+    net::steady_timer timer(co_await net::asio::this_coro::executor);
     close_after(timer, stream, m_options.reply_timeout);
     const result<net::received_frame> answer = co_await stream->receive();
     timer.cancel();
@@ -351,7 +351,7 @@
     }
     const std::shared_ptr<net::frame_stream> stream = opened.value();
     stream->send(call);
-    net::asio::steady_timer timer(co_await net::asio::this_coro::executor);
+    net::steady_timer timer(co_await net::asio::this_coro::executor);
     close_after(timer, stream, timeout);
     const result<net::received_frame> answer = co_await stream->receive();
     timer.cancel();
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -114,7 +114,7 @@
 };
 
 // Closes the stream after `timeout`, so that a pending receive fails. Cancel the timer when done.
-void close_after(net::asio::steady_timer& timer, const std::shared_ptr<net::frame_stream>& stream,
+void close_after(net::steady_timer& timer, const std::shared_ptr<net::frame_stream>& stream,
                  milliseconds timeout);
 
 } // namespace verbena::node
--- a/src/node/freshness.cpp
+++ b/src/node/freshness.cpp
@@ -40,7 +40,7 @@
     wire::freshness_queryT query;
     query.revision = config.held_revision();
     stream->send(net::make_frame(std::move(query)));
-    net::asio::steady_timer timer(co_await net::asio::this_coro::executor);
+    net::steady_timer timer(co_await net::asio::this_coro::executor);
     close_after(timer, stream, answer_timeout);
     const result<net::received_frame> received = co_await stream->receive();
     timer.cancel();
--- a/standin/engine_service.h
+++ b/standin/engine_service.h
@@ -42,7 +42,7 @@
         explicit progress_watcher(const net::asio::any_io_executor& executor) : timer(executor) {}
 
         std::string id;
-        net::asio::steady_timer timer;
+        net::steady_timer timer;
     };
 
     // A submitted request. The sequence number distinguishes it from a later request with the same id.
@@ -107,7 +107,7 @@
     std::string m_role;
     std::multimap<std::string, std::shared_ptr<progress_watcher>> m_watchers;
     net::asio::strand<net::asio::io_context::executor_type> m_strand;
-    net::asio::steady_timer m_timer;
+    net::steady_timer m_timer;
 };
 
 } // namespace verbena::standin
--- a/standin/http_util.cpp
+++ b/standin/http_util.cpp
@@ -98,7 +98,7 @@
 
 net::task<void> wait_forever()
 {
-    net::asio::steady_timer timer(co_await net::asio::this_coro::executor, time_point::max());
+    net::steady_timer timer(co_await net::asio::this_coro::executor, time_point::max());
     co_await timer.async_wait(net::no_throw);
 }
 
--- a/standin/relay.cpp
+++ b/standin/relay.cpp
@@ -20,8 +20,8 @@
 } // namespace
 
 relay::relayed_connection::relayed_connection(const net::asio::any_io_executor& executor)
-    : caller(executor), target(executor), heal_timers{net::asio::steady_timer(executor, time_point::max()),
-                                                      net::asio::steady_timer(executor, time_point::max())}
+    : caller(executor), target(executor), heal_timers{net::steady_timer(executor, time_point::max()),
+                                                      net::steady_timer(executor, time_point::max())}
 {
 }
 
--- a/standin/relay.h
+++ b/standin/relay.h
@@ -49,7 +49,7 @@
         net::tcp::socket caller;
         net::tcp::socket target;
         std::array<std::atomic<bool>, direction_count> cut{};
-        std::array<net::asio::steady_timer, direction_count> heal_timers;
+        std::array<net::steady_timer, direction_count> heal_timers;
     };
 
     net::task<void> accept_loop();
