Log shared prompt parts, and whether an endpoint that lost an answer still accepts connections

`dispatched` names the shared parts. When an endpoint ends the connection before an answer begins, its entry connects once more, and `answer_lost` tells whether the address still accepts connections. Requests without shared parts are not affected.

The stand-in runner can crash under a prompt part: it closes its connections, refuses new ones, and comes back as a new process. It also sends answers with neither a length nor chunks.

--- a/src/forward/endpoint_call.cpp
+++ b/src/forward/endpoint_call.cpp
@@ -67,7 +67,11 @@
     auto [failure] = co_await m_socket.async_connect(target, no_throw);
     disarm();
     if (failure || !m_socket.is_open()) {
-        co_return net::io_error("connect", failure);
+        error cause = net::io_error("connect", failure);
+        if (failure == net::asio::error::connection_refused) {
+            cause.kind = error_kind::unavailable;
+        }
+        co_return cause;
     }
     error_code ignored;
     m_socket.set_option(net::tcp::no_delay(true), ignored);
--- a/src/forward/endpoint_call.h
+++ b/src/forward/endpoint_call.h
@@ -20,7 +20,8 @@
 public:
     explicit endpoint_call(const net::asio::any_io_executor& executor);
 
-    // Until this succeeds, no part of the request has been sent to the endpoint.
+    // Until this succeeds, no part of the request has been sent to the endpoint. The error is `unavailable`
+    // if the address refuses connections: no process listens there.
     net::task<result<void>> connect(host_port address, milliseconds timeout);
 
     // Writes the request in the background, because an endpoint may answer before it has read the whole body.
--- a/src/forward/protocol_adapter.h
+++ b/src/forward/protocol_adapter.h
@@ -4,6 +4,7 @@
 #include "base/types.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "policy/prompt_part.h"
 
 #include <optional>
 #include <string>
@@ -19,6 +20,8 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t output_tokens = 0;         // expected; 0 = unknown
     std::optional<std::uint64_t> last_event; // resume the stream after this event
+    // Parts of the prompt that other requests may contain too, in order; each number identifies a content.
+    std::vector<policy::prompt_part> shared_parts;
 };
 
 // An endpoint that prefills a part of a prompt for the endpoint that answers.
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -5,6 +5,8 @@
 #include "forward/inactivity_limits.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 namespace verbena::forward {
 
@@ -39,6 +41,19 @@
 // How long an endpoint that seems silent is waited for until its backlog is known.
 constexpr milliseconds backlog_reply_time{80};
 
+// The parts in hexadecimal, separated by spaces.
+std::string part_names(const std::vector<policy::prompt_part>& parts)
+{
+    std::string text;
+    for (const policy::prompt_part part : parts) {
+        std::array<char, 2 * sizeof part> digits{};
+        constexpr int hexadecimal = 16;
+        const auto written = std::to_chars(digits.data(), digits.data() + digits.size(), part, hexadecimal);
+        text.append(text.empty() ? "" : " ").append(digits.data(), written.ptr);
+    }
+    return text;
+}
+
 } // namespace
 
 request_forwarder::request_forwarder(forwarder_context context, net::http_exchange& exchange,
@@ -176,6 +191,7 @@
     ++m_attempts;
     m_attempt_began = clock::now();
     m_attempt_sent = false;
+    m_connection_lost = false;
     m_min_interval_ms = 0;
     m_report = attempt_report{};
     m_backlog_queried = false;
@@ -197,6 +213,7 @@
     line.config_version = m_request.config_version;
     line.config_age_ms = to_u32(m_request.config_age);
     line.chosen_by = m_chosen_by;
+    line.prompt_parts = part_names(m_request.terms.shared_parts);
     event_log::write(line);
     m_context.counters.add("verbena_forward_attempts_total", {{"service", m_request.service->name}});
 
@@ -219,6 +236,9 @@
         m_call->close();
         m_call = nullptr;
     }
+    if (m_connection_lost && !m_answer.started && !m_request.terms.shared_parts.empty()) {
+        co_await examine_lost_answer(choice);
+    }
     m_context.endpoints.record_end(choice.number, clock::now(), m_report);
     m_reservation->release(m_executor);
     if (end != attempt_end::answered) {
@@ -232,6 +252,23 @@
     co_return m_caller_left ? attempt_end::caller_left : end;
 }
 
+net::task<void> request_forwarder::examine_lost_answer(const dispatch_choice& choice)
+{
+    m_call = std::make_shared<endpoint_call>(m_executor);
+    const result<void> connected =
+        co_await m_call->connect(choice.endpoints.front().address, connect_timeout);
+    m_call->close();
+    m_call = nullptr;
+    event::answer_lostT line;
+    line.request = m_request.terms.id;
+    line.attempt = m_attempts;
+    line.endpoint = choice.endpoints.front().name;
+    line.accepts = connected.has_value();
+    line.detail = connected ? "" : connected.error().message;
+    line.prompt_parts = part_names(m_request.terms.shared_parts);
+    event_log::write(line);
+}
+
 net::task<request_forwarder::attempt_end> request_forwarder::call_endpoint(const dispatch_choice& choice)
 {
     const chosen_endpoint& first = choice.endpoints.front();
@@ -268,6 +305,7 @@
     const result<answer_metadata> head = co_await call->read_head(m_context.protocol, limit);
     if (!head) {
         const bool silent = head.error().kind == error_kind::timeout;
+        m_connection_lost = !silent;
         record_attempt(choice, silent ? "silent" : "broken", 0, head.error().message,
                        silent ? attempt_health::unreachable : attempt_health::failed);
         co_return attempt_end::may_have_run;
@@ -324,6 +362,7 @@
     while (true) {
         const result<std::string> chunk = co_await m_call->read_some(m_request.deadline);
         if (!chunk) {
+            m_connection_lost = chunk.error().kind != error_kind::timeout;
             record_attempt(choice, "broken", head.status, chunk.error().message, attempt_health::failed);
             co_return attempt_end::may_have_run;
         }
@@ -387,6 +426,7 @@
         const result<std::string> chunk = co_await m_call->read_some(limit, extend_deadline);
         if (!chunk || (chunk.value().empty() && reader.pending_bytes() != 0)) {
             const bool silent = !chunk && chunk.error().kind == error_kind::timeout;
+            m_connection_lost = !silent;
             record_attempt(choice, silent ? "silent" : "broken", head.status,
                            chunk ? "connection closed in the middle of an event" : chunk.error().message,
                            silent ? attempt_health::unreachable : attempt_health::failed);
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -75,6 +75,8 @@
     // Selects endpoints; waits for them if they are not free yet.
     net::task<dispatch_result> choose_endpoints();
     net::task<attempt_end> run_attempt(dispatch_choice choice);
+    // Finds out whether an endpoint that has ended the connection before it began to answer has ended itself.
+    net::task<void> examine_lost_answer(const dispatch_choice& choice);
     net::task<attempt_end> call_endpoint(const dispatch_choice& choice);
     net::task<attempt_end> handle_answer(const dispatch_choice& choice, const answer_metadata& head);
     net::task<attempt_end> relay_body(const dispatch_choice& choice, const answer_metadata& head);
@@ -118,6 +120,7 @@
     bool m_may_have_run = false;
     std::uint32_t m_attempts = 0;      // attempts so far; also the attempt number in the log
     std::uint32_t m_possible_runs = 0; // attempts that may have run
+    bool m_connection_lost = false;    // the endpoint ended the connection of the current attempt too early
     bool m_attempt_sent = false;       // the current attempt may have reached its endpoint
     bool m_reached_endpoint = false;   // some attempt may have reached an endpoint
     std::set<std::string> m_excluded;
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -55,6 +55,25 @@
     co_return !failure;
 }
 
+bool is_unframed(runner_fault fault)
+{
+    return fault == runner_fault::unframed || fault == runner_fault::unframed_cut ||
+           fault == runner_fault::unframed_reset || fault == runner_fault::unframed_crash;
+}
+
+void reset(net::tcp::socket& socket)
+{
+    net::error_code ignored;
+    socket.set_option(net::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+std::uint64_t unix_ms()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
+}
+
 // Redirects that a runner follows.
 constexpr int max_redirects = 2;
 
@@ -83,10 +102,7 @@
 
 platform_runner::platform_runner(net::asio::io_context& io, net::tcp::acceptor acceptor,
                                  runner_options options)
-    : m_io(io), m_acceptor(std::move(acceptor)), m_options(std::move(options)),
-      m_start_ms(static_cast<std::uint64_t>(
-          std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-              .count()))
+    : m_io(io), m_acceptor(std::move(acceptor)), m_options(std::move(options)), m_start_ms(unix_ms())
 {
 }
 
@@ -148,23 +164,110 @@
 net::task<void> platform_runner::accept_loop()
 {
     while (true) {
-        net::tcp::socket socket(net::asio::make_strand(m_io));
-        auto [failure] = co_await m_acceptor.async_accept(socket, no_throw);
+        auto socket = std::make_shared<net::tcp::socket>(net::asio::make_strand(m_io));
+        auto [failure] = co_await m_acceptor.async_accept(*socket, no_throw);
         if (failure) {
             co_return;
         }
-        const auto executor = socket.get_executor();
+        {
+            const std::lock_guard lock(m_mutex);
+            m_open.insert(socket);
+        }
         net::asio::co_spawn(
-            executor,
-            [self = shared_from_this(), accepted = std::move(socket)]() mutable {
-                return self->serve(std::move(accepted));
+            socket->get_executor(),
+            [self = shared_from_this(), socket]() -> net::task<void> {
+                co_await self->serve(socket);
+                const std::lock_guard lock(self->m_mutex);
+                self->m_open.erase(socket);
             },
             net::asio::detached);
     }
 }
 
-net::task<void> platform_runner::serve(net::tcp::socket socket)
+void platform_runner::set_crash(runner_crash crash)
+{
+    const std::lock_guard lock(m_mutex);
+    m_crash = std::move(crash);
+}
+
+std::vector<time_point> platform_runner::crashes() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_crashes;
+}
+
+bool platform_runner::crashes_under(const runner_request& request) const
+{
+    const std::lock_guard lock(m_mutex);
+    // Of "a:10,b:20,c:30" the part c belongs to the request itself.
+    const std::string shared = request.prompt_parts.substr(0, request.prompt_parts.rfind(','));
+    return m_crash && ("," + shared + ":").find("," + m_crash->part + ":") != std::string::npos;
+}
+
+std::string platform_runner::registered_id() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_current_id.empty() ? m_options.id : m_current_id;
+}
+
+std::string platform_runner::answering_id() const
 {
+    return m_options.answering_id.empty() ? registered_id() : m_options.answering_id;
+}
+
+net::task<void> platform_runner::crash()
+{
+    std::set<std::shared_ptr<net::tcp::socket>> open;
+    runner_crash crash;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_acceptor.is_open()) {
+            co_return; // another request has crashed it meanwhile
+        }
+        net::error_code ignored;
+        m_acceptor.close(ignored);
+        crash = m_crash.value_or(runner_crash{});
+        m_crashes.push_back(clock::now());
+        open = m_open;
+        m_current_id = m_options.id + "-" + std::to_string(m_crashes.size());
+    }
+    for (const auto& socket : open) {
+        net::asio::post(socket->get_executor(), [socket] {
+            net::error_code ignored;
+            socket->close(ignored);
+        });
+    }
+    net::asio::co_spawn(
+        m_io,
+        [self = shared_from_this(), crash]() -> net::task<void> {
+            if (crash.control.port == 0) {
+                co_return;
+            }
+            co_await net::sleep_for(crash.restart_after);
+            result<net::tcp::acceptor> acceptor = net::open_acceptor(self->m_io, self->m_options.listen);
+            if (!acceptor) {
+                co_return;
+            }
+            {
+                const std::lock_guard lock(self->m_mutex);
+                self->m_acceptor = std::move(acceptor.value());
+                self->m_start_ms = unix_ms();
+                self->m_last_sequence = 0;
+            }
+            self->start();
+            constexpr int max_check_ins = 20;
+            constexpr milliseconds check_in_interval{100};
+            for (int i = 0; i < max_check_ins && co_await self->check_in(crash.control, "ready") != 200;
+                 ++i) {
+                co_await net::sleep_for(check_in_interval);
+            }
+        },
+        net::asio::detached);
+}
+
+net::task<void> platform_runner::serve(std::shared_ptr<net::tcp::socket> open)
+{
+    net::tcp::socket& socket = *open;
     boost::beast::flat_buffer buffer;
     http::request<http::string_body> message;
     auto [failure, size] = co_await http::async_read(socket, buffer, message, no_throw);
@@ -182,6 +285,8 @@
     request.last_event = header_text(message, names::last_event);
     request.helpers = header_text(message, names::helpers);
     request.authorization = header_text(message, names::authorization);
+    request.prompt_parts = header_text(message, names::prompt_parts);
+    request.received = clock::now();
     if (request.target == names::order) {
         {
             const std::lock_guard lock(m_mutex);
@@ -190,10 +295,9 @@
         co_await write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
         co_return;
     }
-    const std::string own_id = m_options.answering_id.empty() ? m_options.id : m_options.answering_id;
-    if (request.expected_runner != own_id) {
-        co_await write(socket,
-                       "HTTP/1.1 421 Misdirected\r\nRunner-Id: " + own_id + "\r\nContent-Length: 0\r\n\r\n");
+    if (request.expected_runner != answering_id()) {
+        co_await write(socket, "HTTP/1.1 421 Misdirected\r\nRunner-Id: " + answering_id() +
+                                   "\r\nContent-Length: 0\r\n\r\n");
         co_return;
     }
     const runner_fault fault = take_fault();
@@ -211,6 +315,13 @@
         const std::lock_guard lock(m_mutex);
         m_requests.push_back(request);
     }
+    if (m_options.prefill > milliseconds::zero()) {
+        co_await net::sleep_for(m_options.prefill);
+    }
+    if (crashes_under(request)) {
+        co_await crash();
+        co_return;
+    }
     co_await send_answer(socket, request, fault);
 }
 
@@ -239,6 +350,21 @@
         co_return;
     }
     const std::string id = fault == runner_fault::wrong_request_id ? "another-request" : request.id;
+    if (!m_options.streams && is_unframed(fault)) {
+        const std::string body = "ok " + request.body;
+        co_await write(socket, response_head(200, id, true) + "\r\n" + body.substr(0, body.size() / 2));
+        co_await net::sleep_for(event_interval); // the first half is not discarded by a reset
+        if (fault == runner_fault::unframed_reset) {
+            reset(socket);
+            co_return;
+        }
+        if (fault == runner_fault::unframed_crash) {
+            co_await crash();
+            co_return;
+        }
+        co_await write(socket, body.substr(body.size() / 2));
+        co_return;
+    }
     if (!m_options.streams || fault == runner_fault::wrong_request_id) {
         std::string text = complete_response(200, id, fault != runner_fault::no_mac, "ok " + request.body);
         text += fault == runner_fault::extra_answer ? complete_response(200, "another-request", true, "stray")
@@ -260,27 +386,36 @@
     const bool head_sent =
         co_await write(socket, response_head(200, request.id, fault != runner_fault::no_mac) +
                                    (fault == runner_fault::leaving ? "Server-Leaving: 1\r\n" : "") +
-                                   "Content-Type: text/event-stream\r\n"
-                                   "Transfer-Encoding: chunked\r\n\r\n");
+                                   "Content-Type: text/event-stream\r\n" +
+                                   (is_unframed(fault) ? "" : "Transfer-Encoding: chunked\r\n") + "\r\n");
+    const auto framed = [fault](const std::string& text) { return is_unframed(fault) ? text : chunk(text); };
     const auto last_event_number = static_cast<std::uint32_t>(
         request.last_event.empty() ? 0 : std::strtoul(request.last_event.c_str(), nullptr, 10));
     bool connected = head_sent;
     for (std::uint32_t number = last_event_number + 1; connected && number <= m_options.events; ++number) {
         const std::string event = event_text(number);
-        if (fault == runner_fault::cut_in_event && number == last_event_number + 2) {
-            co_await write(socket, chunk(event.substr(0, event.size() / 2)));
+        const bool is_second = number == last_event_number + 2;
+        if (is_second && (fault == runner_fault::cut_in_event || fault == runner_fault::unframed_cut)) {
+            co_await write(socket, framed(event.substr(0, event.size() / 2)));
+            co_return;
+        }
+        if (is_second && fault == runner_fault::unframed_reset) {
+            reset(socket);
             co_return;
         }
-        if (number == last_event_number + 2 &&
-            (fault == runner_fault::drip || fault == runner_fault::endless_event)) {
+        if (is_second && fault == runner_fault::unframed_crash) {
+            co_await crash();
+            co_return;
+        }
+        if (is_second && (fault == runner_fault::drip || fault == runner_fault::endless_event)) {
             co_await send_unfinished_event(socket, fault);
             co_return;
         }
-        connected = co_await write(socket, chunk(event));
+        connected = co_await write(socket, framed(event));
         co_await net::sleep_for(event_interval);
     }
     if (connected) {
-        co_await write(socket, "0\r\n\r\n");
+        co_await write(socket, is_unframed(fault) ? "" : "0\r\n\r\n");
         co_return;
     }
     const std::lock_guard lock(m_mutex);
@@ -338,7 +473,7 @@
 net::task<unsigned> platform_runner::check_in(host_port control, std::string state)
 {
     std::string body = check_in_body(state, m_start_ms, ++m_last_sequence);
-    std::string path = std::string(names::check_in) + m_options.id;
+    std::string path = std::string(names::check_in) + registered_id();
     co_return co_await post_json(std::move(control), std::move(path), std::move(body));
 }
 
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -7,6 +7,8 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,10 @@
     drip,             // sends its second event a byte at a time, without an end
     endless_head,     // sends header fields without an end
     endless_event,    // sends an event without an end
+    unframed,         // answers with neither a length nor chunks and ends with the connection
+    unframed_cut,     // the same, and closes the connection in the middle of its second event
+    unframed_reset,   // the same, and resets the connection before its second event
+    unframed_crash,   // the same, and its process crashes before its second event
 };
 
 // A request as received by a runner.
@@ -42,6 +48,15 @@
     std::string last_event;
     std::string helpers;
     std::string authorization;
+    std::string prompt_parts;
+    time_point received;
+};
+
+// A process that ends as it begins to answer a request with a certain prompt part, and its restart.
+struct runner_crash {
+    std::string part;  // as in the request; the last part of a request is ignored
+    host_port control; // where the restarted process checks in
+    milliseconds restart_after{400};
 };
 
 // An order received by a runner, such as a reservation of memory.
@@ -60,6 +75,7 @@
     // Id under which the runner answers, if not `id`; requests that expect another runner are rejected with
     // 421. Simulates that another runner of the service has taken over the address.
     std::string answering_id;
+    milliseconds prefill{}; // time until the first event or the body
 };
 
 // Test implementation of a runner of the users' platform: serves requests over HTTP and sends check-ins to
@@ -76,6 +92,12 @@
     // Sets the faults of the next requests, in order. Later requests are served without a fault.
     void set_faults(std::vector<runner_fault> faults);
 
+    // Crashes under requests with a prompt part. The process is back after a while, with a new id.
+    void set_crash(runner_crash crash);
+
+    // The times at which the process has crashed.
+    std::vector<time_point> crashes() const;
+
     std::vector<runner_request> requests() const;
     std::vector<runner_order> orders() const;
     // Number of connections that the caller closed before the answer was complete.
@@ -93,7 +115,12 @@
 
 private:
     net::task<void> accept_loop();
-    net::task<void> serve(net::tcp::socket socket);
+    net::task<void> serve(std::shared_ptr<net::tcp::socket> socket);
+    bool crashes_under(const runner_request& request) const;
+    // Closes all connections, refuses new ones, and checks in again some time later as a new process.
+    net::task<void> crash();
+    std::string registered_id() const;
+    std::string answering_id() const;
     net::task<unsigned> post_json(host_port control, std::string path, std::string body);
     runner_fault take_fault();
     std::string event_text(std::uint32_t number) const;
@@ -112,6 +139,10 @@
 
     mutable std::mutex m_mutex;
     std::deque<runner_fault> m_faults;
+    std::optional<runner_crash> m_crash;
+    std::vector<time_point> m_crashes;
+    std::set<std::shared_ptr<net::tcp::socket>> m_open;
+    std::string m_current_id; // after a restart
     std::size_t m_refused = 0;
     std::vector<runner_request> m_requests;
     std::vector<runner_order> m_orders;
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -158,6 +158,30 @@
         !adapter.read_request(caller_request({{"Request-Id", "r"}, {"Token-Count", "1,2,3"}})).has_value());
 }
 
+// The last part belongs to the request itself. A list that cannot be read must not keep a request from being
+// served, and a very long one must not take much memory.
+BOOST_AUTO_TEST_CASE(reads_shared_prompt_parts)
+{
+    const platform::http_protocol_adapter adapter;
+    const auto parts_of = [&adapter](const std::string& text) {
+        const auto terms = adapter.read_request(caller_request({{"Request-Id", "r"}, {"Prefix-Hash", text}}));
+        BOOST_TEST_REQUIRE(terms.has_value());
+        return terms.value().shared_parts;
+    };
+    const std::vector<policy::prompt_part> two{0x5c1e07a2, 0x91bd3f06};
+    BOOST_TEST((parts_of("5c1e07a2:800,91bd3f06:410,e4402b7d:250") == two));
+    BOOST_TEST((parts_of("5C1E07A2:800, 91bd3f06:410,5c1e07a2:1,e4402b7d:250") == two));
+    BOOST_TEST(parts_of("").empty());
+    BOOST_TEST(parts_of("e4402b7d:250").empty());
+    BOOST_TEST(parts_of(",,,").empty());
+    BOOST_TEST(parts_of("no number:1,x,e4402b7d:250").size() == 2U);
+    std::string long_list;
+    for (int i = 0; i < 1'000; ++i) {
+        long_list += std::to_string(i) + ":1,";
+    }
+    BOOST_TEST(parts_of(long_list).size() == 32U);
+}
+
 // Guards against a request that is wrongly taken as not run: only a Not-Run header and status 421 prove it.
 BOOST_AUTO_TEST_CASE(reads_answers)
 {
--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -144,7 +144,8 @@
     keep_until_exit(std::move(value.service));
 }
 
-void platform_deployment::start_entry(std::size_t index, std::optional<std::size_t> seed)
+void platform_deployment::start_entry(std::size_t index, std::optional<std::size_t> seed,
+                                      const std::string& domain)
 {
     entry& value = m_entries[index];
     value.port = free_port();
@@ -152,7 +153,7 @@
     node.name = "entry-" + std::to_string(index);
     node.cluster = "test";
     node.workers = 1;
-    node.failure_domain = "domain-a";
+    node.failure_domain = domain;
     node.control = seed ? local(m_members.at(*seed).frame_port) : seed_addresses();
     auto process = node::process::create(node);
     BOOST_TEST_REQUIRE(process.has_value());
@@ -173,7 +174,7 @@
 }
 
 void platform_deployment::add_runner(const std::string& id, const std::string& service,
-                                     const std::string& domain)
+                                     const std::string& domain, std::chrono::milliseconds prefill)
 {
     standin::runner_options options;
     options.id = id;
@@ -181,12 +182,19 @@
     options.failure_domain = domain;
     options.listen = {"127.0.0.1", 0};
     options.streams = service == "model";
+    options.prefill = prefill;
     auto created = standin::platform_runner::create(m_threads.io, options);
     BOOST_TEST_REQUIRE(created.has_value());
     created.value()->start();
     m_runners[id] = created.value();
 }
 
+void platform_deployment::add_model_runner(const std::string& id, const std::string& domain,
+                                           std::chrono::milliseconds prefill)
+{
+    add_runner(id, "model", domain, prefill);
+}
+
 host_port platform_deployment::control_address(std::size_t index) const
 {
     return {"127.0.0.1", m_members.at(index).operator_port};
@@ -240,6 +248,9 @@
     if (!spec.last_event.empty()) {
         sent.headers.emplace_back(std::string(platform::names::last_event), spec.last_event);
     }
+    if (!spec.prompt_parts.empty()) {
+        sent.headers.emplace_back(std::string(platform::names::prompt_parts), spec.prompt_parts);
+    }
     return sent;
 }
 
@@ -363,10 +374,10 @@
     check_in_all();
 }
 
-std::size_t platform_deployment::add_entry(std::optional<std::size_t> seed)
+std::size_t platform_deployment::add_entry(std::optional<std::size_t> seed, const std::string& domain)
 {
     m_entries.emplace_back();
-    start_entry(m_entries.size() - 1, seed);
+    start_entry(m_entries.size() - 1, seed, domain);
     return m_entries.size() - 1;
 }
 
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -36,9 +36,14 @@
         std::string key = "key-clerks";
         std::string tokens = "1000,100";
         std::string last_event;
+        std::string prompt_parts;
         std::chrono::milliseconds deadline{5'000};
     };
 
+    // Adds a runner of the model service; it is used once it has checked in.
+    void add_model_runner(const std::string& id, const std::string& domain,
+                          std::chrono::milliseconds prefill = {});
+
     // Sends a caller's request through an entry and waits for the answer.
     answer request(const call& spec, std::size_t entry_index = 0);
 
@@ -78,7 +83,7 @@
 
     // Starts one more entry; returns its index. `seed`: the only control process in its settings, in place of
     // the seeds.
-    std::size_t add_entry(std::optional<std::size_t> seed = {});
+    std::size_t add_entry(std::optional<std::size_t> seed = {}, const std::string& domain = "domain-a");
 
     // Control processes that the settings of processes name from their next start on.
     void set_seeds(std::vector<std::size_t> seeds) { m_seeds = std::move(seeds); }
@@ -108,8 +113,10 @@
     static member make_member(bool has_disk);
     void start_member(std::size_t index, bool bootstrap);
     void stop_member(std::size_t index, bool immediately = true);
-    void start_entry(std::size_t index, std::optional<std::size_t> seed = {});
-    void add_runner(const std::string& id, const std::string& service, const std::string& domain);
+    void start_entry(std::size_t index, std::optional<std::size_t> seed = {},
+                     const std::string& domain = "domain-a");
+    void add_runner(const std::string& id, const std::string& service, const std::string& domain,
+                    std::chrono::milliseconds prefill = {});
     static verbena::net::task<answer> fetch_task(verbena::host_port address, verbena::net::http_call sent);
     answer fetch(const verbena::host_port& address, const verbena::net::http_call& sent);
     verbena::net::http_call make_http_call(const call& spec);
