--- a/test/platform_system_test.cpp
+++ b/test/platform_system_test.cpp
@@ -304,6 +304,47 @@
     }
 }
 
+// An answer may have neither a length nor chunks and end with its connection.
+BOOST_FIXTURE_TEST_CASE(delivers_unframed_answers, system_fixture)
+{
+    for (const char* name : {"model-a", "model-b", "desk-a", "desk-b"}) {
+        system.runner(name).set_faults({runner_fault::unframed, runner_fault::unframed});
+    }
+    platform_deployment::call check;
+    check.path = "/safe/1";
+    for (int i = 0; i < 2; ++i) {
+        const auto stream = system.request({});
+        BOOST_TEST(stream.status == 200U);
+        BOOST_TEST(count(stream.body, "id: ") == 4U);
+        const auto plain = system.request(check);
+        BOOST_TEST(plain.status == 200U);
+        BOOST_TEST(plain.body == "ok prompt");
+    }
+}
+
+// Guards against a part of an unframed answer that is delivered as the whole: a stream that ends inside an
+// event or with a reset has been broken off, and is resumed.
+BOOST_FIXTURE_TEST_CASE(resumes_unframed_answers_that_break_off, system_fixture)
+{
+    for (const runner_fault fault : {runner_fault::unframed_cut, runner_fault::unframed_reset}) {
+        system.runner("model-a").set_faults({fault});
+        system.runner("model-b").set_faults({});
+        for (int i = 0; i < 4; ++i) {
+            const auto stream = system.request({});
+            BOOST_TEST(stream.status == 200U);
+            BOOST_TEST(count(stream.body, "id: ") == 4U, stream.body);
+        }
+    }
+    platform_deployment::call check;
+    check.path = "/safe/1";
+    system.runner("desk-a").set_faults({runner_fault::unframed_reset});
+    for (int i = 0; i < 4; ++i) {
+        const auto plain = system.request(check);
+        BOOST_TEST(plain.status == 200U);
+        BOOST_TEST(plain.body == "ok prompt");
+    }
+}
+
 // Guards against dispatching to a failure domain that operators have evacuated, and checks that it is used
 // again afterwards.
 BOOST_FIXTURE_TEST_CASE(obeys_evacuations, system_fixture)
