Refuse prompt parts under which endpoints crash

Cause: a crash was charged to the endpoint only. Neither the request's retry nor a new request with the same part was held back, by the entry that had seen the crash or by any other. In the failing test all lost answers kept by its log were first attempts of new requests: retries add to the crashes, but they are not what keeps them going.

Change: when an endpoint ends a connection before the answer begins and its address refuses connections, the shared parts of the request become suspect (policy/crash_suspects). Requests with a suspect part are sent one at a time, an answer clears its parts, and after three crashes, one after another, the part is refused, but for two trials. Entries exchange the records on the streams of their load notes; one that has just started waits for them. Operators list and release parts at the metrics address.

Ruled out: counting all crashes (a failure domain that ends would block the popular parts), memory in one entry, and the poll replies of control members (known after 0.3 to 1.8 s, while a crash takes 0.2 s); see docs/platform.md.

Why it works: from the first crash on at most one request with the part is in flight at each scheduler, so each further step costs one endpoint, and three steps block the part everywhere.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -36,6 +36,10 @@
 // The same for a request that waits for others in the queue to go first.
 constexpr milliseconds line_wait{10};
 
+// The same for a request that waits until another request with its suspect prompt part has been tried, or
+// until the other entries have told which parts are suspect.
+constexpr milliseconds trial_wait{20};
+
 // The same for a request that waits for the list of endpoints to be complete.
 constexpr milliseconds list_wait{50};
 
@@ -58,6 +62,8 @@
         return "too_large";
     case dispatch_refusal::reason::too_harmful:
         return "too_harmful";
+    case dispatch_refusal::reason::crashing_prompt:
+        return "crashing_prompt";
     }
     return "unknown";
 }
@@ -70,7 +76,7 @@
 
 fleet::fleet(incarnation self, std::string own_domain, double cold_fraction, note_listener on_note)
     : m_self(self), m_own_domain(std::move(own_domain)), m_cold_fraction(cold_fraction),
-      m_on_note(std::move(on_note)), m_random(self)
+      m_on_note(std::move(on_note)), m_suspects(self), m_random(self)
 {
 }
 
@@ -194,13 +200,46 @@
     return found;
 }
 
+// An endpoint with as little work as possible, which would be lost with it. A prompt that exceeds the memory
+// of one endpoint needs several.
+std::vector<fleet::endpoint_state*> fleet::trial_endpoints(const dispatch_request& request, time_point now)
+{
+    std::vector<endpoint_state*> found = eligible_endpoints(request, now);
+    const std::uint64_t needed = std::uint64_t{request.model.prompt_tokens} + request.model.output_tokens;
+    const auto& engine = request.service->engine;
+    if (!found.empty() && (!engine || needed <= engine->memory_tokens)) {
+        const auto least = std::min_element(found.begin(), found.end(), [](const auto* a, const auto* b) {
+            return a->load.requests() < b->load.requests();
+        });
+        found = {*least};
+    }
+    return found;
+}
+
 dispatch_result fleet::dispatch(const dispatch_request& request, time_point now)
 {
+    using action = policy::crash_verdict::action;
     dispatch_result outcome;
     std::vector<wire::dispatch_noteT> notes;
+    std::vector<policy::crash_statement> trials;
     {
         const std::lock_guard lock(m_mutex);
-        outcome = choose(request, eligible_endpoints(request, now), now);
+        if (!m_crashes_known && !request.parts.empty() && request.may_wait) {
+            outcome.wait = trial_wait;
+            return outcome;
+        }
+        const policy::crash_verdict verdict = m_suspects.check(request.parts, now);
+        if (verdict.what == action::refuse || verdict.what == action::wait) {
+            outcome.refusal.why = dispatch_refusal::reason::crashing_prompt;
+            outcome.refusal.part = verdict.part;
+            outcome.refusal.retry_after = verdict.retry_after;
+            const bool waits = verdict.what == action::wait && request.may_wait;
+            outcome.wait = waits ? trial_wait : milliseconds::zero();
+            return outcome;
+        }
+        const bool trial = verdict.what == action::trial;
+        outcome =
+            choose(request, trial ? trial_endpoints(request, now) : eligible_endpoints(request, now), now);
         const bool refused = !outcome.choice && outcome.wait == milliseconds::zero();
         if (refused && now < m_complete_at && request.model.used < request.time_left) {
             outcome.wait = list_wait;
@@ -208,10 +247,16 @@
         if (outcome.choice) {
             const policy::work_key key =
                 request.key.value_or(policy::work_key{m_self, outcome.choice->number});
-            notes = notes_to_publish(key, m_dispatches[key]);
+            dispatch_record& record = m_dispatches[key];
+            notes = notes_to_publish(key, record);
+            if (trial) {
+                record.trial_parts = request.parts;
+                trials = m_suspects.begin_trial(request.parts, now);
+            }
         }
     }
     publish(notes);
+    publish_crashes(trials, "trial");
     return outcome;
 }
 
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/random.h"
 #include "base/settings.h"
+#include "policy/crash_suspects.h"
 #include "policy/placement.h"
 #include "policy/prefill_order.h"
 #include "wire_generated.h"
@@ -29,10 +30,11 @@
     const route::service_rule* service = nullptr;
     policy::model_request model;
     milliseconds time_left{};
-    std::set<std::string> excluded;       // endpoints that earlier attempts have used or found failed
-    std::optional<policy::work_key> wait; // from begin_wait()
-    bool may_wait = true;                 // its objective has not passed yet
-    bool answer_started = false;          // a part has been delivered, which is lost without the rest
+    std::set<std::string> excluded;         // endpoints that earlier attempts have used or found failed
+    std::optional<policy::work_key> wait;   // from begin_wait()
+    bool may_wait = true;                   // its objective has not passed yet
+    bool answer_started = false;            // a part has been delivered, which is lost without the rest
+    std::vector<policy::prompt_part> parts; // of its prompt, that other requests may contain too
     // The dispatch of another entry that asks this one; nullopt = this entry's own, numbered by dispatch().
     std::optional<policy::work_key> key;
     // This entry chooses without the work of the other entries, because no scheduler answers.
@@ -51,10 +53,12 @@
 
 // Why no endpoint can take a request now.
 struct dispatch_refusal {
-    enum class reason : std::uint8_t { no_endpoint, too_late, too_large, too_harmful };
+    enum class reason : std::uint8_t { no_endpoint, too_late, too_large, too_harmful, crashing_prompt };
 
     reason why = reason::no_endpoint;
-    milliseconds predicted{}; // time to the first event; set for `too_late`
+    milliseconds predicted{};     // time to the first event; set for `too_late`
+    policy::prompt_part part = 0; // set for `crashing_prompt`: endpoints have crashed under it
+    milliseconds retry_after{};   // time until such a request may be tried again; 0 = not known
 };
 
 const char* to_string(dispatch_refusal::reason value);
@@ -87,8 +91,14 @@
     // that it has sent, or that an entry has reported to it directly; for replication to the schedulers.
     using note_listener = std::function<void(wire::dispatch_noteT)>;
 
+    // Called without the lock with what this entry has learned of prompt parts under which endpoints crash.
+    using crash_listener = std::function<void(const std::vector<policy::crash_statement>&)>;
+
     fleet(incarnation self, std::string own_domain, double cold_fraction, note_listener on_note);
 
+    // Not thread-safe.
+    void set_crash_listener(crash_listener listener) { m_on_crash = std::move(listener); }
+
     // Applies a directory update; `value` is null when no control member lists the endpoint any more.
     void on_endpoint(const std::string& name, const wire::announcementT* value);
 
@@ -99,6 +109,10 @@
     // until then, for at most half of its time, instead of being refused.
     void set_complete_at(time_point time);
 
+    // Until the records of other entries have come, requests with shared prompt parts wait within their
+    // objective. Receiving records sets it as well.
+    void set_crashes_known(bool known);
+
     // Selects endpoints and records the dispatch under one lock, so that two requests cannot take the same
     // slot.
     dispatch_result dispatch(const dispatch_request& request, time_point now);
@@ -122,6 +136,23 @@
     policy::work_key begin_wait(const dispatch_request& request, time_point now);
     void end_wait(const policy::work_key& key);
 
+    // An endpoint has begun to answer a request of this entry with these prompt parts; or it has crashed
+    // before, and the request was sent to it at `sent`.
+    void record_answer(const std::vector<policy::prompt_part>& parts, const std::string& request,
+                       time_point now);
+    void record_crash(const std::vector<policy::prompt_part>& parts, const std::string& request,
+                      const std::string& endpoint, time_point sent, time_point now);
+
+    // Prompt parts under which endpoints have crashed: whether a request with these parts has to be refused,
+    // what another entry knows, all that is known, and the end of the suspicion against one by an operator.
+    std::optional<dispatch_refusal> crash_refusal(const std::vector<policy::prompt_part>& parts,
+                                                  time_point now);
+    void apply_crash_records(const std::vector<policy::crash_statement>& received, time_point now);
+    std::vector<policy::crash_statement> crash_records(time_point now);
+    bool release_part(policy::prompt_part part, time_point now);
+    // Sends the records again that other entries would drop otherwise. Call it in intervals.
+    void refresh_crash_records(time_point now);
+
     void record_health(const std::string& endpoint, attempt_health health, time_point now);
 
     // The endpoint has announced to this entry that it leaves, or that it wants no requests for some time.
@@ -180,6 +211,7 @@
         incarnation reporter = 0;                // the entry whose connection vouches for the dispatch
         std::vector<wire::dispatch_noteT> notes; // one for each endpoint, the answering one first
         std::uint8_t phase = 0;
+        std::vector<policy::prompt_part> trial_parts; // of a request that this entry has sent as a trial
     };
 
     // A request at any entry that waits for free endpoints.
@@ -191,6 +223,7 @@
 
     using note_list = std::vector<wire::dispatch_noteT>;
 
+    std::vector<endpoint_state*> trial_endpoints(const dispatch_request& request, time_point now);
     dispatch_result choose(const dispatch_request& request, const std::vector<endpoint_state*>& found,
                            time_point now);
     // Endpoints that the waiting prompts which go before the request would use.
@@ -223,20 +256,28 @@
     void update_own_phase(std::uint64_t number, wire::dispatch_noteT note, time_point now);
     note_list remove_reporter(incarnation reporter, time_point now);
     void publish(const note_list& notes);
+    // Logs changes of prompt parts and passes them to the listener; called without the lock.
+    void publish_crashes(const std::vector<policy::crash_statement>& changed, const char* cause,
+                         const std::string& request = {}, const std::string& endpoint = {});
+    void end_trial(dispatch_record& record, time_point now);
 
     const incarnation m_self;
     const std::string m_own_domain;
     const double m_cold_fraction;
     const note_listener m_on_note;
+    crash_listener m_on_crash;
 
     mutable std::mutex m_mutex;
     std::map<std::string, endpoint_state> m_endpoints;
     std::map<policy::work_key, dispatch_record> m_dispatches;
     std::map<policy::work_key, waiting_request> m_waiting;
+    policy::crash_suspects m_suspects;
+    std::vector<policy::crash_statement> m_ended_trials; // to be published when the lock is released
     std::map<std::string, route::engine_rule> m_engines; // by service, from the latest dispatch
     std::set<std::string> m_unknown_domains;
     std::set<std::string> m_domains_out;
     time_point m_complete_at{};
+    bool m_crashes_known = true;
     std::uint64_t m_next_number = 1;
     random_engine m_random;
 };
--- a/src/forward/fleet_notes.cpp
+++ b/src/forward/fleet_notes.cpp
@@ -179,6 +179,7 @@
     }
     dispatch_record& record = found->second;
     record.phase = note.phase;
+    end_trial(record, now);
     if (note.phase == phase_ended) {
         apply_report(record, note, now);
     }
@@ -221,6 +222,7 @@
 
 void fleet::update_own_phase(std::uint64_t number, wire::dispatch_noteT note, time_point now)
 {
+    std::vector<policy::crash_statement> trials;
     {
         const std::lock_guard lock(m_mutex);
         const policy::work_key key{m_self, number};
@@ -230,8 +232,10 @@
         }
         advance_phase(key, note, now);
         note.number = number;
+        trials.swap(m_ended_trials);
     }
     m_on_note(std::move(note));
+    publish_crashes(trials, "trial");
 }
 
 void fleet::record_first_event(std::uint64_t number, time_point now)
@@ -293,6 +297,7 @@
 void fleet::apply_notes(const wire::load_notesT& notes, time_point now)
 {
     note_list published;
+    std::vector<policy::crash_statement> trials;
     {
         const std::lock_guard lock(m_mutex);
         if (notes.whole) {
@@ -305,8 +310,10 @@
                 published.push_back(to_published(key, *note));
             }
         }
+        trials.swap(m_ended_trials);
     }
     publish(published);
+    publish_crashes(trials, "trial");
 }
 
 // Returns the notes that end the removed work at the schedulers to which it was reported further.
@@ -343,11 +350,14 @@
 void fleet::remove_entry(incarnation entry, time_point now)
 {
     note_list ended;
+    std::vector<policy::crash_statement> trials;
     {
         const std::lock_guard lock(m_mutex);
         ended = remove_reporter(entry, now);
+        trials.swap(m_ended_trials);
     }
     publish(ended);
+    publish_crashes(trials, "trial");
 }
 
 std::vector<wire::dispatch_noteT> fleet::own_notes() const
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -3,6 +3,7 @@
 #include "base/event_log.h"
 #include "base/log.h"
 #include "base/version.h"
+#include "forward/crash_calls.h"
 #include "node/freshness.h"
 #include "node/publication.h"
 
@@ -28,6 +29,10 @@
 // s.
 constexpr milliseconds list_settle_time{2'500};
 
+// Requests with shared prompt parts wait for the crash records of other entries for at most this long after a
+// control member has first sent a list. The connection between two entries is made within 100 ms.
+constexpr milliseconds crash_records_time{1'500};
+
 // Longest time that a caller is kept waiting when neither the route nor the caller bounds it.
 constexpr milliseconds max_wait{3'600'000};
 
@@ -91,6 +96,12 @@
       m_budget(entry_retry_options(settings, assumed_entries))
 {
     m_fleet.set_complete_at(time_point::max());
+    m_fleet.set_crashes_known(settings.peer_listen.empty());
+    m_fleet.set_crash_listener([this](const std::vector<policy::crash_statement>& changed) {
+        if (m_load_exchange) {
+            m_load_exchange->send_crash_records(changed);
+        }
+    });
 }
 
 result<void> forward_service::open()
@@ -166,6 +177,16 @@
     counters.gauge("verbena_forward_peers", {}, [self] {
         return static_cast<double>(self->m_load_exchange ? self->m_load_exchange->peers() : 0);
     });
+    for (const policy::crash_state state : {policy::crash_state::suspect, policy::crash_state::blocked}) {
+        counters.gauge("verbena_forward_prompt_parts", {{"state", to_string(state)}}, [self, state] {
+            const auto records = self->m_fleet.crash_records(clock::now());
+            return static_cast<double>(
+                std::count_if(records.begin(), records.end(),
+                              [state](const auto& item) { return policy::state_of(item.record) == state; }));
+        });
+    }
+    m_process.on_call(
+        [self](const net::http_request& request) { return answer_crash_call(self->m_fleet, request); });
     counters.gauge("verbena_config_revision", {},
                    [self] { return static_cast<double>(self->m_config.held_revision()); });
     counters.gauge("verbena_log_lines_left_out", {},
@@ -236,6 +257,7 @@
 {
     bool ready = false;
     bool listed = false;
+    time_point first_listed{};
     while (!m_stopping) {
         if (m_directory.loaded() != listed) {
             listed = !listed;
@@ -254,9 +276,17 @@
         m_process.set_ready(serving && !m_stopping);
         // A low count can mean that some entries are not known yet, hence the minimum.
         const time_point now = clock::now();
-        const std::size_t entries = std::max(m_control->schedulers().entry_count(now), min_entries);
+        const std::size_t known_entries = m_control->schedulers().entry_count(now);
+        const std::size_t entries = std::max(known_entries, min_entries);
         m_budget.set_options(entry_retry_options(m_settings, entries));
         m_scheduler->refresh(now);
+        if (listed && first_listed == time_point{}) {
+            first_listed = now;
+        }
+        if (listed && (known_entries <= 1 || now - first_listed >= crash_records_time)) {
+            m_fleet.set_crashes_known(true);
+        }
+        m_fleet.refresh_crash_records(now);
         co_await net::sleep_for(refresh_interval);
     }
     m_process.set_ready(false);
--- a/src/forward/load_exchange.cpp
+++ b/src/forward/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "forward/load_exchange.h"
 
 #include "base/event_log.h"
+#include "forward/crash_messages.h"
 #include "node/freshness.h"
 
 namespace verbena::forward {
@@ -152,9 +153,63 @@
     }
     found->second.stream = opened.value();
     found->second.stream->send(net::make_frame(std::move(hello)));
+    send_all_crash_records(found->second.stream);
+    net::asio::co_spawn(
+        m_strand,
+        [self = shared_from_this(), stream = found->second.stream] {
+            return self->receive_crash_records(stream);
+        },
+        net::asio::detached);
     event_log::write(event::dependencyT{{}, "entry " + target.address, "regained", ""});
 }
 
+void load_exchange::send_all_crash_records(const std::shared_ptr<net::frame_stream>& stream)
+{
+    const time_point now = clock::now();
+    stream->send(net::make_frame(to_message(m_fleet.crash_records(now), now)));
+}
+
+bool load_exchange::apply_crash_records(const net::received_frame& message)
+{
+    const wire::crash_records* records = message.frame->message_as_crash_records();
+    if (records != nullptr) {
+        const time_point now = clock::now();
+        m_fleet.apply_crash_records(read_crash_records(*records, now), now);
+    }
+    return records != nullptr;
+}
+
+net::task<void> load_exchange::receive_crash_records(std::shared_ptr<net::frame_stream> stream)
+{
+    while (true) {
+        const result<net::received_frame> next = co_await stream->receive();
+        if (!next) {
+            co_return;
+        }
+        apply_crash_records(next.value());
+    }
+}
+
+void load_exchange::send_crash_records(const std::vector<policy::crash_statement>& records)
+{
+    std::set<std::shared_ptr<net::frame_stream>> streams;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [name, other] : m_peers) {
+            if (other.stream) {
+                streams.insert(other.stream);
+            }
+        }
+        for (const auto& [entry, known] : m_reporters) {
+            streams.insert(known.streams.begin(), known.streams.end());
+        }
+    }
+    const wire::frameT frame = net::make_frame(to_message(records, clock::now()));
+    for (const auto& stream : streams) {
+        stream->send(frame);
+    }
+}
+
 std::shared_ptr<net::connection> load_exchange::connection_to(const std::string& address) const
 {
     const std::lock_guard lock(m_mutex);
@@ -319,9 +374,10 @@
         known.failure_domain =
             notes->failure_domain() == nullptr ? std::string() : notes->failure_domain()->str();
         known.schedules = notes->schedules();
-        ++known.streams;
+        known.streams.insert(stream);
     }
     apply(*notes);
+    send_all_crash_records(stream);
     while (true) {
         const result<net::received_frame> next = co_await stream->receive();
         if (!next) {
@@ -330,13 +386,16 @@
         notes = next.value().frame->message_as_load_notes();
         if (notes != nullptr) {
             apply(*notes);
+        } else {
+            apply_crash_records(next.value());
         }
     }
     bool last = false;
     {
         const std::lock_guard lock(m_mutex);
         const auto found = m_reporters.find(entry);
-        last = found != m_reporters.end() && --found->second.streams == 0;
+        last = found != m_reporters.end() && found->second.streams.erase(stream) != 0 &&
+               found->second.streams.empty();
         if (last) {
             m_reporters.erase(found);
         }
--- a/src/forward/load_exchange.h
+++ b/src/forward/load_exchange.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <mutex>
+#include <set>
 
 namespace verbena::forward {
 
@@ -72,6 +73,9 @@
     // Queues a note for sending.
     void add(wire::dispatch_noteT note);
 
+    // Sends what this entry has learned of prompt parts to all entries with which it exchanges notes.
+    void send_crash_records(const std::vector<policy::crash_statement>& records);
+
     // The connection to an entry to which this one has reported its work; null if there is none.
     std::shared_ptr<net::connection> connection_to(const std::string& address) const;
 
@@ -99,11 +103,17 @@
     struct reporter {
         std::string failure_domain;
         bool schedules = false;
-        std::size_t streams = 0;
+        std::set<std::shared_ptr<net::frame_stream>> streams;
     };
 
     net::task<void> connect_loop();
     net::task<void> connect(report_target target, host_port address);
+    // Receives the crash records that an entry sends on the stream on which it gets notes.
+    net::task<void> receive_crash_records(std::shared_ptr<net::frame_stream> stream);
+    // Sent even if there are none: the receiver lets requests wait for it.
+    void send_all_crash_records(const std::shared_ptr<net::frame_stream>& stream);
+    // Returns whether the frame was a message of crash records.
+    bool apply_crash_records(const net::received_frame& message);
     net::task<void> receive_notes(std::shared_ptr<net::frame_stream> stream, net::received_frame first);
     void answer_placement(const std::shared_ptr<net::frame_stream>& stream, net::received_frame message);
     bool is_reporter(incarnation entry) const;
--- a/src/forward/placement_messages.cpp
+++ b/src/forward/placement_messages.cpp
@@ -35,6 +35,7 @@
     message.may_wait_ms = to_u32(wait_limit);
     message.answer_started = request.answer_started;
     message.excluded.assign(request.excluded.begin(), request.excluded.end());
+    message.prompt_parts = request.parts;
     return message;
 }
 
@@ -58,6 +59,9 @@
             request.excluded.insert(name->str());
         }
     }
+    if (message.prompt_parts() != nullptr) {
+        request.parts.assign(message.prompt_parts()->begin(), message.prompt_parts()->end());
+    }
     return request;
 }
 
@@ -68,6 +72,8 @@
         reply.state = wire::placement_state::refused;
         reply.reason = static_cast<std::uint8_t>(found.refusal.why);
         reply.predicted_ms = to_u32(found.refusal.predicted);
+        reply.prompt_part = found.refusal.part;
+        reply.retry_after_ms = to_u32(found.refusal.retry_after);
         return reply;
     }
     reply.state = wire::placement_state::chosen;
@@ -81,9 +87,11 @@
 dispatch_refusal read_refusal(const wire::placement_reply& reply)
 {
     dispatch_refusal refusal;
-    constexpr auto last = static_cast<std::uint8_t>(dispatch_refusal::reason::too_harmful);
+    constexpr auto last = static_cast<std::uint8_t>(dispatch_refusal::reason::crashing_prompt);
     refusal.why = static_cast<dispatch_refusal::reason>(std::min(reply.reason(), last));
     refusal.predicted = milliseconds(reply.predicted_ms());
+    refusal.part = reply.prompt_part();
+    refusal.retry_after = milliseconds(reply.retry_after_ms());
     return refusal;
 }
 
--- a/src/forward/request_ending.cpp
+++ b/src/forward/request_ending.cpp
@@ -1,5 +1,6 @@
 #include "base/event_log.h"
 #include "forward/fleet_detail.h"
+#include "forward/part_names.h"
 #include "forward/request_forwarder.h"
 
 #include <algorithm>
@@ -51,6 +52,10 @@
 // Adds jitter, so that callers refused together return spread over the time in which endpoints become free.
 milliseconds request_forwarder::retry_after_time(const dispatch_refusal& refusal, time_point now)
 {
+    if (refusal.retry_after > milliseconds::zero()) {
+        std::uniform_real_distribution<double> later(1, 1.25);
+        return std::chrono::duration_cast<milliseconds>(refusal.retry_after * later(m_random));
+    }
     const milliseconds over = refusal.predicted - m_request.route->objective;
     const milliseconds base = std::clamp(over, min_retry_after, max_retry_after);
     std::uniform_real_distribution<double> spread(0.75, 1.5);
@@ -61,7 +66,7 @@
 net::task<void> request_forwarder::refuse_dispatch(const dispatch_refusal& refusal)
 {
     if (m_answer.started) {
-        log_refusal(0, to_string(refusal.why), milliseconds::zero(), refusal.predicted);
+        log_refusal(0, to_string(refusal.why), milliseconds::zero(), refusal);
         record_end("broken", 0);
         co_return;
     }
@@ -70,14 +75,14 @@
         co_return;
     }
     if (m_may_have_run) {
-        co_await refuse(502, to_string(refusal.why), milliseconds::zero());
+        co_await refuse(502, to_string(refusal.why), milliseconds::zero(), refusal);
         co_return;
     }
-    co_await refuse(503, to_string(refusal.why), retry_after_time(refusal, clock::now()));
+    co_await refuse(503, to_string(refusal.why), retry_after_time(refusal, clock::now()), refusal);
 }
 
 void request_forwarder::log_refusal(unsigned status, const std::string& reason, milliseconds retry_after,
-                                    milliseconds predicted)
+                                    const dispatch_refusal& refusal)
 {
     const time_point now = clock::now();
     event::refusedT line;
@@ -88,12 +93,15 @@
     line.reason = reason;
     line.retry_after_ms = to_u32(retry_after);
     line.usable = static_cast<std::uint32_t>(m_context.endpoints.usable_count(m_request.service->name, now));
-    line.predicted_ms = to_u32(predicted);
+    line.predicted_ms = to_u32(refusal.predicted);
     line.attempts = m_attempts;
     line.may_have_run = m_may_have_run;
     line.config_version = m_request.config_version;
     line.config_age_ms = to_u32(m_request.config_age);
     line.chosen_by = m_chosen_by;
+    if (refusal.part != 0) {
+        line.prompt_part = part_name(refusal.part);
+    }
     event_log::write(line);
 }
 
@@ -108,17 +116,21 @@
 }
 
 net::task<void> request_forwarder::refuse(unsigned status, const std::string& reason,
-                                          milliseconds retry_after)
+                                          milliseconds retry_after, const dispatch_refusal& refusal)
 {
     if (m_answer.started || m_caller_left) {
         record_end(m_caller_left ? "caller_left" : "broken", 0);
         co_return;
     }
-    log_refusal(status, reason, retry_after, milliseconds::zero());
+    log_refusal(status, reason, retry_after, refusal);
     m_context.counters.add("verbena_forward_refusals_total",
                            {{"team", m_request.team}, {"route", m_request.route->name}, {"reason", reason}});
-    net::http_response response = m_context.protocol.refusal(
-        status, reason, m_may_have_run ? "the request may have run" : "the request has not run", retry_after);
+    std::string message = m_may_have_run ? "the request may have run" : "the request has not run";
+    if (refusal.why == dispatch_refusal::reason::crashing_prompt) {
+        message += "; endpoints crash under the part " + part_name(refusal.part) +
+                   " of its prompt: send it without that part";
+    }
+    net::http_response response = m_context.protocol.refusal(status, reason, message, retry_after);
     (void)co_await m_exchange.reply(std::move(response));
     record_end("refused", status);
 }
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -3,10 +3,9 @@
 #include "base/event_log.h"
 #include "forward/fleet_detail.h"
 #include "forward/inactivity_limits.h"
+#include "forward/part_names.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace verbena::forward {
 
@@ -41,19 +40,6 @@
 // How long an endpoint that seems silent is waited for until its backlog is known.
 constexpr milliseconds backlog_reply_time{80};
 
-// The parts in hexadecimal, separated by spaces.
-std::string part_names(const std::vector<policy::prompt_part>& parts)
-{
-    std::string text;
-    for (const policy::prompt_part part : parts) {
-        std::array<char, 2 * sizeof part> digits{};
-        constexpr int hexadecimal = 16;
-        const auto written = std::to_chars(digits.data(), digits.data() + digits.size(), part, hexadecimal);
-        text.append(text.empty() ? "" : " ").append(digits.data(), written.ptr);
-    }
-    return text;
-}
-
 } // namespace
 
 request_forwarder::request_forwarder(forwarder_context context, net::http_exchange& exchange,
@@ -111,6 +97,9 @@
     // tokens.
     constexpr double output_weight = 10;
     model.value = (model.prompt_tokens + output_weight * model.output_tokens) / 1000 + 1;
+    if (!m_answer.started) {
+        request.parts = m_request.terms.shared_parts;
+    }
     return request;
 }
 
@@ -267,6 +256,10 @@
     line.detail = connected ? "" : connected.error().message;
     line.prompt_parts = part_names(m_request.terms.shared_parts);
     event_log::write(line);
+    if (!connected && connected.error().kind == error_kind::unavailable) {
+        m_context.endpoints.record_crash(m_request.terms.shared_parts, m_request.terms.id, line.endpoint,
+                                         m_attempt_began, clock::now());
+    }
 }
 
 net::task<request_forwarder::attempt_end> request_forwarder::call_endpoint(const dispatch_choice& choice)
@@ -382,6 +375,7 @@
         co_return attempt_end::failed_answer;
     }
     record_attempt(choice, "answered", head.status, "", attempt_health::good);
+    record_begun_answer();
     m_answer.first_event = clock::now();
     m_answer.started = true;
     const unsigned status = response.status;
@@ -483,6 +477,13 @@
     }
 }
 
+void request_forwarder::record_begun_answer()
+{
+    if (!m_request.terms.shared_parts.empty()) {
+        m_context.endpoints.record_answer(m_request.terms.shared_parts, m_request.terms.id, clock::now());
+    }
+}
+
 net::task<bool> request_forwarder::write_event(const stream_event& event, const dispatch_choice& choice,
                                                const answer_metadata& head)
 {
@@ -500,6 +501,7 @@
         }
     }
     if (!m_answer.first_event) {
+        record_begun_answer();
         m_answer.first_event = now;
         m_context.counters.observe("verbena_forward_first_event_seconds",
                                    {{"team", m_request.team}, {"route", m_request.route->name}},
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -86,6 +86,8 @@
     net::task<bool> write_event(const stream_event& event, const dispatch_choice& choice,
                                 const answer_metadata& head);
 
+    // The endpoint has begun to answer, so no part of the prompt has crashed it.
+    void record_begun_answer();
     // Records what the head of an answer says about its endpoint itself.
     void record_endpoint_notice(const std::string& endpoint, const answer_metadata& head);
     // Asks for the backlog of an endpoint that is silent, to extend the time it is waited for.
@@ -95,8 +97,9 @@
     bool may_retry(attempt_end end, time_point now);
     net::task<void> finish(attempt_end end);
     void log_refusal(unsigned status, const std::string& reason, milliseconds retry_after,
-                     milliseconds predicted);
-    net::task<void> refuse(unsigned status, const std::string& reason, milliseconds retry_after);
+                     const dispatch_refusal& refusal);
+    net::task<void> refuse(unsigned status, const std::string& reason, milliseconds retry_after,
+                           const dispatch_refusal& refusal = {});
     net::task<void> refuse_dispatch(const dispatch_refusal& refusal);
     net::task<void> refuse_unconfirmed();
     milliseconds retry_after_time(const dispatch_refusal& refusal, time_point now);
--- a/src/forward/scheduler_client.cpp
+++ b/src/forward/scheduler_client.cpp
@@ -152,6 +152,12 @@
                                                     std::shared_ptr<choice_call> call)
 {
     const time_point begin = clock::now();
+    if (std::optional<dispatch_refusal> refusal = m_fleet.crash_refusal(request.parts, begin)) {
+        dispatch_result refused;
+        refused.refusal = std::move(*refusal);
+        refused.chosen_by = "self";
+        co_return refused;
+    }
     const dispatch_request made = request;
     for (int i = 0; i < max_asks; ++i) {
         const std::string address = scheduler(clock::now());
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -34,6 +34,22 @@
     return success();
 }
 
+void process::on_call(call_handler handler)
+{
+    const std::lock_guard lock(m_call_mutex);
+    m_on_call = std::move(handler);
+}
+
+std::optional<net::http_response> process::call(const net::http_request& request)
+{
+    call_handler handler;
+    {
+        const std::lock_guard lock(m_call_mutex);
+        handler = m_on_call;
+    }
+    return handler ? handler(request) : std::nullopt;
+}
+
 net::task<void> process::handle(net::http_exchange& exchange)
 {
     net::http_response response;
@@ -45,6 +61,8 @@
         response.body = m_ready ? "ready\n" : "not ready\n";
     } else if (exchange.request().target == "/live") {
         response.body = "live\n";
+    } else if (std::optional<net::http_response> answer = call(exchange.request())) {
+        response = std::move(*answer);
     } else {
         response.status = 404;
         response.body = "use /metrics, /ready or /live\n";
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -10,6 +10,8 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -37,6 +39,10 @@
 
     // Runs the worker threads until stop() is called; returns the exit code.
     int run(stop_action on_stop);
+    // Answers further requests at the address of the metrics; empty for a target that it does not know.
+    using call_handler = std::function<std::optional<net::http_response>(const net::http_request&)>;
+    void on_call(call_handler handler);
+
     void on_reload(reload_action action) { m_on_reload = std::move(action); }
     void stop(int exit_code = 0);
 
@@ -44,6 +50,7 @@
 
 private:
     net::task<void> handle(net::http_exchange& exchange) override;
+    std::optional<net::http_response> call(const net::http_request& request);
     net::task<void> wait_for_signals();
     net::task<void> wait_for_reload();
     result<void> open_metrics();
@@ -60,6 +67,10 @@
     std::atomic<int> m_exit_code{0};
     stop_action m_on_stop;
     reload_action m_on_reload;
+
+    // Guards the member below; held alone.
+    std::mutex m_call_mutex;
+    call_handler m_on_call;
 };
 
 } // namespace verbena::node
--- a/test/platform_crash_test.cpp
+++ b/test/platform_crash_test.cpp
@@ -53,6 +53,20 @@
         sent.push_back({clock::now(), bad, system.request_later(call, entry)});
     }
 
+    // Sends requests with the crashing part, and sound ones, until an entry refuses them.
+    void await_block()
+    {
+        platform_deployment::call call;
+        call.prompt_parts = "aaaa:40," + crashing_part + ":100,1:860";
+        call.deadline = 1s;
+        platform_deployment::call sound;
+        sound.prompt_parts = "aaaa:40,2:960";
+        BOOST_TEST_REQUIRE(eventually([&] {
+            system.request(sound, 0);
+            return system.request(call, 0).status == 503;
+        }));
+    }
+
     void send_for(std::chrono::milliseconds time, bool with_bad)
     {
         const time_point end = clock::now() + time;
@@ -127,4 +141,43 @@
     BOOST_TEST(refused_in_time + tolerated_requests >= bad);
 }
 
+// Guards against an entry that starts later and learns of the part by crashes of its own.
+BOOST_FIXTURE_TEST_CASE(an_entry_that_starts_later_knows_the_part, crash_fixture)
+{
+    await_block();
+    const std::size_t late = system.add_entry({}, "domain-b");
+    BOOST_TEST_REQUIRE(eventually([&] { return system.request({}, late).status == 200; }));
+    const std::size_t before = crashes().size();
+    for (int i = 0; i < 10; ++i) {
+        send(true, late);
+        send(false, late);
+    }
+    for (sent_request& request : sent) {
+        const platform_deployment::answer answer = request.answer.get();
+        BOOST_TEST(answer.status == (request.bad ? 503U : 200U));
+        if (request.bad) {
+            BOOST_TEST(std::stod(answer.headers.at("Retry-After")) > 10);
+            BOOST_TEST(answer.body.find(crashing_part) != std::string::npos);
+        }
+    }
+    BOOST_TEST(crashes().size() == before);
+}
+
+// Guards against blocking a part because single connections break while their endpoints live.
+BOOST_FIXTURE_TEST_CASE(broken_connections_alone_block_no_part, crash_fixture)
+{
+    platform_deployment::call call;
+    call.prompt_parts = "bbbb:40,cccc:10,1:860";
+    for (int i = 0; i < 10; ++i) {
+        for (const std::string& id : runners) {
+            system.runner(id).set_faults({standin::runner_fault::reset, standin::runner_fault::reset});
+        }
+        BOOST_TEST(system.request(call, 0).status == 502U);
+    }
+    for (const std::string& id : runners) {
+        system.runner(id).set_faults({});
+    }
+    BOOST_TEST(system.request(call, 0).status == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
