Take unframed answers of crashed endpoints for broken off

What callers saw: an answer with neither a length nor chunks was delivered as complete, with status 200, when its endpoint crashed in the middle. The system closes the connections of a process that ends as if it had finished: the incident's log shows crashes as 'end of stream', not as resets.

Change: at the end of such an answer the entry connects to the endpoint once more. If its address refuses connections, the answer has been broken off: a stream is resumed, a plain answer is tried again or becomes 502. An unframed stream that ends before its first event is broken off as well. Answers with a length or chunks cost nothing more.

--- a/src/forward/endpoint_call.h
+++ b/src/forward/endpoint_call.h
@@ -35,6 +35,9 @@
     using deadline_extension = std::function<time_point()>;
     net::task<result<std::string>> read_some(time_point deadline, deadline_extension extend = nullptr);
 
+    // Whether the answer has neither a length nor chunks, so that only the end of the connection ends it.
+    bool ends_with_connection() const { return m_parser.need_eof(); }
+
     // Closes the connection; pending operations fail.
     void close();
 
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -241,13 +241,28 @@
     co_return m_caller_left ? attempt_end::caller_left : end;
 }
 
-net::task<void> request_forwarder::examine_lost_answer(const dispatch_choice& choice)
+net::task<result<void>> request_forwarder::connect_again(const dispatch_choice& choice)
 {
     m_call = std::make_shared<endpoint_call>(m_executor);
     const result<void> connected =
         co_await m_call->connect(choice.endpoints.front().address, connect_timeout);
     m_call->close();
     m_call = nullptr;
+    co_return connected;
+}
+
+net::task<bool> request_forwarder::has_broken_off(const dispatch_choice& choice)
+{
+    if (!m_call->ends_with_connection()) {
+        co_return false;
+    }
+    const result<void> connected = co_await connect_again(choice);
+    co_return !connected && connected.error().kind == error_kind::unavailable;
+}
+
+net::task<void> request_forwarder::examine_lost_answer(const dispatch_choice& choice)
+{
+    const result<void> connected = co_await connect_again(choice);
     event::answer_lostT line;
     line.request = m_request.terms.id;
     line.attempt = m_attempts;
@@ -369,6 +384,12 @@
             co_return attempt_end::may_have_run;
         }
     }
+    if (co_await has_broken_off(choice)) {
+        m_connection_lost = true;
+        record_attempt(choice, "broken", head.status, "the endpoint ended before the end of the answer",
+                       attempt_health::failed);
+        co_return attempt_end::may_have_run;
+    }
     if (head.status >= 500) {
         record_attempt(choice, "refused_by_endpoint", head.status, "", attempt_health::failed);
         m_failed_answer = std::move(response);
@@ -444,6 +465,15 @@
             co_return attempt_end::may_have_run;
         }
     }
+    const bool empty = m_call->ends_with_connection() && !m_answer.started;
+    if (empty || co_await has_broken_off(choice)) {
+        m_connection_lost = true;
+        record_attempt(choice, "broken", head.status,
+                       empty ? "connection closed before the first event"
+                             : "the endpoint ended before the end of the answer",
+                       attempt_health::failed);
+        co_return attempt_end::may_have_run;
+    }
     if (!m_answer.started) {
         m_answer.started = true;
         (void)co_await m_exchange.start_stream(head.status, head.content_type, head.headers);
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -75,6 +75,11 @@
     // Selects endpoints; waits for them if they are not free yet.
     net::task<dispatch_result> choose_endpoints();
     net::task<attempt_end> run_attempt(dispatch_choice choice);
+    // Whether an answer that ended with its connection is incomplete. An endpoint that crashes ends its
+    // connections in the same way as one that has finished.
+    net::task<bool> has_broken_off(const dispatch_choice& choice);
+    // The error is `unavailable` if the endpoint's address refuses connections.
+    net::task<result<void>> connect_again(const dispatch_choice& choice);
     // Finds out whether an endpoint that has ended the connection before it began to answer has ended itself.
     net::task<void> examine_lost_answer(const dispatch_choice& choice);
     net::task<attempt_end> call_endpoint(const dispatch_choice& choice);
--- a/test/platform_system_test.cpp
+++ b/test/platform_system_test.cpp
@@ -345,6 +345,26 @@
     }
 }
 
+// Guards against a part of an unframed answer that is delivered as the whole when its endpoint crashes: the
+// connection then ends like that of a complete answer.
+BOOST_FIXTURE_TEST_CASE(resumes_unframed_answers_of_a_crashed_endpoint, system_fixture)
+{
+    platform_deployment::call check;
+    check.path = "/safe/1";
+    system.runner("model-a").set_faults({runner_fault::unframed_crash});
+    system.runner("desk-a").set_faults({runner_fault::unframed_crash});
+    for (int i = 0; i < 4; ++i) {
+        const auto stream = system.request({});
+        BOOST_TEST(stream.status == 200U);
+        BOOST_TEST(count(stream.body, "id: ") == 4U, stream.body);
+        const auto plain = system.request(check);
+        BOOST_TEST(plain.status == 200U);
+        BOOST_TEST(plain.body == "ok prompt");
+    }
+    BOOST_TEST(system.runner("model-a").crashes().size() == 1U);
+    BOOST_TEST(system.runner("desk-a").crashes().size() == 1U);
+}
+
 // Guards against dispatching to a failure domain that operators have evacuated, and checks that it is used
 // again afterwards.
 BOOST_FIXTURE_TEST_CASE(obeys_evacuations, system_fixture)
