--- a/test/platform_soak_test.cpp
+++ b/test/platform_soak_test.cpp
@@ -55,13 +55,14 @@
             call.path = paths[i % paths.size()];
             call.body = "soak" + std::to_string(m_next_body++);
             call.deadline = 4s;
+            call.prompt_parts = "aaaa:40," + std::to_string(m_next_body) + ":960";
             m_sent.push_back({call.path, call.body, m_system.request_later(call, random_below(2))});
         }
     }
 
     void inject_fault()
     {
-        switch (random_below(7)) {
+        switch (random_below(8)) {
         case 0:
             return plan_faults();
         case 1:
@@ -75,6 +76,8 @@
             return drain_and_restore();
         case 5:
             return evacuate_and_restore();
+        case 6:
+            return crash_under_a_prompt_part();
         default:
             plan_faults();
             return publish();
@@ -94,6 +97,23 @@
         send_requests();
     }
 
+    // All model endpoints crash under a part that some requests have, and come back as new processes.
+    void crash_under_a_prompt_part()
+    {
+        const std::string part = "bad" + std::to_string(m_next_body);
+        for (const char* id : {"model-a", "model-b"}) {
+            m_system.runner(id).set_crash({part, m_system.control_address(random_below(3)), 200ms});
+        }
+        for (int i = 0; i < 3; ++i) {
+            platform_deployment::call call;
+            call.body = "soak" + std::to_string(m_next_body++);
+            call.deadline = 4s;
+            call.prompt_parts = "aaaa:40," + part + ":10," + std::to_string(m_next_body) + ":950";
+            m_sent.push_back({call.path, call.body, m_system.request_later(call, random_below(2))});
+            send_requests();
+        }
+    }
+
     // An acknowledged version must persist; without an acknowledgement it may or may not be in force.
     void publish()
     {
