--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -169,11 +169,13 @@
 }
 
 // Endpoints in backoff are returned only when there are no others, so that an outage of many endpoints does
-// not leave a service without any. The same holds for endpoints of failure domains whose load is not known.
+// not leave a service without any. The same holds for endpoints of failure domains whose load is not known,
+// and for those that may crash under the trial of a suspect prompt part.
 std::vector<fleet::endpoint_state*> fleet::eligible_endpoints(const dispatch_request& request, time_point now)
 {
     std::vector<endpoint_state*> reachable;
     std::vector<endpoint_state*> unknown_load;
+    std::vector<endpoint_state*> on_trial;
     std::vector<endpoint_state*> backing_off;
     for (auto& [name, state] : m_endpoints) {
         if (state.info.service != request.service->name || request.excluded.contains(name) ||
@@ -184,14 +186,18 @@
         const std::string& domain = state.info.failure_domain;
         if (now < state.backoff_until) {
             backing_off.push_back(&state);
+        } else if (state.trials != 0) {
+            on_trial.push_back(&state);
         } else if (m_unknown_domains.contains(domain)) {
             unknown_load.push_back(&state);
         } else {
             reachable.push_back(&state);
         }
     }
-    std::vector<endpoint_state*>& found =
-        !reachable.empty() ? reachable : (!unknown_load.empty() ? unknown_load : backing_off);
+    std::vector<endpoint_state*>& found = !reachable.empty()      ? reachable
+                                          : !unknown_load.empty() ? unknown_load
+                                          : !on_trial.empty()     ? on_trial
+                                                                  : backing_off;
     // Many entries that choose alone at the same time must not all choose the same endpoint.
     if (!found.empty()) {
         const auto first = static_cast<std::ptrdiff_t>(m_random() % found.size());
@@ -250,8 +256,8 @@
             dispatch_record& record = m_dispatches[key];
             notes = notes_to_publish(key, record);
             if (trial) {
-                record.trial_parts = request.parts;
-                trials = m_suspects.begin_trial(request.parts, now);
+                begin_trial(*outcome.choice, request, record, now);
+                trials.swap(m_changed_trials);
             }
         }
     }
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -203,6 +203,7 @@
         time_point retry_after;                   // the endpoint wants no requests of this entry until then
         bool announced_leaving = false;           // in an answer
         bool misdirected = false;                 // another endpoint answered at the address
+        std::uint32_t trials = 0;                 // running requests with suspect prompt parts
         bool superseded = false;                  // an endpoint that started later has announced the address
         std::deque<time_point> recent_dispatches; // by all entries
     };
@@ -223,6 +224,8 @@
 
     using note_list = std::vector<wire::dispatch_noteT>;
 
+    void begin_trial(const dispatch_choice& choice, const dispatch_request& request, dispatch_record& record,
+                     time_point now);
     std::vector<endpoint_state*> trial_endpoints(const dispatch_request& request, time_point now);
     dispatch_result choose(const dispatch_request& request, const std::vector<endpoint_state*>& found,
                            time_point now);
@@ -272,8 +275,8 @@
     std::map<policy::work_key, dispatch_record> m_dispatches;
     std::map<policy::work_key, waiting_request> m_waiting;
     policy::crash_suspects m_suspects;
-    std::vector<policy::crash_statement> m_ended_trials; // to be published when the lock is released
-    std::map<std::string, route::engine_rule> m_engines; // by service, from the latest dispatch
+    std::vector<policy::crash_statement> m_changed_trials; // to be published when the lock is released
+    std::map<std::string, route::engine_rule> m_engines;   // by service, from the latest dispatch
     std::set<std::string> m_unknown_domains;
     std::set<std::string> m_domains_out;
     time_point m_complete_at{};
--- a/src/forward/fleet_crashes.cpp
+++ b/src/forward/fleet_crashes.cpp
@@ -16,13 +16,27 @@
 
 } // namespace
 
+void fleet::begin_trial(const dispatch_choice& choice, const dispatch_request& request,
+                        dispatch_record& record, time_point now)
+{
+    record.trial_parts = request.parts;
+    ++m_endpoints.at(choice.endpoints.front().name).trials;
+    for (const policy::crash_statement& changed : m_suspects.begin_trial(request.parts, now)) {
+        m_changed_trials.push_back(changed);
+    }
+}
+
 void fleet::end_trial(dispatch_record& record, time_point now)
 {
     if (record.trial_parts.empty()) {
         return;
     }
+    const auto found = m_endpoints.find(record.notes.front().endpoint);
+    if (found != m_endpoints.end() && found->second.trials != 0) {
+        --found->second.trials;
+    }
     for (const policy::crash_statement& changed : m_suspects.end_trial(record.trial_parts, now)) {
-        m_ended_trials.push_back(changed);
+        m_changed_trials.push_back(changed);
     }
     record.trial_parts.clear();
 }
--- a/src/forward/fleet_notes.cpp
+++ b/src/forward/fleet_notes.cpp
@@ -232,7 +232,7 @@
         }
         advance_phase(key, note, now);
         note.number = number;
-        trials.swap(m_ended_trials);
+        trials.swap(m_changed_trials);
     }
     m_on_note(std::move(note));
     publish_crashes(trials, "trial");
@@ -310,7 +310,7 @@
                 published.push_back(to_published(key, *note));
             }
         }
-        trials.swap(m_ended_trials);
+        trials.swap(m_changed_trials);
     }
     publish(published);
     publish_crashes(trials, "trial");
@@ -354,7 +354,7 @@
     {
         const std::lock_guard lock(m_mutex);
         ended = remove_reporter(entry, now);
-        trials.swap(m_ended_trials);
+        trials.swap(m_changed_trials);
     }
     publish(ended);
     publish_crashes(trials, "trial");
--- a/test/forward_fleet_test.cpp
+++ b/test/forward_fleet_test.cpp
@@ -576,6 +576,29 @@
     BOOST_TEST(dispatch(fleet).choice.has_value());
 }
 
+// Guards against a sound part that is blocked because its trials run beside those of the crashing part, and
+// against other requests that are lost with the endpoint of a trial.
+BOOST_FIXTURE_TEST_CASE(keeps_other_requests_away_from_trials, crash_fixture)
+{
+    fleet.record_crash({0xbad}, "r1", "e1", now - 100ms, now);
+    fleet.record_crash({0xc}, "r2", "e1", now - 100ms, now);
+    parts = {0xbad};
+    const auto first = dispatch(fleet);
+    parts = {0xc};
+    const auto second = dispatch(fleet);
+    BOOST_TEST_REQUIRE(first.choice.has_value());
+    BOOST_TEST_REQUIRE(second.choice.has_value());
+    const std::string trial_endpoint = first.choice->endpoints.front().name;
+    BOOST_TEST(second.choice->endpoints.front().name != trial_endpoint);
+    fleet.record_end(second.choice->number, now);
+    for (int i = 0; i < 6; ++i) {
+        BOOST_TEST(choose() != trial_endpoint);
+    }
+    fleet.record_end(first.choice->number, now);
+    BOOST_TEST(choose({"e1"}) == "e2");
+    BOOST_TEST(choose({"e2"}) == "e1");
+}
+
 // Guards against an entry that has just started and sends a request with a part that others know to crash
 // endpoints.
 BOOST_FIXTURE_TEST_CASE(waits_for_the_crash_records_of_other_entries, crash_fixture)
