Merge crash records by counts, so that entries come to rest

Cause: of a crash and an answer the later one held, by times that were converted from clock to clock as ages. Each message adds its delivery time to them, so that a crash at one entry and an answer at another, within a delivery time, overtook each other for ever.

Change: a record has a generation, which an answer raises, and counts, which only grow within it; merging takes the higher of each. No time decides. Ruled out: more precise ages (the drift stays) and a minimum difference (two entries would keep different records).

--- a/src/forward/crash_calls.cpp
+++ b/src/forward/crash_calls.cpp
@@ -28,8 +28,7 @@
             items.push_back({{"part", part_name(statement.part)},
                              {"state", policy::to_string(policy::state_of(record))},
                              {"crashes", record.crashes},
-                             {"trials", record.trials},
-                             {"last_crash_age_ms", age_ms(record.last_crash, now)},
+                             {"trials", record.blocked_trials},
                              {"last_request_age_ms", age_ms(record.last_request, now)}});
         }
     }
--- a/src/forward/crash_messages.cpp
+++ b/src/forward/crash_messages.cpp
@@ -7,21 +7,11 @@
 
 namespace {
 
-// The age of something that has never happened.
-constexpr std::uint32_t never = std::numeric_limits<std::uint32_t>::max();
-
 std::uint32_t to_age(time_point time, time_point now)
 {
-    if (time == time_point{}) {
-        return never;
-    }
+    constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
     const std::int64_t age = std::chrono::duration_cast<milliseconds>(now - time).count();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, never - 1));
-}
-
-time_point from_age(std::uint32_t age, time_point now)
-{
-    return age == never ? time_point{} : now - milliseconds(age);
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, longest));
 }
 
 } // namespace
@@ -33,14 +23,13 @@
         auto item = std::make_unique<wire::crash_recordT>();
         const policy::crash_record& record = statement.record;
         item->part = statement.part;
+        item->generation = record.generation;
         item->crashes = record.crashes;
         item->leads = record.leads;
-        item->trials = record.trials;
-        item->crash_age_ms = to_age(record.last_crash, now);
-        item->answer_age_ms = to_age(record.last_answer, now);
+        item->blocked_trials = record.blocked_trials;
+        item->trials_begun = record.trials_begun;
+        item->trials_ended = record.trials_ended;
         item->request_age_ms = to_age(record.last_request, now);
-        item->trial_start_age_ms = to_age(record.trial_started, now);
-        item->trial_end_age_ms = to_age(record.trial_ended, now);
         message.records.push_back(std::move(item));
     }
     return message;
@@ -54,14 +43,13 @@
     }
     for (const wire::crash_record* item : *message.records()) {
         policy::crash_record record;
+        record.generation = item->generation();
         record.crashes = item->crashes();
         record.leads = item->leads();
-        record.trials = item->trials();
-        record.last_crash = from_age(item->crash_age_ms(), now);
-        record.last_answer = from_age(item->answer_age_ms(), now);
-        record.last_request = from_age(item->request_age_ms(), now);
-        record.trial_started = from_age(item->trial_start_age_ms(), now);
-        record.trial_ended = from_age(item->trial_end_age_ms(), now);
+        record.blocked_trials = item->blocked_trials();
+        record.trials_begun = item->trials_begun();
+        record.trials_ended = item->trials_ended();
+        record.last_request = now - milliseconds(item->request_age_ms());
         statements.push_back({item->part(), record});
     }
     return statements;
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -262,7 +262,7 @@
     // Logs changes of prompt parts and passes them to the listener; called without the lock.
     void publish_crashes(const std::vector<policy::crash_statement>& changed, const char* cause,
                          const std::string& request = {}, const std::string& endpoint = {});
-    void end_trial(dispatch_record& record, time_point now);
+    void end_trial(dispatch_record& record);
 
     const incarnation m_self;
     const std::string m_own_domain;
--- a/src/forward/fleet_crashes.cpp
+++ b/src/forward/fleet_crashes.cpp
@@ -8,7 +8,7 @@
 
 std::string state_name(const policy::crash_record& record)
 {
-    if (record.trial_started > record.trial_ended) {
+    if (record.trials_begun > record.trials_ended) {
         return "trial";
     }
     return policy::to_string(policy::state_of(record));
@@ -26,7 +26,7 @@
     }
 }
 
-void fleet::end_trial(dispatch_record& record, time_point now)
+void fleet::end_trial(dispatch_record& record)
 {
     if (record.trial_parts.empty()) {
         return;
@@ -35,7 +35,7 @@
     if (found != m_endpoints.end() && found->second.trials != 0) {
         --found->second.trials;
     }
-    for (const policy::crash_statement& changed : m_suspects.end_trial(record.trial_parts, now)) {
+    for (const policy::crash_statement& changed : m_suspects.end_trial(record.trial_parts)) {
         m_changed_trials.push_back(changed);
     }
     record.trial_parts.clear();
@@ -144,7 +144,7 @@
         line.part = part_name(statement.part);
         line.state = state_name(statement.record);
         line.crashes = statement.record.crashes;
-        line.trials = statement.record.trials;
+        line.trials = statement.record.blocked_trials;
         line.cause = cause;
         line.request = request;
         line.endpoint = endpoint;
--- a/src/forward/fleet_notes.cpp
+++ b/src/forward/fleet_notes.cpp
@@ -179,7 +179,7 @@
     }
     dispatch_record& record = found->second;
     record.phase = note.phase;
-    end_trial(record, now);
+    end_trial(record);
     if (note.phase == phase_ended) {
         apply_report(record, note, now);
     }
--- a/src/policy/crash_suspects.cpp
+++ b/src/policy/crash_suspects.cpp
@@ -12,7 +12,7 @@
 // A record is dropped when no request with the part has come for this long.
 constexpr milliseconds idle_time{600'000};
 
-// A record of which only crashes before the last answer are known is kept for messages in transit.
+// A record of a part that has been cleared is kept, so that an older record in transit does not revive it.
 constexpr milliseconds cleared_time{10'000};
 
 // `last_request` is sent again at this interval, so that all processes keep the record.
@@ -64,21 +64,22 @@
     return blocked ? crash_state::blocked : crash_state::suspect;
 }
 
-bool crash_suspects::in_trial(const crash_record& record, time_point now)
+bool crash_suspects::in_trial(const entry& known, time_point now)
 {
-    return record.trial_started > record.trial_ended && now - record.trial_started < trial_timeout;
+    return known.record.trials_begun > known.record.trials_ended && now - known.trial_learned < trial_timeout;
 }
 
-milliseconds crash_suspects::until_trial(prompt_part part, const crash_record& record, time_point now) const
+milliseconds crash_suspects::until_trial(prompt_part part, const entry& known, time_point now) const
 {
-    if (record.trials >= max_trials) {
+    const crash_record& record = known.record;
+    if (record.blocked_trials >= max_trials) {
         return std::max(between(now, record.last_request + idle_time), milliseconds(1));
     }
-    const time_point last = std::max(record.last_crash, record.trial_started);
-    std::seed_seq seeds{m_process, m_process >> 32U, part, std::uint64_t{record.trials}};
+    const time_point last = std::max(known.learned, known.trial_learned);
+    std::seed_seq seeds{m_process, m_process >> 32U, part, std::uint64_t{record.blocked_trials}};
     std::minstd_rand random(seeds);
     std::uniform_int_distribution<std::int64_t> spread(0, trial_spread.count());
-    const milliseconds delay = trial_delays.at(record.trials) + milliseconds(spread(random));
+    const milliseconds delay = trial_delays.at(record.blocked_trials) + milliseconds(spread(random));
     return std::max(between(now, last + delay), milliseconds::zero());
 }
 
@@ -149,10 +150,10 @@
         if (!is_gated(part, record)) {
             continue;
         }
-        note(in_trial(record, now) ? crash_verdict::action::wait : crash_verdict::action::trial, part,
+        note(in_trial(found->second, now) ? crash_verdict::action::wait : crash_verdict::action::trial, part,
              record);
         if (record.crashes >= crashes_to_block) {
-            const milliseconds wait = until_trial(part, record, now);
+            const milliseconds wait = until_trial(part, found->second, now);
             verdict.retry_after = std::max(verdict.retry_after, wait);
             trial_due = trial_due && wait == milliseconds::zero();
         }
@@ -177,21 +178,22 @@
             continue;
         }
         crash_record& record = found->second.record;
-        record.trial_started = now;
-        record.trials += blocked && record.crashes >= crashes_to_block ? 1 : 0;
+        ++record.trials_begun;
+        found->second.trial_learned = now;
+        record.blocked_trials += blocked && record.crashes >= crashes_to_block ? 1 : 0;
         changed.push_back({part, record});
     }
     return changed;
 }
 
-std::vector<crash_statement> crash_suspects::end_trial(const std::vector<prompt_part>& parts, time_point now)
+std::vector<crash_statement> crash_suspects::end_trial(const std::vector<prompt_part>& parts)
 {
     std::vector<crash_statement> changed;
     for (const prompt_part part : parts) {
         const auto found = m_entries.find(part);
         if (found != m_entries.end() &&
-            found->second.record.trial_started > found->second.record.trial_ended) {
-            found->second.record.trial_ended = now;
+            found->second.record.trials_begun > found->second.record.trials_ended) {
+            found->second.record.trials_ended = found->second.record.trials_begun;
             changed.push_back({part, found->second.record});
         }
     }
@@ -207,7 +209,6 @@
         const bool repeated = std::find(counted.begin(), counted.end(), part) != counted.end();
         if (!repeated && (known.record.crashes == 0 || sent >= known.learned)) {
             ++known.record.crashes;
-            known.record.last_crash = now;
             known.record.last_request = now;
             known.learned = now;
             counted.push_back(part);
@@ -245,11 +246,12 @@
         return std::nullopt;
     }
     crash_record& record = found->second.record;
+    ++record.generation;
     record.crashes = 0;
     record.leads = false;
-    record.trials = 0;
-    record.trial_ended = now;
-    record.last_answer = now;
+    record.blocked_trials = 0;
+    record.trials_ended = record.trials_begun;
+    found->second.cleared = now;
     return crash_statement{part, record};
 }
 
@@ -262,7 +264,14 @@
     entry& known = find_or_add(received.part, now);
     const crash_record previous = known.record;
     crash_record& record = known.record;
-    if (other.crashes > 0 && other.last_crash > record.last_answer) {
+    if (other.generation > record.generation) {
+        record.generation = other.generation;
+        record.crashes = 0;
+        record.leads = false;
+        record.blocked_trials = 0;
+        known.cleared = now;
+    }
+    if (other.generation == record.generation) {
         if (other.crashes > record.crashes) {
             record.crashes = other.crashes;
             record.leads = other.leads;
@@ -270,18 +279,18 @@
         } else if (other.crashes == record.crashes) {
             record.leads = record.leads || other.leads;
         }
-        record.trials = std::max(record.trials, other.trials);
-        record.last_crash = std::max(record.last_crash, other.last_crash);
+        record.blocked_trials = std::max(record.blocked_trials, other.blocked_trials);
     }
-    if (record.crashes > 0 && other.last_answer > record.last_crash) {
-        release(received.part, other.last_answer);
+    if (other.trials_begun > record.trials_begun) {
+        record.trials_begun = other.trials_begun;
+        known.trial_learned = now;
     }
-    record.trial_started = std::max(record.trial_started, other.trial_started);
-    record.trial_ended = std::max(record.trial_ended, other.trial_ended);
+    record.trials_ended = std::max(record.trials_ended, other.trials_ended);
     record.last_request = std::max(record.last_request, other.last_request);
-    // Times are converted between the clocks of two processes, so a small difference is no news.
-    const bool same = record.crashes == previous.crashes && record.leads == previous.leads &&
-                      record.trials == previous.trials && in_trial(record, now) == in_trial(previous, now) &&
+    const bool same = record.generation == previous.generation && record.crashes == previous.crashes &&
+                      record.leads == previous.leads && record.blocked_trials == previous.blocked_trials &&
+                      record.trials_begun == previous.trials_begun &&
+                      record.trials_ended == previous.trials_ended &&
                       record.last_request - previous.last_request < refresh_time / 2;
     if (same) {
         return std::nullopt;
@@ -346,9 +355,9 @@
 void crash_suspects::expire(time_point now)
 {
     std::erase_if(m_entries, [now](const auto& item) {
-        const crash_record& record = item.second.record;
-        return record.crashes == 0 ? now - record.last_answer > cleared_time
-                                   : now - record.last_request > idle_time;
+        const entry& known = item.second;
+        return known.record.crashes == 0 ? now - known.cleared > cleared_time
+                                         : now - known.record.last_request > idle_time;
     });
 }
 
--- a/src/policy/crash_suspects.h
+++ b/src/policy/crash_suspects.h
@@ -10,21 +10,19 @@
 
 namespace verbena::policy {
 
-// What a process knows of a prompt part under which endpoints have crashed. The times are on the local clock;
-// a default time means never.
+// What a process knows of a prompt part under which endpoints have crashed. Two records of one part are
+// merged by their counts only: times drift with each message, so that two processes could correct each other
+// without end.
 struct crash_record {
-    // Crashes one after another since the last answer to a request with the part. Crashes of requests that
-    // were sent before the previous one was known count once.
+    std::uint32_t generation = 0; // grows with each answer that clears the part; of two, the later one holds
+    // Crashes one after another in this generation. Crashes of requests that were sent before the previous
+    // one was known count once.
     std::uint32_t crashes = 0;
-    bool leads = false;       // after the last crash no other part of its request had as many crashes
-    std::uint32_t trials = 0; // requests sent since the part is blocked
-    time_point last_crash{};
-    time_point last_answer{};
-    time_point last_request{};
-    time_point trial_started{};
-    time_point trial_ended{};
-
-    bool operator==(const crash_record&) const = default;
+    bool leads = false;               // after the last crash no other part of its request had as many crashes
+    std::uint32_t blocked_trials = 0; // requests sent since the part is blocked
+    std::uint32_t trials_begun = 0;   // in all generations, like `trials_ended`
+    std::uint32_t trials_ended = 0;
+    time_point last_request{}; // on the local clock
 };
 
 // A record with the part that it describes.
@@ -76,7 +74,7 @@
     // A request with the verdict `trial` has been sent, and its trial has ended. The records that have
     // changed are returned, here and below.
     std::vector<crash_statement> begin_trial(const std::vector<prompt_part>& parts, time_point now);
-    std::vector<crash_statement> end_trial(const std::vector<prompt_part>& parts, time_point now);
+    std::vector<crash_statement> end_trial(const std::vector<prompt_part>& parts);
 
     // An endpoint has crashed before it began to answer a request with these parts, sent to it at `sent`.
     std::vector<crash_statement> on_crash(const std::vector<prompt_part>& parts, time_point sent,
@@ -102,13 +100,15 @@
 private:
     struct entry {
         crash_record record;
-        time_point learned{};   // when the last crash became known here
+        time_point learned{};       // when the last crash became known here
+        time_point trial_learned{}; // when the last trial became known here
+        time_point cleared{};
         time_point refreshed{}; // when `last_request` was last sent
     };
 
     bool is_blocked(const std::vector<prompt_part>& parts) const;
-    static bool in_trial(const crash_record& record, time_point now);
-    milliseconds until_trial(prompt_part part, const crash_record& record, time_point now) const;
+    static bool in_trial(const entry& known, time_point now);
+    milliseconds until_trial(prompt_part part, const entry& known, time_point now) const;
     bool is_gated(prompt_part part, const crash_record& record) const;
     bool is_established(prompt_part part) const;
     void count_answer(prompt_part part);
--- a/test/forward_fleet_test.cpp
+++ b/test/forward_fleet_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <deque>
 #include <map>
 #include <tuple>
 
@@ -635,6 +636,60 @@
     BOOST_TEST(!other.crash_refusal(parts, now).has_value());
 }
 
+// Guards against two entries that tell each other of a crash and an answer at the same time without end.
+BOOST_FIXTURE_TEST_CASE(entries_that_disagree_on_a_part_come_to_rest, crash_fixture)
+{
+    struct message {
+        time_point at;
+        forward::fleet* to = nullptr;
+        wire::crash_recordsT content;
+    };
+    constexpr milliseconds delivery{2};
+    std::deque<message> messages;
+    forward::fleet other{8, "b", 1.0, [](const wire::dispatch_noteT&) {}};
+    const auto connect = [&](forward::fleet& from, forward::fleet& to) {
+        from.set_crash_listener([&](const std::vector<policy::crash_statement>& changed) {
+            messages.push_back({now + delivery, &to, forward::to_message(changed, now)});
+        });
+    };
+    connect(fleet, other);
+    connect(other, fleet);
+    std::size_t delivered = 0;
+    const auto deliver = [&] {
+        while (!messages.empty() && delivered < 200) {
+            const message next = std::move(messages.front());
+            messages.pop_front();
+            now = std::max(now, next.at);
+            flatbuffers::FlatBufferBuilder builder;
+            builder.Finish(wire::crash_records::Pack(builder, &next.content));
+            const auto* received = flatbuffers::GetRoot<wire::crash_records>(builder.GetBufferPointer());
+            next.to->apply_crash_records(forward::read_crash_records(*received, now), now);
+            ++delivered;
+        }
+    };
+    fleet.record_crash(parts, "r1", "e1", now - 100ms, now);
+    deliver();
+    now += 100ms;
+    fleet.record_crash(parts, "r2", "e1", now - 50ms, now);
+    now += 1ms;
+    other.record_answer(parts, "r3", now);
+    const auto trial = dispatch(fleet);
+    if (trial.choice) {
+        fleet.record_end(trial.choice->number, now);
+    }
+    deliver();
+    BOOST_TEST(messages.empty());
+    BOOST_TEST(delivered < 20U);
+    // Both have come to the same conclusion.
+    for (int i = 0; i < 3; ++i) {
+        now += 100ms;
+        other.record_crash(parts, "r4", "e1", now - 50ms, now);
+        deliver();
+    }
+    BOOST_TEST(other.crash_refusal(parts, now).has_value());
+    BOOST_TEST(fleet.crash_refusal(parts, now).has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(operators_list_and_release_prompt_parts, crash_fixture)
 {
     crash_three_times();
--- a/test/policy_crash_suspects_test.cpp
+++ b/test/policy_crash_suspects_test.cpp
@@ -32,7 +32,7 @@
         suspects.begin_trial(parts, now);
         now += 100ms;
         suspects.on_crash(parts, sent, now);
-        suspects.end_trial(parts, now);
+        suspects.end_trial(parts);
         ++crashes;
         now += 10ms;
     }
@@ -269,7 +269,7 @@
     void end_trial(const running_request& request)
     {
         if (request.trial) {
-            tell(request.entry, m_entries[request.entry].end_trial(request.parts, m_now));
+            tell(request.entry, m_entries[request.entry].end_trial(request.parts));
         }
     }
 
@@ -361,7 +361,7 @@
     BOOST_TEST((suspects.check({bad}, now).what == action::trial));
     BOOST_TEST(suspects.begin_trial({bad}, now).size() == 1U);
     BOOST_TEST((suspects.check({bad}, now + 100ms).what == action::wait));
-    suspects.end_trial({bad}, now + 150ms);
+    suspects.end_trial({bad});
     BOOST_TEST((suspects.check({bad}, now + 200ms).what == action::trial));
 }
 
@@ -393,7 +393,7 @@
         if (suspects.check({bad}, now).what != action::refuse) {
             suspects.begin_trial({bad}, now);
             suspects.on_crash({bad}, now, now + 100ms);
-            suspects.end_trial({bad}, now + 100ms);
+            suspects.end_trial({bad});
             ++tried;
         }
         suspects.due_for_refresh(now);
