Ask no endpoint whether it lives when the caller has left

A caller that leaves before the answer begins ends the connection to the endpoint itself. Its entry took that for a broken connection and opened another one to the endpoint, which may hold a slot for a moment. Found in reading; no test counts these connections.

--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -225,7 +225,8 @@
         m_call->close();
         m_call = nullptr;
     }
-    if (m_connection_lost && !m_answer.started && !m_request.terms.shared_parts.empty()) {
+    const bool lost = m_connection_lost && !m_answer.started && !m_caller_left;
+    if (lost && !m_request.terms.shared_parts.empty()) {
         co_await examine_lost_answer(choice);
     }
     m_context.endpoints.record_end(choice.number, clock::now(), m_report);
