Log signals, the steps of a stop, and requests that a stop cuts

signal_received, shutdown_step and request_cut are new; attempt_ended has the age of the last event, request_ended whether the process was stopping. No decision changes.

--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -331,17 +331,23 @@
 
 net::task<void> forward_service::drain()
 {
-    const time_point end = clock::now() + milliseconds(m_settings.grace) - stop_reserve;
+    const time_point begin = clock::now();
+    const time_point end = begin + milliseconds(m_settings.grace) - stop_reserve;
+    log_shutdown("begun", begin);
     co_await net::sleep_for(milliseconds(m_process.settings().stop_delay));
     m_server->stop_accepting();
+    log_shutdown("listener_closed", begin);
     while (m_server->active_requests() != 0 && clock::now() < end) {
         co_await net::sleep_for(drain_interval);
     }
+    log_shutdown(m_server->active_requests() == 0 ? "drained" : "grace_over", begin);
     m_control->stop();
     if (m_load_exchange) {
         m_load_exchange->stop();
     }
+    log_open_requests();
     co_await net::sleep_for(drain_interval * 2);
+    log_shutdown("closed", begin);
     event_log::write(event::process_stateT{{},
                                            "entry",
                                            m_process.settings().name,
@@ -351,6 +357,25 @@
     m_process.stop();
 }
 
+void forward_service::log_shutdown(const char* step, time_point begin) const
+{
+    const auto since_begin = std::chrono::duration_cast<milliseconds>(clock::now() - begin);
+    event_log::write(event::shutdown_stepT{{},
+                                           "entry",
+                                           step,
+                                           static_cast<std::uint32_t>(m_server->active_requests()),
+                                           static_cast<std::uint32_t>(m_server->connections()),
+                                           to_u32(since_begin)});
+}
+
+void forward_service::log_open_requests() const
+{
+    const std::lock_guard lock(m_open_mutex);
+    for (const auto& [forwarder, executor] : m_open) {
+        net::asio::post(executor, [open = forwarder] { open->log_cut(); });
+    }
+}
+
 void forward_service::reload(const settings_root& root)
 {
     const result<std::vector<host_port>> members = node::control_members(*root.node);
@@ -465,7 +490,8 @@
                                     m_budget,
                                     m_process.counters(),
                                     milliseconds(m_settings.stall),
-                                    [this](time_point now) { return can_serve(now); }};
+                                    [this](time_point now) { return can_serve(now); },
+                                    m_stopping};
     const time_point deadline = request.deadline;
     auto forwarder = std::make_shared<request_forwarder>(context, exchange, std::move(request));
     auto ended = std::make_shared<bool>(false);
@@ -487,7 +513,15 @@
             exchange.cancel_wait();
         }
     });
+    {
+        const std::lock_guard lock(m_open_mutex);
+        m_open.emplace(forwarder, executor);
+    }
     co_await forwarder->run(executor);
+    {
+        const std::lock_guard lock(m_open_mutex);
+        m_open.erase(forwarder);
+    }
     *ended = true;
     timer.cancel();
     exchange.cancel_wait();
--- a/src/forward/forward_service.h
+++ b/src/forward/forward_service.h
@@ -66,6 +66,8 @@
     net::task<void> refresh();
     net::task<void> query_peers();
     net::task<void> drain();
+    void log_shutdown(const char* step, time_point begin) const;
+    void log_open_requests() const; // logs them in the background, each on its strand
 
     node::process& m_process;
     settings::entry_settingsT m_settings;
@@ -82,6 +84,9 @@
     std::mutex m_rules_mutex;
     rules_in_force m_rules;
     std::atomic<bool> m_stopping{false};
+    // Guards m_open, the requests in work and the strands that they run on; held alone.
+    mutable std::mutex m_open_mutex;
+    std::map<std::shared_ptr<request_forwarder>, net::asio::any_io_executor> m_open;
     std::size_t m_next_peer = 0;
 };
 
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -179,6 +179,7 @@
 {
     ++m_attempts;
     m_attempt_began = clock::now();
+    m_attempt_endpoint = choice.endpoints.front().name;
     m_attempt_sent = false;
     m_connection_lost = false;
     m_min_interval_ms = 0;
@@ -579,6 +580,7 @@
     line.cause = cause;
     line.elapsed_ms = to_u32(now - m_attempt_began);
     line.last_event = m_answer.last_event.value_or(0);
+    line.last_event_age_ms = to_u32(last_event_age(now));
     event_log::write(line);
     m_context.counters.add("verbena_forward_attempt_ends_total",
                            {{"service", m_request.service->name}, {"outcome", outcome}});
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -9,6 +9,7 @@
 #include "forward/shared_retry_budget.h"
 #include "route/table.h"
 
+#include <atomic>
 #include <optional>
 
 namespace verbena::forward {
@@ -36,6 +37,7 @@
     metrics& counters;
     milliseconds stall{1'500}; // how long an endpoint waits for another endpoint that it depends on
     std::function<bool(time_point)> may_send; // whether the configuration is recent enough to act on
+    const std::atomic<bool>& stopping;        // whether this process is stopping
 };
 
 // Forwards one request to endpoints until it is answered, refused or given up. An attempt that may have run
@@ -47,6 +49,9 @@
 
     net::task<void> run(net::asio::any_io_executor executor);
 
+    // Logs that the request is still in work when this process ends.
+    void log_cut() const;
+
     // Cancels the current attempt; called when the caller has closed its connection.
     void cancel();
 
@@ -112,6 +117,8 @@
     void record_attempt(const dispatch_choice& choice, const char* outcome, unsigned status,
                         const std::string& cause, attempt_health health);
     void record_end(const char* outcome, unsigned status);
+    // Time since the last event of the current attempt, or since it began.
+    milliseconds last_event_age(time_point now) const;
 
     forwarder_context m_context;
     net::http_exchange& m_exchange;
@@ -135,6 +142,7 @@
     answer_state m_answer;
     std::optional<net::http_response> m_failed_answer;
     time_point m_attempt_began;
+    std::string m_attempt_endpoint; // that answers the current attempt
     time_point m_last_event_at;
     double m_min_interval_ms = 0;
     random_engine m_random;
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -1,5 +1,6 @@
 #include "node/process.h"
 
+#include "base/event_log.h"
 #include "base/log.h"
 #include "base/random.h"
 
@@ -73,6 +74,12 @@
     }
 }
 
+void process::log_signal(int number, const char* action)
+{
+    const char* name = number == SIGTERM ? "SIGTERM" : (number == SIGINT ? "SIGINT" : "SIGHUP");
+    event_log::write(event::signal_receivedT{{}, name, ++m_signal_counts[number], action});
+}
+
 net::task<void> process::wait_for_signals()
 {
     auto [failure, number] = co_await m_signals.async_wait(net::no_throw);
@@ -80,11 +87,13 @@
         co_return;
     }
     log::info("stopping on signal " + std::to_string(number));
+    log_signal(number, "stop");
     m_ready = false;
     m_on_stop();
     auto [second_failure, second] = co_await m_signals.async_wait(net::no_throw);
     if (!second_failure) {
         log::warn("stopping immediately on a second signal");
+        log_signal(second, "exit");
         m_io.stop();
     }
 }
@@ -97,6 +106,7 @@
             co_return;
         }
         log::info("reloading settings on signal " + std::to_string(number));
+        log_signal(number, "reload");
         if (m_on_reload) {
             m_on_reload();
         }
@@ -106,10 +116,11 @@
 int process::run(stop_action on_stop)
 {
     m_on_stop = std::move(on_stop);
+    const auto signals = net::asio::make_strand(m_io);
     net::asio::co_spawn(
-        m_io, [this] { return wait_for_reload(); }, net::asio::detached);
+        signals, [this] { return wait_for_reload(); }, net::asio::detached);
     net::asio::co_spawn(
-        m_io, [this] { return wait_for_signals(); }, net::asio::detached);
+        signals, [this] { return wait_for_signals(); }, net::asio::detached);
     std::vector<std::thread> workers;
     for (std::uint32_t i = 1; i < m_settings.workers; ++i) {
         workers.emplace_back([this] { m_io.run(); });
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -51,6 +52,7 @@
 private:
     net::task<void> handle(net::http_exchange& exchange) override;
     std::optional<net::http_response> call(const net::http_request& request);
+    void log_signal(int number, const char* action);
     net::task<void> wait_for_signals();
     net::task<void> wait_for_reload();
     result<void> open_metrics();
@@ -60,6 +62,7 @@
     net::asio::executor_work_guard<net::asio::io_context::executor_type> m_work;
     net::asio::signal_set m_signals;
     net::asio::signal_set m_reload_signals;
+    std::map<int, std::uint32_t> m_signal_counts; // used on the strand of the signals only
     metrics m_metrics;
     std::shared_ptr<net::http_server> m_server;
     std::atomic<bool> m_ready{false};
