Show that answers are ended because their endpoints are silent

forward_silence: all endpoints that may be asked pause for 1.2 to 3 s and then work on, while their connections stand and seconds of the deadline are left. On this code no stream is whole (status 0 when it has begun, 502 before its first event), and a safe request whose endpoints take 1.8 s is answered with 502 after 1.8 s of its 3 s.

--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -126,6 +126,18 @@
     m_faults.assign(faults.begin(), faults.end());
 }
 
+void platform_runner::set_pause(milliseconds pause)
+{
+    const std::lock_guard lock(m_mutex);
+    m_pause = pause;
+}
+
+milliseconds platform_runner::pause() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_pause;
+}
+
 std::vector<runner_request> platform_runner::requests() const
 {
     const std::lock_guard lock(m_mutex);
@@ -338,6 +350,9 @@
     if (fault == runner_fault::reset) {
         co_return;
     }
+    if (fault == runner_fault::pause_before_head) {
+        co_await net::sleep_for(pause());
+    }
     if (fault == runner_fault::fail) {
         co_await write(socket, complete_response(500, request.id, true, "failed"));
         co_return;
@@ -407,6 +422,9 @@
             co_await crash();
             co_return;
         }
+        if (is_second && fault == runner_fault::pause_in_stream) {
+            co_await net::sleep_for(pause());
+        }
         if (is_second && (fault == runner_fault::drip || fault == runner_fault::endless_event)) {
             co_await send_unfinished_event(socket, fault);
             co_return;
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -17,23 +17,25 @@
 // Fault that a runner injects into one request.
 enum class runner_fault : std::uint8_t {
     none,
-    refuse,           // answers 503 and states that the request was not executed
-    fail,             // answers 500
-    cut_in_event,     // closes the connection in the middle of its second event
-    wrong_request_id, // sends the answer to another request
-    extra_answer,     // sends a second answer after its own
-    no_mac,           // omits the MAC
-    no_answer,        // executes the request and sends no answer
-    reset,            // executes the request and closes the connection without an answer
-    leaving,          // announces in its answer that it leaves
-    refuse_for_2s,    // answers 503, states that the request was not executed, and wants no other for 2 s
-    drip,             // sends its second event a byte at a time, without an end
-    endless_head,     // sends header fields without an end
-    endless_event,    // sends an event without an end
-    unframed,         // answers with neither a length nor chunks and ends with the connection
-    unframed_cut,     // the same, and closes the connection in the middle of its second event
-    unframed_reset,   // the same, and resets the connection before its second event
-    unframed_crash,   // the same, and its process crashes before its second event
+    refuse,            // answers 503 and states that the request was not executed
+    fail,              // answers 500
+    cut_in_event,      // closes the connection in the middle of its second event
+    wrong_request_id,  // sends the answer to another request
+    extra_answer,      // sends a second answer after its own
+    no_mac,            // omits the MAC
+    no_answer,         // executes the request and sends no answer
+    reset,             // executes the request and closes the connection without an answer
+    leaving,           // announces in its answer that it leaves
+    refuse_for_2s,     // answers 503, states that the request was not executed, and wants no other for 2 s
+    drip,              // sends its second event a byte at a time, without an end
+    endless_head,      // sends header fields without an end
+    endless_event,     // sends an event without an end
+    unframed,          // answers with neither a length nor chunks and ends with the connection
+    unframed_cut,      // the same, and closes the connection in the middle of its second event
+    unframed_reset,    // the same, and resets the connection before its second event
+    unframed_crash,    // the same, and its process crashes before its second event
+    pause_before_head, // sends nothing for the pause, then answers
+    pause_in_stream,   // sends nothing for the pause before its second event, then goes on
 };
 
 // A request as received by a runner.
@@ -92,6 +94,9 @@
     // Sets the faults of the next requests, in order. Later requests are served without a fault.
     void set_faults(std::vector<runner_fault> faults);
 
+    // Sets how long the faults with a pause last.
+    void set_pause(std::chrono::milliseconds pause);
+
     // Crashes under requests with a prompt part. The process is back after a while, with a new id.
     void set_crash(runner_crash crash);
 
@@ -123,6 +128,7 @@
     std::string answering_id() const;
     net::task<unsigned> post_json(host_port control, std::string path, std::string body);
     runner_fault take_fault();
+    milliseconds pause() const;
     std::string event_text(std::uint32_t number) const;
     net::task<void> send_answer(net::tcp::socket& socket, const runner_request& request, runner_fault fault);
     net::task<void> stream_events(net::tcp::socket& socket, const runner_request& request,
@@ -139,6 +145,7 @@
 
     mutable std::mutex m_mutex;
     std::deque<runner_fault> m_faults;
+    milliseconds m_pause{};
     std::optional<runner_crash> m_crash;
     std::vector<time_point> m_crashes;
     std::set<std::shared_ptr<net::tcp::socket>> m_open;
