Let silence of an endpoint no longer end its answer

Callers saw streams that ended without a whole answer and 502 for idempotent requests, while the endpoint worked on, its connection stood and seconds of the deadline were left.

Cause: an attempt was closed when its endpoint had sent no complete event for max(2 x the route's pause, 1 s), 3 x the predicted time before the first event, or 3 x the objective of a safe request, before it was known whether anybody else could answer. Without another endpoint, an attempt or budget left, nothing was.

An attempt now goes on until its connection ends or the deadline passes. When all open attempts are silent, another endpoint is asked beside them, if the request is idempotent and the route's attempts, the retry budget and the configuration allow it; this is tried again in intervals. The attempt that first has an event the caller lacks, or an answer, answers; the others end. Attempts run as coroutines of their own on the strand of the connection.

Connections to endpoints have keep-alive probes, so that an endpoint that has lost power ends them within 3 s; an endpoint that is only silent answers them.

--- a/src/forward/endpoint_call.cpp
+++ b/src/forward/endpoint_call.cpp
@@ -1,6 +1,7 @@
 #include "forward/endpoint_call.h"
 
 #include "net/address.h"
+#include "net/keep_alive.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -17,6 +18,11 @@
 
 constexpr std::size_t read_size = 8 * 1024;
 
+// The connection to an endpoint that has lost power, or that no longer takes packets of this connection, ends
+// within 3 s. An endpoint that is only silent answers the probes.
+constexpr std::chrono::seconds keep_alive_interval{1};
+constexpr int keep_alive_probes = 2;
+
 } // namespace
 
 endpoint_call::endpoint_call(const net::asio::any_io_executor& executor)
@@ -75,6 +81,7 @@
     }
     error_code ignored;
     m_socket.set_option(net::tcp::no_delay(true), ignored);
+    net::set_keep_alive(m_socket, keep_alive_interval, keep_alive_probes);
     co_return success();
 }
 
@@ -93,9 +100,9 @@
 }
 
 net::task<result<answer_metadata>> endpoint_call::read_head(const protocol_adapter& protocol,
-                                                            time_point deadline)
+                                                            time_point deadline, deadline_extension extend)
 {
-    arm(deadline);
+    arm(deadline, std::move(extend));
     auto [failure, size] = co_await http::async_read_header(m_socket, m_buffer, m_parser, no_throw);
     disarm();
     if (failure) {
--- a/src/forward/endpoint_call.h
+++ b/src/forward/endpoint_call.h
@@ -27,12 +27,14 @@
     // Writes the request in the background, because an endpoint may answer before it has read the whole body.
     void send(std::string head, std::string body);
 
-    net::task<result<answer_metadata>> read_head(const protocol_adapter& protocol, time_point deadline);
+    // Called when a deadline expires. Returns a later one; a time in the past extends nothing.
+    using deadline_extension = std::function<time_point()>;
+
+    net::task<result<answer_metadata>> read_head(const protocol_adapter& protocol, time_point deadline,
+                                                 deadline_extension extend = nullptr);
 
     // The next bytes of the body; empty when it is complete. An answer without a length is complete when the
-    // endpoint closes the connection cleanly. When the deadline expires, `extend` may return a later one;
-    // a time in the past extends nothing.
-    using deadline_extension = std::function<time_point()>;
+    // endpoint closes the connection cleanly.
     net::task<result<std::string>> read_some(time_point deadline, deadline_extension extend = nullptr);
 
     // Whether the answer has neither a length nor chunks, so that only the end of the connection ends it.
--- /dev/null
+++ b/src/forward/request_attempt.cpp
@@ -0,0 +1,481 @@
+#include "base/event_log.h"
+#include "forward/event_progress.h"
+#include "forward/fleet_detail.h"
+#include "forward/inactivity_limits.h"
+#include "forward/part_names.h"
+#include "forward/request_forwarder.h"
+
+#include <algorithm>
+
+namespace verbena::forward {
+
+using detail::to_u32;
+
+namespace {
+
+constexpr std::size_t max_answer_bytes = 16ULL * 1024 * 1024;
+constexpr std::size_t max_event_bytes = 1024 * 1024;
+
+// Returned for an attempt that is not waited for any longer.
+constexpr time_point no_extension{};
+
+// The network round trip to an endpoint is at most a few milliseconds; a longer connect means a lost packet
+// or a dead endpoint.
+constexpr milliseconds connect_timeout{300};
+
+// Another endpoint is asked for an idempotent request that is not a stream after this multiple of its
+// objective.
+constexpr int plain_timeout_in_objectives = 3;
+
+// Shortest interval at which another endpoint is looked for while one is silent.
+constexpr milliseconds min_check_interval{1'000};
+
+// How long an endpoint that seems silent is waited for until its backlog is known.
+constexpr milliseconds backlog_reply_time{80};
+
+} // namespace
+
+void request_forwarder::log_dispatch(const attempt& current, std::uint64_t reserved_tokens) const
+{
+    const dispatch_choice& choice = current.choice;
+    event::dispatchedT line;
+    line.request = m_request.terms.id;
+    line.attempt = current.number;
+    line.endpoint = current.endpoint();
+    line.helpers = static_cast<std::uint32_t>(choice.endpoints.size() - 1);
+    line.reserved_tokens = reserved_tokens;
+    for (std::size_t i = 1; i < choice.endpoints.size(); ++i) {
+        line.helper_names += (i == 1 ? "" : " ") + choice.endpoints[i].name;
+    }
+    line.predicted_ms = to_u32(choice.predicted_first_event);
+    line.time_left_ms = to_u32(time_left(current.began));
+    line.prompt_tokens = m_request.terms.prompt_tokens;
+    line.config_version = m_request.config_version;
+    line.config_age_ms = to_u32(m_request.config_age);
+    line.chosen_by = m_chosen_by;
+    line.prompt_parts = part_names(m_request.terms.shared_parts);
+    event_log::write(line);
+    m_context.counters.add("verbena_forward_attempts_total", {{"service", m_request.service->name}});
+}
+
+net::task<void> request_forwarder::run_attempt(attempt_ptr current)
+{
+    std::uint64_t reserved_tokens = 0;
+    for (const chosen_endpoint& endpoint : current->choice.endpoints) {
+        reserved_tokens += endpoint.reserved_tokens;
+    }
+    log_dispatch(*current, reserved_tokens);
+    current->reservation = std::make_shared<memory_reservation>(m_context.protocol, m_context.counters,
+                                                                m_request.terms.id, current->choice);
+    const std::string refused_by = co_await current->reservation->reserve();
+    attempt_end end = attempt_end::not_run;
+    if (refused_by.empty() && !current->superseded && !m_caller_left) {
+        if (reserved_tokens != 0) {
+            current->reservation->start_renewal(m_executor);
+        }
+        end = co_await call_endpoint(current);
+    } else {
+        if (!refused_by.empty()) {
+            m_excluded.insert(refused_by);
+        }
+        end =
+            record_attempt(*current, end, "not_run", 0, "memory reservation failed", attempt_health::neutral);
+    }
+    if (current->call) {
+        current->call->close();
+    }
+    const bool lost = current->connection_lost && !m_answer.started && !m_caller_left && !current->superseded;
+    if (lost && !m_request.terms.shared_parts.empty()) {
+        co_await examine_lost_answer(current);
+    }
+    m_context.endpoints.record_end(current->choice.number, clock::now(), current->report);
+    current->reservation->release(m_executor);
+    end_attempt(current, end);
+}
+
+net::task<result<void>> request_forwarder::connect_again(attempt_ptr current)
+{
+    const auto call = std::make_shared<endpoint_call>(m_executor);
+    const result<void> connected =
+        co_await call->connect(current->choice.endpoints.front().address, connect_timeout);
+    call->close();
+    co_return connected;
+}
+
+net::task<bool> request_forwarder::has_broken_off(attempt_ptr current)
+{
+    if (!current->call->ends_with_connection()) {
+        co_return false;
+    }
+    const result<void> connected = co_await connect_again(current);
+    co_return !connected && connected.error().kind == error_kind::unavailable;
+}
+
+net::task<void> request_forwarder::examine_lost_answer(attempt_ptr current)
+{
+    const result<void> connected = co_await connect_again(current);
+    event::answer_lostT line;
+    line.request = m_request.terms.id;
+    line.attempt = current->number;
+    line.endpoint = current->endpoint();
+    line.accepts = connected.has_value();
+    line.detail = connected ? "" : connected.error().message;
+    line.prompt_parts = part_names(m_request.terms.shared_parts);
+    event_log::write(line);
+    if (!connected && connected.error().kind == error_kind::unavailable) {
+        m_context.endpoints.record_crash(m_request.terms.shared_parts, m_request.terms.id, line.endpoint,
+                                         current->began, clock::now());
+    }
+}
+
+net::task<request_forwarder::attempt_end> request_forwarder::call_endpoint(attempt_ptr current)
+{
+    const std::vector<chosen_endpoint>& endpoints = current->choice.endpoints;
+    const chosen_endpoint& first = endpoints.front();
+    const auto call = std::make_shared<endpoint_call>(m_executor);
+    current->call = call;
+    const result<void> connected = co_await call->connect(first.address, connect_timeout);
+    if (!connected || current->superseded || m_caller_left) {
+        co_return record_attempt(*current, attempt_end::not_run, "not_run", 0,
+                                 connected ? "" : connected.error().message, attempt_health::unreachable);
+    }
+    const time_point now = clock::now();
+    dispatch_metadata terms;
+    terms.endpoint = first.name;
+    terms.team = m_request.team;
+    terms.time_left = time_left(now);
+    terms.priority_level = priority_level();
+    terms.last_event = m_answer.last_event;
+    for (std::size_t i = 1; i < endpoints.size(); ++i) {
+        const bool has_reservation = endpoints[i].reserved_tokens != 0;
+        terms.helpers.push_back({endpoints[i].address,
+                                 has_reservation ? current->reservation->reservation_id(i) : std::string()});
+    }
+    current->sent = true;
+    ++m_possible_runs;
+    call->send(m_context.protocol.endpoint_head(m_exchange.request(), terms), m_exchange.request().body);
+    const inactivity_limits limits =
+        is_stream() ? inactivity_limits_for(current->choice, m_request.route->max_pause, m_context.stall)
+                    : plain_inactivity_limits();
+    const time_point limit =
+        is_idempotent() ? std::min(m_request.deadline, now + limits.first_event) : m_request.deadline;
+    const auto extend = [self = shared_from_this(), current, limits] {
+        return self->on_inactivity(current, limits.between_events);
+    };
+    const result<answer_metadata> head = co_await call->read_head(m_context.protocol, limit, extend);
+    if (!head) {
+        const bool silent = head.error().kind == error_kind::timeout;
+        current->connection_lost = !silent;
+        co_return record_attempt(*current, attempt_end::may_have_run, silent ? "silent" : "broken", 0,
+                                 head.error().message,
+                                 silent ? attempt_health::unreachable : attempt_health::failed);
+    }
+    co_return co_await handle_answer(current, head.value());
+}
+
+inactivity_limits request_forwarder::plain_inactivity_limits() const
+{
+    const milliseconds limit =
+        std::max(m_request.route->objective * plain_timeout_in_objectives, milliseconds(1));
+    return {limit, std::max(limit, min_check_interval)};
+}
+
+time_point request_forwarder::on_inactivity(const attempt_ptr& current, milliseconds interval)
+{
+    const time_point now = clock::now();
+    if (now >= m_request.deadline || current->superseded) {
+        return no_extension;
+    }
+    // The memory that the request has reserved at other endpoints must be free soon after its endpoint has
+    // died, of which silence is the only sign.
+    if (current->choice.has_reservation()) {
+        return no_extension;
+    }
+    // An endpoint that is known to be prefilling other prompts is not silent.
+    if (is_stream()) {
+        if (!current->backlog_queried) {
+            current->backlog_queried = true;
+            net::asio::co_spawn(
+                m_executor, [self = shared_from_this(), current] { return self->query_backlog(current); },
+                net::asio::detached);
+            return now + backlog_reply_time;
+        }
+        current->backlog_queried = false;
+        if (current->backlog_end > now) {
+            return std::min(m_request.deadline, current->backlog_end + interval / 2);
+        }
+    }
+    on_silence(current);
+    current->next_check = std::min(m_request.deadline, now + interval);
+    return current->next_check;
+}
+
+void request_forwarder::record_endpoint_notice(attempt& current, const answer_metadata& head)
+{
+    if (head.leaving) {
+        current.report.leaving = true;
+        m_context.endpoints.record_leaving(current.endpoint());
+    }
+    if (head.status == 503 && head.retry_after > milliseconds::zero()) {
+        m_context.endpoints.record_retry_after(current.endpoint(), head.retry_after, clock::now());
+    }
+}
+
+net::task<request_forwarder::attempt_end> request_forwarder::handle_answer(attempt_ptr current,
+                                                                           const answer_metadata& head)
+{
+    record_endpoint_notice(*current, head);
+    if (head.not_run) {
+        if (!head.failed_dependency.empty()) {
+            const std::string failed = m_context.endpoints.endpoint_at(head.failed_dependency);
+            current->report.unreachable.push_back(failed);
+            m_excluded.insert(failed);
+        }
+        co_return record_attempt(*current, attempt_end::not_run, "not_run", head.status,
+                                 head.misdirected ? "another endpoint answers at this address"
+                                                  : head.failed_dependency,
+                                 head.misdirected ? attempt_health::misdirected : attempt_health::neutral);
+    }
+    if (head.id != m_request.terms.id || head.has_content_encoding || !head.sealed) {
+        co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
+                                 "answer rejected: wrong request id, content encoding or no seal",
+                                 attempt_health::failed);
+    }
+    const bool good = head.status >= 200 && head.status < 300;
+    if (good && is_stream()) {
+        co_return co_await relay_events(current, head);
+    }
+    co_return co_await relay_body(current, head);
+}
+
+net::task<request_forwarder::attempt_end> request_forwarder::relay_body(attempt_ptr current,
+                                                                        const answer_metadata& head)
+{
+    net::http_response response;
+    response.status = head.status;
+    response.content_type = head.content_type;
+    response.headers = head.headers;
+    while (true) {
+        const result<std::string> chunk = co_await current->call->read_some(m_request.deadline);
+        if (!chunk) {
+            current->connection_lost = chunk.error().kind != error_kind::timeout;
+            co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
+                                     chunk.error().message, attempt_health::failed);
+        }
+        if (chunk.value().empty()) {
+            break;
+        }
+        response.body += chunk.value();
+        if (response.body.size() > max_answer_bytes) {
+            co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
+                                     "answer larger than 16 MiB", attempt_health::failed);
+        }
+    }
+    if (co_await has_broken_off(current)) {
+        current->connection_lost = true;
+        co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
+                                 "the endpoint ended before the end of the answer", attempt_health::failed);
+    }
+    if (head.status >= 500) {
+        m_failed_answer = std::move(response);
+        co_return record_attempt(*current, attempt_end::failed_answer, "refused_by_endpoint", head.status, "",
+                                 attempt_health::failed);
+    }
+    const bool answers = claim(current);
+    const attempt_end end =
+        record_attempt(*current, attempt_end::answered, "answered", head.status, "", attempt_health::good);
+    if (!answers) {
+        co_return end;
+    }
+    record_begun_answer();
+    m_answer.first_event = clock::now();
+    m_answer.started = true;
+    const unsigned status = response.status;
+    (void)co_await m_exchange.reply(std::move(response));
+    record_end("done", status);
+    co_return attempt_end::answered;
+}
+
+net::task<request_forwarder::attempt_end> request_forwarder::relay_events(attempt_ptr current,
+                                                                          const answer_metadata& head)
+{
+    event_reader reader;
+    const inactivity_limits inactivity =
+        inactivity_limits_for(current->choice, m_request.route->max_pause, m_context.stall);
+    event_progress progress(clock::now(), inactivity);
+    const auto extend = [self = shared_from_this(), current, inactivity] {
+        return self->on_inactivity(current, inactivity.between_events);
+    };
+    while (true) {
+        const time_point limit =
+            is_idempotent()
+                ? std::min(m_request.deadline, std::max(progress.silent_at(), current->next_check))
+                : m_request.deadline;
+        const result<std::string> chunk = co_await current->call->read_some(limit, extend);
+        if (!chunk || (chunk.value().empty() && reader.pending_bytes() != 0)) {
+            const bool silent = !chunk && chunk.error().kind == error_kind::timeout;
+            current->connection_lost = !silent;
+            const std::string cause =
+                chunk ? "connection closed in the middle of an event" : chunk.error().message;
+            co_return record_attempt(*current, attempt_end::may_have_run, silent ? "silent" : "broken",
+                                     head.status, cause,
+                                     silent ? attempt_health::unreachable : attempt_health::failed);
+        }
+        if (chunk.value().empty()) {
+            break;
+        }
+        const std::size_t pending = reader.pending_bytes() + chunk.value().size();
+        reader.feed(chunk.value());
+        const attempt_end written = co_await write_events(reader, current, head);
+        if (written != attempt_end::answered) {
+            co_return record_attempt(*current, written, "caller_left", head.status, "",
+                                     attempt_health::neutral);
+        }
+        progress.on_bytes(clock::now(), reader.pending_bytes() < pending);
+        const bool endless = is_idempotent() && progress.is_endless();
+        if (endless || reader.pending_bytes() > max_event_bytes) {
+            co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
+                                     endless ? "event without an end" : "event larger than 1 MiB",
+                                     attempt_health::failed);
+        }
+    }
+    co_return co_await finish_events(current, head);
+}
+
+net::task<request_forwarder::attempt_end> request_forwarder::finish_events(attempt_ptr current,
+                                                                           const answer_metadata& head)
+{
+    const bool empty = current->call->ends_with_connection() && !m_answer.started;
+    if (empty || co_await has_broken_off(current)) {
+        current->connection_lost = true;
+        co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
+                                 empty ? "connection closed before the first event"
+                                       : "the endpoint ended before the end of the answer",
+                                 attempt_health::failed);
+    }
+    if (!claim(current)) {
+        co_return record_attempt(*current, attempt_end::answered, "answered", head.status, "",
+                                 attempt_health::good);
+    }
+    if (!m_answer.started) {
+        m_answer.started = true;
+        (void)co_await m_exchange.start_stream(head.status, head.content_type, head.headers);
+    }
+    const result<void> finished = co_await m_exchange.finish();
+    const attempt_end end = record_attempt(*current, attempt_end::answered, "answered", head.status,
+                                           finished ? "" : finished.error().message, attempt_health::good);
+    record_end("done", head.status);
+    co_return end;
+}
+
+net::task<void> request_forwarder::query_backlog(attempt_ptr current)
+{
+    const milliseconds backlog = co_await m_context.scheduler.backlog(current->endpoint());
+    current->backlog_end = clock::now() + backlog;
+}
+
+net::task<request_forwarder::attempt_end>
+request_forwarder::write_events(event_reader& reader, attempt_ptr current, const answer_metadata& head)
+{
+    while (const std::optional<stream_event> event = reader.next()) {
+        // A resumed run may repeat the event after which it was asked to resume.
+        if (event->id && m_answer.last_event && *event->id <= *m_answer.last_event) {
+            continue;
+        }
+        if (!claim(current)) {
+            co_return current->superseded ? attempt_end::superseded : attempt_end::caller_left;
+        }
+        if (!co_await write_event(*event, current, head)) {
+            m_caller_left = true;
+            co_return attempt_end::caller_left;
+        }
+    }
+    co_return attempt_end::answered;
+}
+
+void request_forwarder::record_begun_answer()
+{
+    if (!m_request.terms.shared_parts.empty()) {
+        m_context.endpoints.record_answer(m_request.terms.shared_parts, m_request.terms.id, clock::now());
+    }
+}
+
+net::task<bool> request_forwarder::write_event(const stream_event& event, attempt_ptr current,
+                                               const answer_metadata& head)
+{
+    const time_point now = clock::now();
+    if (!m_answer.started) {
+        m_answer.started = true;
+        const result<void> started =
+            co_await m_exchange.start_stream(head.status, head.content_type, head.headers);
+        if (!started) {
+            co_return false;
+        }
+    }
+    if (!m_answer.first_event) {
+        record_begun_answer();
+        m_answer.first_event = now;
+        m_context.counters.observe("verbena_forward_first_event_seconds",
+                                   {{"team", m_request.team}, {"route", m_request.route->name}},
+                                   now - m_request.arrived);
+    }
+    if (current->last_event_at == time_point{}) {
+        m_context.endpoints.record_first_event(current->choice.number, now);
+    } else {
+        const double interval =
+            std::chrono::duration<double, std::milli>(now - current->last_event_at).count();
+        if (interval > 1 && (current->min_interval_ms <= 0 || interval < current->min_interval_ms)) {
+            current->min_interval_ms = interval;
+        }
+    }
+    current->last_event_at = now;
+    m_last_event_at = now;
+    // Counted before the write is complete: another attempt must not write the event again.
+    ++m_answer.events;
+    if (event.id) {
+        m_answer.last_event = event.id;
+    }
+    const result<void> written = co_await m_exchange.write(event.text);
+    co_return written.has_value();
+}
+
+milliseconds request_forwarder::last_event_age(const attempt& current, time_point now)
+{
+    return std::chrono::duration_cast<milliseconds>(now - std::max(current.began, current.last_event_at));
+}
+
+request_forwarder::attempt_end request_forwarder::record_attempt(attempt& current, attempt_end end,
+                                                                 const char* outcome, unsigned status,
+                                                                 const std::string& cause,
+                                                                 attempt_health health)
+{
+    const time_point now = clock::now();
+    if (m_caller_left || current.superseded) {
+        // This process closed the connection, so its failure says nothing about the endpoint.
+        health = attempt_health::neutral;
+        outcome = m_caller_left ? "caller_left" : "superseded";
+        end = m_caller_left ? attempt_end::caller_left : attempt_end::superseded;
+    }
+    if (health == attempt_health::unreachable && current.silence_recorded) {
+        health = attempt_health::neutral;
+    }
+    current.report.health = health;
+    current.report.interval =
+        std::chrono::microseconds(static_cast<std::int64_t>(current.min_interval_ms * 1000));
+    event::attempt_endedT line;
+    line.request = m_request.terms.id;
+    line.attempt = current.number;
+    line.endpoint = current.endpoint();
+    line.outcome = outcome;
+    line.status = status;
+    line.cause = cause;
+    line.elapsed_ms = to_u32(now - current.began);
+    line.last_event = m_answer.last_event.value_or(0);
+    line.last_event_age_ms = to_u32(last_event_age(current, now));
+    event_log::write(line);
+    m_context.counters.add("verbena_forward_attempt_ends_total",
+                           {{"service", m_request.service->name}, {"outcome", outcome}});
+    return end;
+}
+
+} // namespace verbena::forward
--- a/src/forward/request_ending.cpp
+++ b/src/forward/request_ending.cpp
@@ -135,23 +135,23 @@
     record_end("refused", status);
 }
 
-milliseconds request_forwarder::last_event_age(time_point now) const
-{
-    return std::chrono::duration_cast<milliseconds>(now - std::max(m_attempt_began, m_last_event_at));
-}
-
 void request_forwarder::log_cut() const
 {
     const time_point now = clock::now();
     event::request_cutT line;
     line.request = m_request.terms.id;
-    line.attempt = m_attempts;
-    line.endpoint = m_attempt_endpoint;
     line.answer_started = m_answer.started;
     line.last_event = m_answer.last_event.value_or(0);
-    line.last_event_age_ms = m_attempts == 0 ? 0 : to_u32(last_event_age(now));
     line.total_ms = to_u32(now - m_request.arrived);
-    event_log::write(line);
+    for (const attempt_ptr& current : m_open) {
+        line.attempt = current->number;
+        line.endpoint = current->endpoint();
+        line.last_event_age_ms = to_u32(last_event_age(*current, now));
+        event_log::write(line);
+    }
+    if (m_open.empty()) {
+        event_log::write(line);
+    }
 }
 
 void request_forwarder::record_end(const char* outcome, unsigned status)
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -4,6 +4,7 @@
 #include "forward/endpoint_call.h"
 #include "forward/event_reader.h"
 #include "forward/fleet.h"
+#include "forward/inactivity_limits.h"
 #include "forward/memory_reservation.h"
 #include "forward/scheduler_client.h"
 #include "forward/shared_retry_budget.h"
@@ -11,6 +12,7 @@
 
 #include <atomic>
 #include <optional>
+#include <vector>
 
 namespace verbena::forward {
 
@@ -43,6 +45,10 @@
 // Forwards one request to endpoints until it is answered, refused or given up. An attempt that may have run
 // is retried only if the request is idempotent. A refusal states that the request has not run only if that is
 // proven for every attempt.
+//
+// An attempt whose endpoint is silent goes on until its connection ends or the deadline passes. Another
+// endpoint may be asked beside it if the request is idempotent; the attempt that first has something for the
+// caller answers, and the others end.
 class request_forwarder : public std::enable_shared_from_this<request_forwarder> {
 public:
     request_forwarder(forwarder_context context, net::http_exchange& exchange, routed_request request);
@@ -52,7 +58,7 @@
     // Logs that the request is still in work when this process ends.
     void log_cut() const;
 
-    // Cancels the current attempt; called when the caller has closed its connection.
+    // Cancels all attempts; called when the caller has closed its connection.
     void cancel();
 
 private:
@@ -62,8 +68,31 @@
         may_have_run,
         failed_answer, // the endpoint answered with a failure; another endpoint may be tried
         caller_left,
+        superseded, // another attempt answers
     };
 
+    struct attempt {
+        dispatch_choice choice;
+        std::uint32_t number = 0; // in the log
+        time_point began;
+        time_point last_event_at;
+        std::shared_ptr<endpoint_call> call;
+        std::shared_ptr<memory_reservation> reservation;
+        attempt_report report;
+        time_point backlog_end; // when the endpoint has finished its pending prefill
+        bool backlog_queried = false;
+        bool sent = false;            // the request may have reached the endpoint
+        bool connection_lost = false; // the endpoint ended the connection too early
+        bool silent = false;
+        bool silence_recorded = false; // with the health of the endpoint
+        bool superseded = false;       // another attempt answers
+        time_point next_check;         // of a silent endpoint
+        double min_interval_ms = 0;
+
+        const std::string& endpoint() const { return choice.endpoints.front().name; }
+    };
+    using attempt_ptr = std::shared_ptr<attempt>;
+
     struct answer_state {
         bool started = false;
         std::optional<std::uint64_t> last_event;
@@ -79,31 +108,55 @@
 
     // Selects endpoints; waits for them if they are not free yet.
     net::task<dispatch_result> choose_endpoints();
-    net::task<attempt_end> run_attempt(dispatch_choice choice);
+    // Whether this process may still act on the choice. Gives the endpoints up if not.
+    bool confirm(const dispatch_choice& choice);
+    void start_attempt(dispatch_choice choice);
+    // Returns when an attempt has answered, when none is open any more, or when the caller has left.
+    net::task<attempt_end> await_attempts();
+    net::task<void> run_attempt(attempt_ptr current);
+    void log_dispatch(const attempt& current, std::uint64_t reserved_tokens) const;
+    void end_attempt(const attempt_ptr& current, attempt_end end);
+
+    // Whether the attempt may answer the caller. Ends the others if so.
+    bool claim(const attempt_ptr& current);
+    // Handles the expiry of an inactivity timeout. Returns the time of the next check; a time in the past
+    // ends the attempt.
+    time_point on_inactivity(const attempt_ptr& current, milliseconds interval);
+    void on_silence(const attempt_ptr& current);
+    // Asks another endpoint beside silent ones.
+    net::task<void> ask_another();
+    // Why no other endpoint may be asked beside silent ones; null if one may.
+    const char* reason_against_another(time_point now) const;
+    void log_silence(const std::string& decision) const;
+
     // Whether an answer that ended with its connection is incomplete. An endpoint that crashes ends its
     // connections in the same way as one that has finished.
-    net::task<bool> has_broken_off(const dispatch_choice& choice);
+    net::task<bool> has_broken_off(attempt_ptr current);
     // The error is `unavailable` if the endpoint's address refuses connections.
-    net::task<result<void>> connect_again(const dispatch_choice& choice);
+    net::task<result<void>> connect_again(attempt_ptr current);
     // Finds out whether an endpoint that has ended the connection before it began to answer has ended itself.
-    net::task<void> examine_lost_answer(const dispatch_choice& choice);
-    net::task<attempt_end> call_endpoint(const dispatch_choice& choice);
-    net::task<attempt_end> handle_answer(const dispatch_choice& choice, const answer_metadata& head);
-    net::task<attempt_end> relay_body(const dispatch_choice& choice, const answer_metadata& head);
-    net::task<attempt_end> relay_events(const dispatch_choice& choice, const answer_metadata& head);
-    net::task<bool> write_events(event_reader& reader, const dispatch_choice& choice,
-                                 const answer_metadata& head);
-    net::task<bool> write_event(const stream_event& event, const dispatch_choice& choice,
-                                const answer_metadata& head);
+    net::task<void> examine_lost_answer(attempt_ptr current);
+    net::task<attempt_end> call_endpoint(attempt_ptr current);
+    inactivity_limits plain_inactivity_limits() const;
+    net::task<attempt_end> handle_answer(attempt_ptr current, const answer_metadata& head);
+    net::task<attempt_end> relay_body(attempt_ptr current, const answer_metadata& head);
+    net::task<attempt_end> relay_events(attempt_ptr current, const answer_metadata& head);
+    net::task<attempt_end> finish_events(attempt_ptr current, const answer_metadata& head);
+    // Returns `answered` when all complete events are written.
+    net::task<attempt_end> write_events(event_reader& reader, attempt_ptr current,
+                                        const answer_metadata& head);
+    net::task<bool> write_event(const stream_event& event, attempt_ptr current, const answer_metadata& head);
 
     // The endpoint has begun to answer, so no part of the prompt has crashed it.
     void record_begun_answer();
     // Records what the head of an answer says about its endpoint itself.
-    void record_endpoint_notice(const std::string& endpoint, const answer_metadata& head);
+    void record_endpoint_notice(attempt& current, const answer_metadata& head);
     // Asks for the backlog of an endpoint that is silent, to extend the time it is waited for.
-    net::task<void> query_backlog(std::string endpoint);
+    net::task<void> query_backlog(attempt_ptr current);
 
-    // Whether another attempt may follow one with this result. Draws on the retry budget.
+    // Whether an attempt may follow one that has ended like this.
+    bool may_follow(attempt_end end, time_point now) const;
+    // The same; draws on the retry budget.
     bool may_retry(attempt_end end, time_point now);
     net::task<void> finish(attempt_end end);
     void log_refusal(unsigned status, const std::string& reason, milliseconds retry_after,
@@ -114,37 +167,35 @@
     net::task<void> refuse_unconfirmed();
     milliseconds retry_after_time(const dispatch_refusal& refusal, time_point now);
 
-    void record_attempt(const dispatch_choice& choice, const char* outcome, unsigned status,
-                        const std::string& cause, attempt_health health);
+    // Returns `end`, or what takes precedence over it.
+    attempt_end record_attempt(attempt& current, attempt_end end, const char* outcome, unsigned status,
+                               const std::string& cause, attempt_health health);
     void record_end(const char* outcome, unsigned status);
-    // Time since the last event of the current attempt, or since it began.
-    milliseconds last_event_age(time_point now) const;
+    // Time since the last event of the attempt, or since it began.
+    static milliseconds last_event_age(const attempt& current, time_point now);
 
     forwarder_context m_context;
     net::http_exchange& m_exchange;
     routed_request m_request;
     net::asio::any_io_executor m_executor;
-    std::shared_ptr<endpoint_call> m_call;
+    std::optional<net::steady_timer> m_change; // cancelled when await_attempts() has something to do
     std::shared_ptr<choice_call> m_choice_call = std::make_shared<choice_call>();
     std::string m_chosen_by;
-    attempt_report m_report; // of the current attempt
-    bool m_backlog_queried = false;
-    time_point m_backlog_end; // when the endpoint of the current attempt has finished its pending prefill
-    std::shared_ptr<memory_reservation> m_reservation; // of the current attempt
+    std::vector<attempt_ptr> m_open;
+    attempt_ptr m_answering; // the attempt that has answered last, while it is neither silent nor ended
+    attempt_end m_last_end = attempt_end::not_run;
+    bool m_answered = false;
+    bool m_silence_noticed = false;
+    bool m_choosing_another = false;
     bool m_caller_left = false;
     bool m_may_have_run = false;
     std::uint32_t m_attempts = 0;      // attempts so far; also the attempt number in the log
-    std::uint32_t m_possible_runs = 0; // attempts that may have run
-    bool m_connection_lost = false;    // the endpoint ended the connection of the current attempt too early
-    bool m_attempt_sent = false;       // the current attempt may have reached its endpoint
+    std::uint32_t m_possible_runs = 0; // attempts that may have run or may still run
     bool m_reached_endpoint = false;   // some attempt may have reached an endpoint
     std::set<std::string> m_excluded;
     answer_state m_answer;
     std::optional<net::http_response> m_failed_answer;
-    time_point m_attempt_began;
-    std::string m_attempt_endpoint; // that answers the current attempt
     time_point m_last_event_at;
-    double m_min_interval_ms = 0;
     random_engine m_random;
 };
 
