Believe a refusal only if it names this request

A runner that had begun a request and then wrote the refusal of another request (503 or 421 with that one's id) was taken for one that had not run this one: the request was sent to the next runner at once, so that an unsafe request ran twice and its caller was told 503, has not run. The Retry-After of such an answer kept the runner from all requests as well.

handle_answer believed "has not run" before it compared the id. An answer without the id of this request now proves nothing, whatever its status.

--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -224,6 +224,12 @@
 net::task<request_forwarder::attempt_end> request_forwarder::handle_answer(attempt_ptr current,
                                                                            const answer_metadata& head)
 {
+    // A faulty endpoint may repeat the answer to another request, which says nothing about this one.
+    if (head.id != m_request.terms.id) {
+        co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
+                                 "answer rejected: its request id is missing or another one",
+                                 attempt_health::failed);
+    }
     record_endpoint_notice(*current, head);
     if (head.not_run) {
         if (!head.failed_dependency.empty()) {
@@ -236,10 +242,9 @@
                                                   : head.failed_dependency,
                                  head.misdirected ? attempt_health::misdirected : attempt_health::neutral);
     }
-    if (head.id != m_request.terms.id || head.has_content_encoding || !head.sealed) {
+    if (head.has_content_encoding || !head.sealed) {
         co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
-                                 "answer rejected: wrong request id, content encoding or no seal",
-                                 attempt_health::failed);
+                                 "answer rejected: content encoding or no seal", attempt_health::failed);
     }
     const bool good = head.status >= 200 && head.status < 300;
     if (good && is_stream()) {
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -126,6 +126,12 @@
     m_faults.assign(faults.begin(), faults.end());
 }
 
+void platform_runner::set_resume_fault(runner_fault fault)
+{
+    const std::lock_guard lock(m_mutex);
+    m_resume_fault = fault;
+}
+
 void platform_runner::set_pause(milliseconds pause)
 {
     const std::lock_guard lock(m_mutex);
@@ -162,9 +168,12 @@
     return m_refused;
 }
 
-runner_fault platform_runner::take_fault()
+runner_fault platform_runner::take_fault(const runner_request& request)
 {
     const std::lock_guard lock(m_mutex);
+    if (!request.last_event.empty() && m_resume_fault != runner_fault::none) {
+        return m_resume_fault;
+    }
     if (m_faults.empty()) {
         return runner_fault::none;
     }
@@ -308,11 +317,11 @@
         co_return;
     }
     if (request.expected_runner != answering_id()) {
-        co_await write(socket, "HTTP/1.1 421 Misdirected\r\nRunner-Id: " + answering_id() +
-                                   "\r\nContent-Length: 0\r\n\r\n");
+        co_await write(socket, "HTTP/1.1 421 Misdirected\r\nRequest-Id: " + request.id +
+                                   "\r\nRunner-Id: " + answering_id() + "\r\nContent-Length: 0\r\n\r\n");
         co_return;
     }
-    const runner_fault fault = take_fault();
+    const runner_fault fault = take_fault(request);
     if (fault == runner_fault::refuse || fault == runner_fault::refuse_for_2s) {
         {
             const std::lock_guard lock(m_mutex);
@@ -357,6 +366,22 @@
         co_await write(socket, complete_response(500, request.id, true, "failed"));
         co_return;
     }
+    if (fault == runner_fault::stale_refusal || fault == runner_fault::stale_misdirected) {
+        const bool refusal = fault == runner_fault::stale_refusal;
+        co_await write(socket, std::string("HTTP/1.1 ") + (refusal ? "503 Busy" : "421 Misdirected") +
+                                   "\r\nNot-Run: 1\r\nRequest-Id: another-request\r\nRetry-After: 60\r\n" +
+                                   "Content-Length: 0\r\n\r\n");
+        co_return;
+    }
+    if (fault == runner_fault::reject) {
+        co_await write(socket, complete_response(400, request.id, true, "rejected"));
+        co_return;
+    }
+    if (fault == runner_fault::plain_answer) {
+        co_await write(socket, response_head(200, request.id, true) +
+                                   "Content-Type: text/plain\r\nContent-Length: 9\r\n\r\nplain\n\n\n\n");
+        co_return;
+    }
     if (fault == runner_fault::endless_head) {
         bool connected = co_await write(socket, "HTTP/1.1 200 OK\r\n");
         while (connected) {
@@ -407,6 +432,10 @@
     const auto last_event_number = static_cast<std::uint32_t>(
         request.last_event.empty() ? 0 : std::strtoul(request.last_event.c_str(), nullptr, 10));
     bool connected = head_sent;
+    if (fault == runner_fault::no_events) {
+        co_await write(socket, "0\r\n\r\n");
+        co_return;
+    }
     for (std::uint32_t number = last_event_number + 1; connected && number <= m_options.events; ++number) {
         const std::string event = event_text(number);
         const bool is_second = number == last_event_number + 2;
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -36,6 +36,11 @@
     unframed_crash,    // the same, and its process crashes before its second event
     pause_before_head, // sends nothing for the pause, then answers
     pause_in_stream,   // sends nothing for the pause before its second event, then goes on
+    stale_refusal,     // executes the request and sends a refusal that was meant for another one
+    stale_misdirected, // the same with 421
+    reject,            // answers 400
+    plain_answer,      // answers 200 with a body that is no event stream
+    no_events,         // answers with an event stream that has no events
 };
 
 // A request as received by a runner.
@@ -94,6 +99,9 @@
     // Sets the faults of the next requests, in order. Later requests are served without a fault.
     void set_faults(std::vector<runner_fault> faults);
 
+    // Sets the fault of all requests that resume a stream.
+    void set_resume_fault(runner_fault fault);
+
     // Sets how long the faults with a pause last.
     void set_pause(std::chrono::milliseconds pause);
 
@@ -127,7 +135,7 @@
     std::string registered_id() const;
     std::string answering_id() const;
     net::task<unsigned> post_json(host_port control, std::string path, std::string body);
-    runner_fault take_fault();
+    runner_fault take_fault(const runner_request& request);
     milliseconds pause() const;
     std::string event_text(std::uint32_t number) const;
     net::task<void> send_answer(net::tcp::socket& socket, const runner_request& request, runner_fault fault);
@@ -145,6 +153,7 @@
 
     mutable std::mutex m_mutex;
     std::deque<runner_fault> m_faults;
+    runner_fault m_resume_fault = runner_fault::none;
     milliseconds m_pause{};
     std::optional<runner_crash> m_crash;
     std::vector<time_point> m_crashes;
--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -5,7 +5,9 @@
 #include "platform/names.h"
 #include "platform/platform_call_handler.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json/parse.hpp>
 
 #include <cstdlib>
@@ -259,6 +261,25 @@
     return fetch({"127.0.0.1", m_entries.at(entry_index).port}, make_http_call(spec));
 }
 
+std::string platform_deployment::request_bytes(const call& spec, std::size_t entry_index)
+{
+    const net::http_call sent = make_http_call(spec);
+    std::string text =
+        sent.method + " " + sent.target + " HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n";
+    for (const auto& [name, value] : sent.headers) {
+        text += name + ": " + value + "\r\n";
+    }
+    text += "Content-Length: " + std::to_string(sent.body.size()) + "\r\n\r\n" + sent.body;
+    net::asio::io_context io;
+    net::tcp::socket socket(io);
+    socket.connect({net::asio::ip::make_address("127.0.0.1"), m_entries.at(entry_index).port});
+    net::asio::write(socket, net::asio::buffer(text));
+    std::string received;
+    net::error_code ended;
+    net::asio::read(socket, net::asio::dynamic_buffer(received), ended);
+    return received;
+}
+
 std::future<platform_deployment::answer> platform_deployment::request_later(const call& spec,
                                                                             std::size_t entry_index)
 {
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -50,6 +50,10 @@
     // The same, without waiting for the answer.
     std::future<answer> request_later(const call& spec, std::size_t entry_index = 0);
 
+    // Sends a caller's request through an entry and returns all bytes that it sends until it closes the
+    // connection.
+    std::string request_bytes(const call& spec, std::size_t entry_index = 0);
+
     // Sends a call to a control member; follows one redirect.
     answer control(const std::string& method, const std::string& path, const std::string& body,
                    std::size_t index = 0);
