Keep answers of other endpoints out of a begun stream

A stream had begun and broke off; when the endpoint that was to resume it answered 400, the head and body of that answer went out in the middle of the caller's chunked stream (seen by platform_answers: "HTTP/1.1 400" 167 bytes into the answer); a 200 with another type had its text passed on as events, and the stream ended as if it were complete.

relay_body replied whatever had been sent before, and each 2xx of a stream route was read as an event stream. Once a stream has begun, only an event stream may continue it; any other answer counts as failed, so that another endpoint is asked or the stream is closed without its end. Before the begin, a 2xx that is no event stream is passed on unchanged.

--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -5,6 +5,8 @@
 #include "forward/part_names.h"
 #include "forward/request_forwarder.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
 
 namespace verbena::forward {
@@ -27,6 +29,15 @@
 // objective.
 constexpr int plain_timeout_in_objectives = 3;
 
+// An endpoint may leave the type out; other parameters may follow it.
+bool is_event_stream(std::string_view content_type)
+{
+    constexpr std::string_view type = "text/event-stream";
+    const std::string_view found = content_type.substr(0, type.size());
+    return content_type.empty() ||
+           boost::beast::iequals({found.data(), found.size()}, {type.data(), type.size()});
+}
+
 // Shortest interval at which another endpoint is looked for while one is silent.
 constexpr milliseconds min_check_interval{1'000};
 
@@ -247,9 +258,14 @@
                                  "answer rejected: content encoding or no seal", attempt_health::failed);
     }
     const bool good = head.status >= 200 && head.status < 300;
-    if (good && is_stream()) {
+    if (good && is_stream() && is_event_stream(head.content_type)) {
         co_return co_await relay_events(current, head);
     }
+    if (m_answer.started) {
+        co_return record_attempt(*current, attempt_end::may_have_run, "refused_by_endpoint", head.status,
+                                 "answer to a resumed stream that is no event stream",
+                                 attempt_health::failed);
+    }
     co_return co_await relay_body(current, head);
 }
 
