Resume no stream whose events have no ids

A stream without event ids that broke off was begun again at another endpoint, and its caller received the first event twice (seen by platform_answers/a_stream_without_event_ids_is_not_resumed, which failed before). Nothing names the events that the caller has, so such a stream ends unfinished.

--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -453,6 +453,7 @@
     m_last_event_at = now;
     // Counted before the write is complete: another attempt must not write the event again.
     ++m_answer.events;
+    m_answer.resumable = event.id.has_value();
     if (event.id) {
         m_answer.last_event = event.id;
     }
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -166,6 +166,9 @@
     if (end != attempt_end::not_run && !is_idempotent()) {
         return false;
     }
+    if (m_answer.started && !m_answer.resumable) {
+        return false;
+    }
     return m_possible_runs < m_request.route->max_attempts;
 }
 
@@ -277,6 +280,9 @@
     if (now >= m_request.deadline) {
         return "deadline";
     }
+    if (m_answer.started && !m_answer.resumable) {
+        return "events_without_ids";
+    }
     return may_follow(attempt_end::may_have_run, now) ? nullptr : "max_attempts";
 }
 
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -95,6 +95,7 @@
 
     struct answer_state {
         bool started = false;
+        bool resumable = true; // the last event has an id, after which another endpoint can go on
         std::optional<std::uint64_t> last_event;
         std::uint32_t events = 0;
         std::optional<time_point> first_event;
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -437,9 +437,13 @@
         co_return;
     }
     for (std::uint32_t number = last_event_number + 1; connected && number <= m_options.events; ++number) {
-        const std::string event = event_text(number);
+        std::string event = event_text(number);
+        if (fault == runner_fault::cut_without_ids) {
+            event.erase(0, event.find('\n') + 1);
+        }
         const bool is_second = number == last_event_number + 2;
-        if (is_second && (fault == runner_fault::cut_in_event || fault == runner_fault::unframed_cut)) {
+        if (is_second && (fault == runner_fault::cut_in_event || fault == runner_fault::unframed_cut ||
+                          fault == runner_fault::cut_without_ids)) {
             co_await write(socket, framed(event.substr(0, event.size() / 2)));
             co_return;
         }
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -41,6 +41,7 @@
     reject,            // answers 400
     plain_answer,      // answers 200 with a body that is no event stream
     no_events,         // answers with an event stream that has no events
+    cut_without_ids,   // sends events without ids and closes the connection in the middle of the second
 };
 
 // A request as received by a runner.
--- a/test/platform_answers_test.cpp
+++ b/test/platform_answers_test.cpp
@@ -103,6 +103,17 @@
     BOOST_TEST(broken_and_resumed(runner_fault::no_events).ends_with(last_chunk));
 }
 
+// Guards against events that a caller receives twice because nothing names those it has already.
+BOOST_FIXTURE_TEST_CASE(a_stream_without_event_ids_is_not_resumed, answers_fixture)
+{
+    set_faults({"model-a", "model-b"}, runner_fault::cut_without_ids);
+    const std::string bytes = system.request_bytes({});
+    const std::size_t first = bytes.find("data: model-");
+    BOOST_TEST(first != std::string::npos);
+    BOOST_TEST(bytes.find("data: model-", first + 1) == std::string::npos);
+    BOOST_TEST(!bytes.ends_with(last_chunk));
+}
+
 // Guards against an answer that is no event stream and is split into events all the same.
 BOOST_FIXTURE_TEST_CASE(an_answer_that_is_no_stream_is_passed_on_unchanged, answers_fixture)
 {
