Reject check-ins that name no endpoint

check_announcement() decides what can name an endpoint: printable name, texts of at most 256 characters without control characters, a unicast IP address with a port, a service, a start time at most 60 s ahead of the member's clock, and a sequence number up to 2^53. Everything else gets 400. read_check_in() and read_leave() take the current time for that.

platform_adapter/rejects_check_ins_that_name_no_endpoint was seen failing with the former check of the address alone (14 checks failed); it passes now.

--- a/fuzz/targets.h
+++ b/fuzz/targets.h
@@ -96,9 +96,10 @@
 {
     std::string_view rest = text_of(data);
     const std::string_view endpoint = take_line(rest);
-    const auto check_in = platform::read_check_in(endpoint, rest);
+    const std::chrono::system_clock::time_point now{std::chrono::hours(24 * 365 * 56)};
+    const auto check_in = platform::read_check_in(endpoint, rest, now);
     require(check_in ? !check_in.value().endpoint.empty() : !check_in.error().message.empty());
-    const auto leave = platform::read_leave(endpoint, rest);
+    const auto leave = platform::read_leave(endpoint, rest, now);
     require(leave ? leave.value().gone : !leave.error().message.empty());
 }
 
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -2,6 +2,8 @@
 #include "platform/configuration.h"
 #include "platform/http_protocol_adapter.h"
 
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace verbena;
@@ -51,6 +53,20 @@
     return request;
 }
 
+constexpr std::uint64_t now_ms = 1'767'225'600'000; // 2026-01-01 00:00:00 UTC
+const std::chrono::system_clock::time_point now{std::chrono::milliseconds(now_ms)};
+
+bool accepts_check_in(const boost::json::object& changed, std::string_view endpoint = "i-1")
+{
+    boost::json::object body = {{"backend", "s1"}, {"addr", "10.1.0.9:8080"}, {"zone", "z"},
+                                {"slots", 16},     {"state", "ready"},        {"cold_left_ms", 0},
+                                {"seq", 4},        {"born", now_ms - 60'000}};
+    for (const auto& field : changed) {
+        body[field.key()] = field.value();
+    }
+    return platform::read_check_in(endpoint, boost::json::serialize(body), now).has_value();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(platform_adapter)
@@ -95,13 +111,38 @@
 {
     const auto value = platform::read_check_in(
         "i-1", R"({"backend":"s1","addr":"10.1.0.9:8080","zone":"z","slots":16,"state":"draining",
-                   "cold_left_ms":1200.5,"seq":4,"born":1700000000000})");
+                   "cold_left_ms":1200.5,"seq":4,"born":1700000000000})",
+        now);
     BOOST_TEST_REQUIRE(value.has_value());
     BOOST_TEST(value.value().leaving);
     BOOST_TEST(value.value().cold_ms == 1200U);
     BOOST_TEST(value.value().born_ms == 1'700'000'000'000U);
-    BOOST_TEST(!platform::read_check_in("a/b", "{}").has_value());
-    BOOST_TEST(platform::read_leave("i-1", "").value().gone);
+    BOOST_TEST(!platform::read_check_in("a/b", "{}", now).has_value());
+    BOOST_TEST(platform::read_leave("i-1", "", now).value().gone);
+}
+
+// Guards against check-ins that name no endpoint to use but displace one that does.
+BOOST_AUTO_TEST_CASE(rejects_check_ins_that_name_no_endpoint)
+{
+    BOOST_TEST(accepts_check_in({}));
+    for (const char* address : {"not-an-ip:80", "10.1.0.9:0", "10.1.0.9", "0.0.0.0:80", "[::]:80",
+                                "224.0.0.1:80", "10.1.0.9:99999", ""}) {
+        BOOST_TEST(!accepts_check_in({{"addr", address}}), address);
+    }
+    BOOST_TEST(accepts_check_in({{"addr", "[fd00::9]:80"}}));
+    BOOST_TEST(!accepts_check_in({{"backend", ""}}));
+    BOOST_TEST(!accepts_check_in({{"backend", std::string(70'000, 's')}}));
+    BOOST_TEST(!accepts_check_in({{"zone", std::string(70'000, 'z')}}));
+    BOOST_TEST(!accepts_check_in({{"zone", "a\nb"}}));
+    BOOST_TEST(!accepts_check_in({{"state", "lost"}}));
+    BOOST_TEST(!accepts_check_in({{"seq", UINT64_MAX}}));
+    BOOST_TEST(!accepts_check_in({{"born", UINT64_MAX}}));
+    BOOST_TEST(!accepts_check_in({{"born", now_ms + 600'000}}));
+    // The clock of the endpoint may be ahead.
+    BOOST_TEST(accepts_check_in({{"born", now_ms + 10'000}}));
+    BOOST_TEST(!accepts_check_in({}, "i-\xFF"));
+    BOOST_TEST(platform::read_leave("i-1", R"({"born":1700000000000})", now).has_value());
+    BOOST_TEST(!platform::read_leave("i-1", R"({"born":18446744073709551615})", now).has_value());
 }
 
 // Guards against forwarding the caller's key, or the caller's values of headers that this system sets, to an
