Skip announcements that name no endpoint in lists of control members

A member of an earlier version may still list an announcement with an address that is none or the largest start time. directory_view took it for the newest of its name, so that the entry lost the endpoint and no longer learned what the other members listed for it. Such announcements are now skipped with one log line for each reply, and what was known under the name stays.

node_view/odd_announcements_are_skipped_and_the_others_hold was seen failing before the change (the odd entry replaced the endpoint in 5 of 5 cases); it passes now. The announcements of the fixture of that test file lacked address and service, without which they name no endpoint; they have both now, and the checks are unchanged.

--- a/src/node/directory_view.cpp
+++ b/src/node/directory_view.cpp
@@ -1,5 +1,8 @@
 #include "node/directory_view.h"
 
+#include "base/log.h"
+#include "node/announcement_check.h"
+
 #include <algorithm>
 #include <set>
 #include <tuple>
@@ -42,6 +45,9 @@
 {
     std::set<std::string> affected;
     std::map<std::string, std::optional<announcement>> changes;
+    const auto wall_now = std::chrono::system_clock::now();
+    std::size_t skipped = 0;
+    std::string first_reason;
     {
         const std::lock_guard lock(m_mutex);
         member_list& list = m_members[member];
@@ -56,6 +62,11 @@
             affected.insert(name);
         }
         for (const auto& value : reply.changed) {
+            const result<void> usable = check_announcement(*value, wall_now);
+            if (!usable) {
+                first_reason = ++skipped == 1 ? usable.error().message : first_reason;
+                continue;
+            }
             list.endpoints[value->endpoint] = *value;
             affected.insert(value->endpoint);
         }
@@ -77,6 +88,11 @@
             }
         }
     }
+    if (skipped != 0) {
+        log::warn(std::to_string(skipped) + " announcements listed by member " + member +
+                  " are skipped; reason of the first: " + first_reason +
+                  "; check which process sends them to the member");
+    }
     for (const auto& [name, value] : changes) {
         m_on_change(name, value ? &*value : nullptr);
     }
--- a/src/node/directory_view.h
+++ b/src/node/directory_view.h
@@ -32,7 +32,8 @@
 
     position position_of(const std::string& member) const;
 
-    // Applies the directory changes in one member's poll reply.
+    // Applies the directory changes in one member's poll reply. Announcements that name no endpoint to use
+    // are skipped, so that they do not hide what this or another member lists under the same name.
     void apply(const std::string& member, const wire::poll_replyT& reply);
 
     // Removes a member's list when the member has not replied for the announcement lease or has left the
--- a/test/node_view_test.cpp
+++ b/test/node_view_test.cpp
@@ -31,6 +31,8 @@
     for (const std::string& name : names) {
         auto value = std::make_unique<wire::announcementT>();
         value->endpoint = name;
+        value->address = "127.0.0.1:7000";
+        value->service = "chat";
         reply.changed.push_back(std::move(value));
     }
     return reply;
@@ -124,4 +126,35 @@
     BOOST_TEST(view.size() == 0U);
 }
 
+// Guards against an entry that uses what an older member still lists although it can't come from an endpoint,
+// and that no longer learns what the other members list under the same name.
+BOOST_AUTO_TEST_CASE(odd_announcements_are_skipped_and_the_others_hold)
+{
+    std::vector<std::string> changed;
+    node::directory_view view(
+        [&changed](const std::string& name, const wire::announcementT*) { changed.push_back(name); });
+    view.apply("m1", directory_reply(1, true, {"a", "b"}));
+    changed.clear();
+    for (const int kind : {0, 1, 2, 3, 4}) {
+        wire::poll_replyT odd = directory_reply(2, false, {"a", "b", "c"});
+        wire::announcementT& value = *odd.changed.front();
+        odd.changed[1]->cold = kind % 2 == 0;
+        value.leaving = true;
+        value.born_ms = kind == 0 ? UINT64_MAX : 5;
+        value.sequence = kind == 1 ? UINT64_MAX : 5;
+        value.address = kind == 2 ? "not-an-ip:80" : kind == 3 ? "127.0.0.1:0" : value.address;
+        value.failure_domain = kind == 4 ? std::string(70'000, 'z') : "z";
+        view.apply("m1", odd);
+        BOOST_TEST(!view.find("a")->leaving);
+        BOOST_TEST(view.find("b")->cold == odd.changed[1]->cold);
+        BOOST_TEST(view.find("c").has_value());
+    }
+    BOOST_TEST(std::count(changed.begin(), changed.end(), "a") == 0);
+    wire::poll_replyT later = directory_reply(1, true, {"a"});
+    later.changed.front()->born_ms = 6;
+    later.changed.front()->leaving = true;
+    view.apply("m2", later);
+    BOOST_TEST(view.find("a")->leaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
