Check announcements that other control members pass on

A member stored every announcement that another member or an agent sent in a poll. One with the largest sequence number or start time, from a member of an earlier version, kept the check-ins of the endpoint out of the list until its lease expired, and an announced end with such a start time marked the endpoint as gone. directory checks announcements itself now.

control_check_in/odd_announcements_change_nothing was seen failing before the change (the check-in after the odd announcement was rejected, and the endpoint was gone); it passes now. Announcements of control_poll_test and operator_service_test lacked address and service, without which they name no endpoint, so two tests of the latter failed with this change; they have both fields now, and all checks are unchanged.

--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -1,5 +1,7 @@
 #include "control/directory.h"
 
+#include "node/announcement_check.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -46,7 +48,9 @@
 
 bool directory::announce(const wire::announcementT& announcement, time_point now)
 {
-    if (announcement.endpoint.empty() || size_of(announcement) > m_limits.announcement_bytes) {
+    // Another member may have passed on what it has not checked itself.
+    if (!node::check_announcement(announcement, std::chrono::system_clock::now()) ||
+        size_of(announcement) > m_limits.announcement_bytes) {
         return false;
     }
     const auto position = m_entries.find(announcement.endpoint);
@@ -81,6 +85,9 @@
 
 bool directory::announce_gone(const wire::announcementT& announcement, time_point now)
 {
+    if (!node::check_announcement(announcement, std::chrono::system_clock::now())) {
+        return false;
+    }
     const auto position = m_entries.find(announcement.endpoint);
     if (position == m_entries.end()) {
         // Only the start time identifies which of several starts under one name has ended.
--- a/src/control/directory.h
+++ b/src/control/directory.h
@@ -51,9 +51,9 @@
     // `epoch` is a new random number at each start of the process and must not be 0.
     explicit directory(std::uint64_t epoch, const directory_limits& limits = {});
 
-    // Renews the lease and stores a changed announcement. Returns false when it is rejected: it is too large,
-    // the directory is full, or it is older than the stored one or from the process that was
-    // replaced.
+    // Renews the lease and stores a changed announcement. Returns false when it is rejected: it names no
+    // endpoint to use, it is too large, the directory is full, or it is older than the stored one or from the
+    // process that was replaced.
     bool announce(const wire::announcementT& announcement, time_point now);
 
     // Marks an endpoint as gone after it announced its end. It stays listed as gone until its lease expires,
--- a/test/control_check_in_test.cpp
+++ b/test/control_check_in_test.cpp
@@ -118,4 +118,25 @@
     BOOST_TEST(endpoints.size() == 0U);
 }
 
+// Guards against a member that lists what no endpoint has sent, as another member passes it on, and then
+// ignores the check-ins of the endpoint.
+BOOST_AUTO_TEST_CASE(odd_announcements_change_nothing)
+{
+    control::directory endpoints(7);
+    endpoints.announce(make_announcement(100, 1), start);
+    wire::announcementT odd = make_announcement(UINT64_MAX, 1);
+    BOOST_TEST(!endpoints.announce(odd, start));
+    odd = make_announcement(100, UINT64_MAX);
+    BOOST_TEST(!endpoints.announce(odd, start));
+    odd = make_announcement(200, 1);
+    odd.address = "not-an-ip:80";
+    BOOST_TEST(!endpoints.announce(odd, start));
+    odd = make_announcement(UINT64_MAX, UINT64_MAX);
+    odd.gone = true;
+    BOOST_TEST(!endpoints.announce_gone(odd, start));
+    BOOST_TEST(endpoints.announce(make_announcement(100, 2), start + 1s));
+    BOOST_TEST(endpoints.find("i-1")->sequence == 2U);
+    BOOST_TEST(!endpoints.find("i-1")->gone);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/control_poll_test.cpp
+++ b/test/control_poll_test.cpp
@@ -103,6 +103,8 @@
     auto announce = make_poll("gpu-1", wire::role::agent);
     announce.announce = std::make_unique<wire::announcementT>();
     announce.announce->endpoint = "gpu-1";
+    announce.announce->address = "127.0.0.1:7000";
+    announce.announce->service = "chat";
     handle_poll(announce, confirmed());
     auto poll = make_poll("entry-1");
     const auto first = handle_poll(poll, confirmed());
--- a/test/operator_service_test.cpp
+++ b/test/operator_service_test.cpp
@@ -235,6 +235,8 @@
     call("change", R"({"request_id":"a","put_failure_domain":{"name":"dc1","state":"out"}})");
     wire::announcementT announcement;
     announcement.endpoint = "gpu-1";
+    announcement.address = "127.0.0.1:7000";
+    announcement.service = "chat";
     announcement.failure_domain = "dc1";
     endpoints.announce(announcement, now);
     const std::string removal = R"({"request_id":"b","expected_revision":1,"remove_failure_domain":"dc1"})";
@@ -251,6 +253,8 @@
     for (const char* name : {"gpu-1", "gpu-2"}) {
         wire::announcementT announcement;
         announcement.endpoint = name;
+        announcement.address = "127.0.0.1:7000";
+        announcement.service = "chat";
         endpoints.announce(announcement, now - 250ms);
     }
     const auto items = json_of(call("endpoints", "{}")).at("items").as_array();
