Keep poll replies within one frame after many removals

After thousands of entries of the list had expired together, the reply to an entry's poll listed all their names and exceeded a frame: 304,240 bytes for 4,000 names of 64 characters, with a limit of 262,144. Read in the code, not run: the entry takes such a frame for invalid, closes the connection and asks for the same changes again, so it no longer follows the list. When the names need more than half of the bytes of a delta, the entry gets the whole list instead, in parts as before.

control_poll/reply_after_many_removals_fits_one_frame was seen failing with that size; it passes now.

--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -131,11 +131,29 @@
 }
 
 directory_delta directory::delta(std::uint64_t epoch, std::uint64_t version) const
+{
+    return has_delta_since(epoch, version) && removed_bytes_since(version) <= m_limits.delta_bytes / 2
+               ? changes_since(version, false)
+               : changes_since(0, true);
+}
+
+// Stops counting once the names do not fit a delta.
+std::size_t directory::removed_bytes_since(std::uint64_t version) const
+{
+    constexpr std::size_t overhead = 16;
+    std::size_t bytes = 0;
+    for (auto item = m_removals_by_version.upper_bound(version);
+         item != m_removals_by_version.end() && bytes <= m_limits.delta_bytes; ++item) {
+        bytes += item->second.size() + overhead;
+    }
+    return bytes;
+}
+
+directory_delta directory::changes_since(std::uint64_t since, bool whole) const
 {
     directory_delta out;
     out.epoch = m_epoch;
-    out.whole = !has_delta_since(epoch, version);
-    const std::uint64_t since = out.whole ? 0 : version;
+    out.whole = whole;
     out.version = m_version;
     std::size_t bytes = 0;
     for (auto item = m_changed_by_version.upper_bound(since); item != m_changed_by_version.end(); ++item) {
--- a/src/control/directory.h
+++ b/src/control/directory.h
@@ -24,7 +24,8 @@
     // Removals kept for deltas. A client that missed more gets the whole list.
     std::size_t removals = 4'096;
     // Estimated bytes of announcements in one delta, so that a reply fits a frame of 256 KiB; the client
-    // fetches the rest with its next poll.
+    // fetches the rest with its next poll. When the names of removed endpoints need more than half as much,
+    // the client gets the whole list instead.
     std::size_t delta_bytes = std::size_t{128} << 10U;
 };
 
@@ -90,6 +91,8 @@
     void remove(std::map<std::string, entry>::iterator position);
     void prune_removals();
     bool has_delta_since(std::uint64_t epoch, std::uint64_t version) const;
+    std::size_t removed_bytes_since(std::uint64_t version) const;
+    directory_delta changes_since(std::uint64_t since, bool whole) const;
 
     std::uint64_t m_epoch;
     directory_limits m_limits;
--- a/test/control_poll_test.cpp
+++ b/test/control_poll_test.cpp
@@ -1,6 +1,7 @@
 #include "control/packed.h"
 #include "control/poll_service.h"
 #include "control_fixture.h"
+#include "net/connection.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -122,6 +123,36 @@
     BOOST_TEST(handle_poll(poll, confirmed(), start + 3s).gone == std::vector<std::string>{"gpu-1"});
 }
 
+// Guards against a reply that no entry can read, again with each poll, after thousands of entries have
+// expired together.
+BOOST_FIXTURE_TEST_CASE(reply_after_many_removals_fits_one_frame, fixture)
+{
+    for (int i = 0; i < 4'000; ++i) {
+        wire::announcementT value;
+        value.endpoint = std::string(59, 'i') + "-" + std::to_string(1'000 + i);
+        value.address = "127.0.0.1:7000";
+        value.service = "chat";
+        value.born_ms = 1;
+        BOOST_TEST_REQUIRE(endpoints.announce(value, start));
+    }
+    auto poll = make_poll("entry-1");
+    poll.revision = 1;
+    poll.directory_epoch = 7;
+    poll.directory_version = endpoints.version();
+    auto sound = make_poll("gpu-1", wire::role::agent);
+    sound.announce = std::make_unique<wire::announcementT>();
+    sound.announce->endpoint = "gpu-1";
+    sound.announce->address = "127.0.0.1:7001";
+    sound.announce->service = "chat";
+    handle_poll(sound, confirmed(), start + 8s);
+    wire::poll_replyT reply = handle_poll(poll, confirmed(), start + 8s);
+    BOOST_TEST((reply.directory_whole || reply.gone.size() == 4'000U));
+    BOOST_TEST_REQUIRE(reply.changed.size() == 1U);
+    BOOST_TEST(reply.changed.front()->endpoint == "gpu-1");
+    const auto bytes = net::encode_frame(1, net::make_frame(std::move(reply)));
+    BOOST_TEST(bytes.size() <= net::max_frame_payload);
+}
+
 BOOST_FIXTURE_TEST_CASE(processes_are_listed_and_bounded, fixture)
 {
     auto poll = make_poll("entry-1");
