Keep endpoints that odd entries of the list would displace

An entry stopped using an endpoint in four cases. An announcement under its name that names no endpoint replaced its address. An announcement of a service that no configuration names took its name, or its address by a later start time. A later endpoint at its address that does not answer there (421) stayed the one to use. And one that had been listed at its address and had expired was kept as unlisted, so that it displaced the endpoint until another endpoint expired, which may be never.

fleet skips the first kind. It learns the services of the configuration; an announcement of another service that would displace an endpoint of a named one is set aside until its service is published or the endpoint is gone, and takes no address. An endpoint that does not answer at its address takes it from no other, and an unlisted one only for the grace period in which it may still be used itself. The check is made for the endpoints of the changed address only, not for all with each announcement. endpoint_at() follows the same rules.

Endpoints that restart under their own name or reuse the address of another service are used as before, also when their service is published after their check-in.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -1,6 +1,8 @@
 #include "forward/fleet.h"
 
+#include "base/log.h"
 #include "forward/fleet_detail.h"
+#include "node/announcement_check.h"
 
 #include <algorithm>
 #include <cmath>
@@ -83,45 +85,149 @@
 void fleet::on_endpoint(const std::string& name, const wire::announcementT* value)
 {
     const time_point now = clock::now();
-    const std::lock_guard lock(m_mutex);
-    if (value == nullptr) {
-        const auto found = m_endpoints.find(name);
-        if (found != m_endpoints.end() && found->second.listed) {
-            found->second.listed = false;
-            found->second.unlisted_since = now;
+    if (value != nullptr) {
+        const result<void> usable = node::check_announcement(*value, std::chrono::system_clock::now());
+        if (!usable) {
+            log::warn("an announcement is skipped: " + describe(usable.error()));
+            return;
         }
-        std::erase_if(m_endpoints, [now](const auto& item) {
-            return !item.second.listed && now - item.second.unlisted_since > unlisted_grace &&
-                   item.second.load.requests() == 0;
-        });
+    }
+    const std::lock_guard lock(m_mutex);
+    m_set_aside.erase(name);
+    if (value != nullptr && displaces_named_service(*value, now)) {
+        m_set_aside[name] = *value;
+        log::warn("an announcement of endpoint " + name + " is set aside: no configuration names service " +
+                  value->service + "; publish the service or stop the process that announces it");
+        return;
+    }
+    if (value != nullptr) {
+        store(*value, now);
         return;
     }
-    const result<host_port> address = parse_host_port(value->address);
-    endpoint_state& state = m_endpoints[name];
-    if (value->born_ms != state.info.born_ms || value->address != state.info.address) {
+    const auto found = m_endpoints.find(name);
+    if (found != m_endpoints.end() && found->second.listed) {
+        found->second.listed = false;
+        found->second.unlisted_since = now;
+        update_superseded(found->second.info.address);
+    }
+    remove_expired(now);
+}
+
+void fleet::store(const wire::announcementT& value, time_point now)
+{
+    const result<host_port> address = parse_host_port(value.address);
+    endpoint_state& state = m_endpoints[value.endpoint];
+    const std::string previous_address = state.info.address;
+    if (value.born_ms != state.info.born_ms || value.address != previous_address) {
         // A restarted endpoint has lost all work dispatched to its previous incarnation.
         state = endpoint_state{};
     }
-    state.info = *value;
+    state.info = value;
     state.listed = true;
-    state.cold_until = now + milliseconds(value->cold_ms);
+    state.cold_until = now + milliseconds(value.cold_ms);
     if (address) {
         state.address = address.value();
     }
     state.misdirected = false;
-    mark_superseded();
+    if (value.address != previous_address) {
+        const auto previous = m_names_by_address.find(previous_address);
+        if (previous != m_names_by_address.end()) {
+            previous->second.erase(value.endpoint);
+            update_superseded(previous_address);
+        }
+    }
+    m_names_by_address[value.address].insert(value.endpoint);
+    update_superseded(value.address);
 }
 
-// When several endpoints announce the same address, only the one started last is reachable there.
-void fleet::mark_superseded()
+void fleet::remove_expired(time_point now)
 {
-    std::map<std::string_view, std::uint64_t> newest;
-    for (const auto& [name, state] : m_endpoints) {
-        std::uint64_t& born = newest[state.info.address];
-        born = std::max(born, state.info.born_ms);
+    for (auto item = m_endpoints.begin(); item != m_endpoints.end();) {
+        const endpoint_state& state = item->second;
+        if (is_listed(state, now) || state.load.requests() != 0) {
+            ++item;
+            continue;
+        }
+        const std::string address = state.info.address;
+        m_names_by_address[address].erase(item->first);
+        item = m_endpoints.erase(item);
+        update_superseded(address);
     }
-    for (auto& [name, state] : m_endpoints) {
-        state.superseded = newest[state.info.address] != state.info.born_ms;
+}
+
+void fleet::set_services(std::set<std::string> services)
+{
+    const time_point now = clock::now();
+    const std::lock_guard lock(m_mutex);
+    m_services = std::move(services);
+    for (auto item = m_set_aside.begin(); item != m_set_aside.end();) {
+        const auto next = std::next(item);
+        if (!displaces_named_service(item->second, now)) {
+            const wire::announcementT value = std::move(item->second);
+            m_set_aside.erase(item);
+            store(value, now);
+        }
+        item = next;
+    }
+    for (auto item = m_names_by_address.begin(); item != m_names_by_address.end();) {
+        const std::string address = (item++)->first;
+        update_superseded(address);
+    }
+}
+
+bool fleet::is_named(const std::string& service) const
+{
+    return !m_services || m_services->contains(service);
+}
+
+// The configuration is what decides which service gets work, so an announcement of a service that it does not
+// name is no reason to give up an endpoint that it needs. The end of an endpoint holds in any case.
+bool fleet::displaces_named_service(const wire::announcementT& value, time_point now) const
+{
+    const auto found = m_endpoints.find(value.endpoint);
+    return found != m_endpoints.end() && !value.gone && !is_named(value.service) &&
+           is_named(found->second.info.service) && !found->second.info.gone && is_listed(found->second, now);
+}
+
+bool fleet::is_listed(const endpoint_state& state, time_point now) const
+{
+    return state.listed || now - state.unlisted_since < unlisted_grace;
+}
+
+// When several endpoints announce the same address, only the one started last is reachable there. One that
+// does not answer there, that is no longer listed, or whose service the configuration does not name, does not
+// count.
+void fleet::update_superseded(const std::string& address)
+{
+    const auto found = m_names_by_address.find(address);
+    if (found == m_names_by_address.end()) {
+        return;
+    }
+    if (found->second.empty()) {
+        m_names_by_address.erase(found);
+        return;
+    }
+    std::uint64_t newest_listed = 0;
+    std::uint64_t newest_unlisted = 0;
+    time_point unlisted_end{};
+    for (const std::string& name : found->second) {
+        const endpoint_state& state = m_endpoints.at(name);
+        if (state.misdirected || !is_named(state.info.service)) {
+            continue;
+        }
+        if (state.listed) {
+            newest_listed = std::max(newest_listed, state.info.born_ms);
+        } else if (state.info.born_ms > newest_unlisted) {
+            newest_unlisted = state.info.born_ms;
+            unlisted_end = state.unlisted_since + unlisted_grace;
+        }
+    }
+    for (const std::string& name : found->second) {
+        endpoint_state& state = m_endpoints.at(name);
+        const bool unlisted_later = newest_unlisted > state.info.born_ms;
+        state.superseded_until = newest_listed > state.info.born_ms ? time_point::max()
+                                 : unlisted_later                   ? unlisted_end
+                                                                    : time_point{};
     }
 }
 
@@ -139,8 +245,7 @@
 
 bool fleet::accepts_work(const endpoint_state& state, time_point now) const
 {
-    const bool listed = state.listed || now - state.unlisted_since < unlisted_grace;
-    return listed && !state.info.leaving && !state.info.gone && !state.misdirected &&
+    return is_listed(state, now) && !state.info.leaving && !state.info.gone && !state.misdirected &&
            state.address.port != 0 && !m_domains_out.contains(state.info.failure_domain);
 }
 
@@ -179,7 +284,7 @@
     std::vector<endpoint_state*> backing_off;
     for (auto& [name, state] : m_endpoints) {
         if (state.info.service != request.service->name || request.excluded.contains(name) ||
-            !accepts_work(state, now) || is_blocked(state, now) || state.superseded ||
+            !accepts_work(state, now) || is_blocked(state, now) || now < state.superseded_until ||
             at_cold_limit(state, request, now)) {
             continue;
         }
@@ -416,12 +521,18 @@
 
 std::string fleet::endpoint_at(const std::string& address) const
 {
+    const time_point now = clock::now();
     const std::lock_guard lock(m_mutex);
+    const auto found = m_names_by_address.find(address);
     const endpoint_state* newest = nullptr;
-    for (const auto& [name, state] : m_endpoints) {
-        if (state.info.address == address &&
-            (newest == nullptr || state.info.born_ms > newest->info.born_ms)) {
-            newest = &state;
+    if (found != m_names_by_address.end()) {
+        for (const std::string& name : found->second) {
+            const endpoint_state& state = m_endpoints.at(name);
+            const bool counts =
+                is_named(state.info.service) && !state.misdirected && now >= state.superseded_until;
+            if (counts && (newest == nullptr || state.info.born_ms > newest->info.born_ms)) {
+                newest = &state;
+            }
         }
     }
     return newest == nullptr ? std::string() : newest->info.endpoint;
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -102,6 +103,10 @@
     // Applies a directory update; `value` is null when no control member lists the endpoint any more.
     void on_endpoint(const std::string& name, const wire::announcementT* value);
 
+    // Sets the services that the configuration names. Until the first call all services count as named. An
+    // announcement of another service takes neither the name nor the address of an endpoint of a named one.
+    void set_services(std::set<std::string> services);
+
     // Sets the failure domains that operators have taken out of service.
     void set_domains_out(std::set<std::string> domains);
 
@@ -204,7 +209,7 @@
         bool announced_leaving = false;           // in an answer
         bool misdirected = false;                 // another endpoint answered at the address
         std::uint32_t trials = 0;                 // running requests with suspect prompt parts
-        bool superseded = false;                  // an endpoint that started later has announced the address
+        time_point superseded_until{};            // another endpoint has announced the address later
         std::deque<time_point> recent_dispatches; // by all entries
     };
 
@@ -233,7 +238,13 @@
     std::size_t parts_before(const dispatch_request& request, std::size_t endpoints, time_point now) const;
     // Expected loss of all other waiting prompts per ms that this one makes them wait.
     double queue_loss_per_ms(const dispatch_request& request, time_point now) const;
-    void mark_superseded();
+    // Stores an announcement as it is listed.
+    void store(const wire::announcementT& value, time_point now);
+    void remove_expired(time_point now);
+    bool is_named(const std::string& service) const;
+    bool displaces_named_service(const wire::announcementT& value, time_point now) const;
+    bool is_listed(const endpoint_state& state, time_point now) const;
+    void update_superseded(const std::string& address);
     bool accepts_work(const endpoint_state& state, time_point now) const;
     bool is_blocked(const endpoint_state& state, time_point now) const;
     bool at_cold_limit(endpoint_state& state, const dispatch_request& request, time_point now) const;
@@ -272,6 +283,11 @@
 
     mutable std::mutex m_mutex;
     std::map<std::string, endpoint_state> m_endpoints;
+    std::map<std::string, std::set<std::string>> m_names_by_address;
+    // Announcements of services that the configuration does not name, by the name of the endpoint of a named
+    // service that they would displace.
+    std::map<std::string, wire::announcementT> m_set_aside;
+    std::optional<std::set<std::string>> m_services; // that the configuration names
     std::map<policy::work_key, dispatch_record> m_dispatches;
     std::map<policy::work_key, waiting_request> m_waiting;
     policy::crash_suspects m_suspects;
--- a/src/forward/fleet_health.cpp
+++ b/src/forward/fleet_health.cpp
@@ -60,6 +60,7 @@
     }
     if (health == attempt_health::misdirected) {
         state.misdirected = true;
+        update_superseded(state.info.address);
         return;
     }
     if (health == attempt_health::unreachable) {
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -223,6 +223,11 @@
                                     : result<std::shared_ptr<const route::table>>(document.error());
         if (table) {
             m_rules.table = table.value();
+            std::set<std::string> services;
+            for (const route::service_rule& service : m_rules.table->rules().services) {
+                services.insert(service.name);
+            }
+            m_fleet.set_services(std::move(services));
             apply_limits(*m_rules.table);
         } else {
             // Control members validate documents before publication, so only a member of another version can
--- a/test/forward_fleet_test.cpp
+++ b/test/forward_fleet_test.cpp
@@ -139,6 +139,98 @@
     BOOST_TEST(choose({"e2", "later"}) == "none");
 }
 
+// Guards against an endpoint that is lost because of an entry under its name that names no endpoint to use.
+BOOST_FIXTURE_TEST_CASE(keeps_an_endpoint_when_an_odd_entry_has_its_name, fleet_fixture)
+{
+    for (const char* address : {"not-an-ip:80", "127.0.0.1:0", "", "0.0.0.0:80"}) {
+        wire::announcementT odd = make_endpoint("e1", "a", 5);
+        odd.address = address;
+        fleet.on_endpoint("e1", &odd);
+        BOOST_TEST(choose({"e2"}) == "e1");
+    }
+    wire::announcementT odd = make_endpoint("e1", "a", UINT64_MAX);
+    odd.address = "127.0.0.1:9";
+    fleet.on_endpoint("e1", &odd);
+    BOOST_TEST(fleet.endpoint_at("127.0.0.1:9").empty());
+    BOOST_TEST(choose({"e2"}) == "e1");
+}
+
+// Guards against an endpoint that is lost to an entry of a service that the configuration does not name.
+BOOST_FIXTURE_TEST_CASE(entries_of_unnamed_services_displace_no_endpoint, fleet_fixture)
+{
+    fleet.set_services({"desk"});
+    const std::string address = make_endpoint("e1", "a").address;
+    wire::announcementT odd = make_endpoint("e1", "a", 5);
+    odd.service = "nowhere";
+    odd.endpoint = "odd";
+    fleet.on_endpoint("odd", &odd);
+    BOOST_TEST(choose({"e2"}) == "e1");
+    BOOST_TEST(fleet.endpoint_at(address) == "e1");
+    odd.endpoint = "e1";
+    odd.address = "127.0.0.1:9";
+    fleet.on_endpoint("e1", &odd);
+    BOOST_TEST(choose({"e2"}) == "e1");
+    // The end of the odd entry and the next check-in of the endpoint itself.
+    fleet.on_endpoint("e1", nullptr);
+    BOOST_TEST(choose({"e2"}) == "e1");
+    add("e1", "a", 1);
+    BOOST_TEST(choose({"e2"}) == "e1");
+}
+
+// An endpoint may start again with a service that is published only after its check-in, at its own address or
+// another one.
+BOOST_FIXTURE_TEST_CASE(entries_of_unnamed_services_count_once_the_service_is_published, fleet_fixture)
+{
+    fleet.set_services({"desk"});
+    wire::announcementT moved = make_endpoint("e1", "a", 5);
+    moved.service = "new";
+    fleet.on_endpoint("e1", &moved);
+    wire::announcementT reused = make_endpoint("e2", "b", 5);
+    reused.service = "new";
+    reused.endpoint = "later";
+    fleet.on_endpoint("later", &reused);
+    BOOST_TEST(choose({"e2"}) == "e1");
+    BOOST_TEST(choose({"e1"}) == "e2");
+    fleet.set_services({"desk", "new"});
+    BOOST_TEST(choose() == "none");
+    desk.name = "new";
+    BOOST_TEST(choose({"later"}) == "e1");
+    BOOST_TEST(choose({"e1"}) == "later");
+    // A service that is no longer published keeps no other from its address.
+    desk.name = "desk";
+    fleet.set_services({"desk"});
+    BOOST_TEST(choose() == "e2");
+}
+
+// Guards against an endpoint that gets no work any more after another one has announced its address, and is
+// no longer listed there.
+BOOST_FIXTURE_TEST_CASE(uses_an_endpoint_again_when_a_later_one_at_its_address_has_expired, fleet_fixture)
+{
+    wire::announcementT later = make_endpoint("e1", "a", 5);
+    later.endpoint = "later";
+    later.service = "other";
+    fleet.on_endpoint("later", &later);
+    BOOST_TEST(choose({"e2"}) == "none");
+    fleet.on_endpoint("later", nullptr);
+    BOOST_TEST(choose({"e2"}) == "none");
+    forward::dispatch_request value = request();
+    value.excluded = {"e2"};
+    BOOST_TEST(fleet.dispatch(value, clock::now() + 6s).choice.has_value());
+}
+
+// Guards against an endpoint that gets no work although another one, which does not answer there, has
+// announced its address.
+BOOST_FIXTURE_TEST_CASE(uses_an_endpoint_when_a_later_one_does_not_answer_at_its_address, fleet_fixture)
+{
+    wire::announcementT later = make_endpoint("e1", "a", 5);
+    later.endpoint = "later";
+    fleet.on_endpoint("later", &later);
+    BOOST_TEST(choose({"e2"}) == "later");
+    fleet.record_health("later", forward::attempt_health::misdirected, clock::now());
+    BOOST_TEST(choose({"e2"}) == "e1");
+    BOOST_TEST(fleet.endpoint_at(later.address) == "e1");
+}
+
 // The request rate limit of a cold endpoint applies to the sum over all entries.
 BOOST_FIXTURE_TEST_CASE(limits_request_rate_of_cold_endpoints, fleet_fixture)
 {
