Keep streams of engines that are silent

Callers of chat-completions got a part of their stream and then the error answer_broken, although the engine worked on, its connection stood and seconds of the deadline were left. The agent ended a read after engine_silence, dropped the connection, resumed, and counted that as a break: after three resumes, or one without a head within 2 s, the answer was given up and cancelled.

engine_event_reader asks a silent engine on a second connection and keeps the first. The one that gives the next event goes on, the other is closed; events are counted, so none is written twice. 404 or 410 with no event meanwhile ends the answer; any other failure of the second connection doesn't. Only breaks that leave no connection count (three, as before). After a break in a begun stream the resume waits for the engine until the deadline; before the first event 2 s, as another endpoint may be asked.

TCP keep-alive probes (1 s, 2 probes) on connections of the HTTP client, for peers that have lost power. They don't cover data that the peer hasn't acknowledged.

--- a/src/agent/agent_service.h
+++ b/src/agent/agent_service.h
@@ -59,6 +59,7 @@
     // Dispatches queued attempts as far as the limits allow and refuses those that must not run.
     void dispatch_queued();
     net::task<void> run(std::shared_ptr<attempt> value);
+    class attempt_events;
     struct answer_end {
         time_point first_byte;
         std::uint32_t tokens = 0;
@@ -68,8 +69,6 @@
                                               std::unique_ptr<net::http_stream> stream);
     net::task<result<answer_end>> read_events(std::shared_ptr<attempt> value,
                                               std::unique_ptr<net::http_stream> stream);
-    net::task<result<std::unique_ptr<net::http_stream>>> resume_at_engine(std::shared_ptr<attempt> value,
-                                                                          std::uint32_t events);
     // Cancels the attempt at the engine and releases its memory reservation on success; after a failure
     // reconciliation releases it later.
     net::task<void> cancel_at_engine(std::shared_ptr<attempt> value);
@@ -93,7 +92,7 @@
 
     node::process& m_process;
     settings::agent_settingsT m_settings;
-    std::unique_ptr<engine_client> m_engine;
+    std::shared_ptr<engine_client> m_engine;
     admission m_admission;
     node::config_view m_config;
     std::shared_ptr<net::frame_server> m_server;
--- a/src/agent/engine_client.cpp
+++ b/src/agent/engine_client.cpp
@@ -65,7 +65,8 @@
                                           std::move(sent));
     }
 
-    net::task<result<std::unique_ptr<net::http_stream>>> resume(std::string, std::uint32_t) override
+    net::task<result<std::unique_ptr<net::http_stream>>> resume(std::string, std::uint32_t,
+                                                                milliseconds) override
     {
         co_return make_error(error_kind::unavailable, "a plain service does not support resume");
     }
@@ -97,16 +98,23 @@
 public:
     using plain_service::plain_service;
 
-    net::task<result<std::unique_ptr<net::http_stream>>> resume(std::string id,
-                                                                std::uint32_t from_token) override
+    net::task<result<std::unique_ptr<net::http_stream>>> resume(std::string id, std::uint32_t from_token,
+                                                                milliseconds head_timeout) override
     {
         net::http_call call;
         call.method = "GET";
         call.target = "/v1/requests/" + id + "/stream?from=" + std::to_string(from_token);
-        auto opened = co_await net::open_http(address(), std::move(call), connect_timeout, call_timeout);
-        if (opened && opened.value()->status() != 200) {
+        auto opened = co_await net::open_http(address(), std::move(call), connect_timeout, head_timeout);
+        if (!opened) {
+            co_return opened.error();
+        }
+        const unsigned status = opened.value()->status();
+        if (status == 404 || status == 410) {
             co_return make_error(error_kind::not_found, "the engine no longer holds the request");
         }
+        if (status != 200) {
+            co_return invalid_response("a resume");
+        }
         co_return opened;
     }
 
--- a/src/agent/engine_client.h
+++ b/src/agent/engine_client.h
@@ -45,9 +45,11 @@
     virtual net::task<result<std::unique_ptr<net::http_stream>>>
     start(engine_request request, milliseconds time_left, std::shared_ptr<bool> sent) = 0;
 
-    // Resumes the stream of a request at a token index on a new connection.
-    virtual net::task<result<std::unique_ptr<net::http_stream>>> resume(std::string id,
-                                                                        std::uint32_t from_token) = 0;
+    // Resumes the stream of a request at a token index on a new connection. Fails with `not_found` when the
+    // engine no longer holds the request, and with `timeout` when the head of its response does not arrive
+    // within `head_timeout`.
+    virtual net::task<result<std::unique_ptr<net::http_stream>>>
+    resume(std::string id, std::uint32_t from_token, milliseconds head_timeout) = 0;
 
     // Ends a request and frees its memory. Also succeeds when the engine does not hold the request.
     virtual net::task<result<void>> cancel(std::string id) = 0;
--- a/src/agent/engine_runner.cpp
+++ b/src/agent/engine_runner.cpp
@@ -1,13 +1,10 @@
 #include "agent/agent_service.h"
-#include "agent/sse.h"
+#include "agent/engine_events.h"
 
 namespace verbena::agent {
 
 namespace {
 
-// Limit of resumes of one engine stream; the attempt fails after them.
-constexpr int max_engine_resumes = 3;
-
 // Time limit of an unrepeatable request. It runs on after its deadline, so that its outcome can be looked up
 // by its idempotency key.
 constexpr std::chrono::minutes max_unrepeatable_run_time{10};
@@ -131,58 +128,59 @@
     }
 }
 
-net::task<result<std::unique_ptr<net::http_stream>>>
-agent_service::resume_at_engine(std::shared_ptr<attempt> value, std::uint32_t events)
-{
-    m_process.counters().add("verbena_agent_engine_resumes_total", {});
-    co_return co_await m_engine->resume(value->engine_id(), events);
-}
+// Adds the events of an attempt to its response.
+class agent_service::attempt_events : public engine_event_sink {
+public:
+    attempt_events(agent_service& service, std::shared_ptr<attempt> value)
+        : m_service(service), m_attempt(std::move(value))
+    {
+    }
+
+    void on_events(const std::string& events) override
+    {
+        if (m_attempt->log.size() == 0) {
+            m_first_byte = clock::now();
+            m_service.m_admission.first_token(m_attempt, m_first_byte);
+            m_service.dispatch_queued();
+        }
+        m_attempt->log.append(events);
+    }
+
+    void on_resume() override
+    {
+        m_service.m_process.counters().add("verbena_agent_engine_resumes_total", {});
+    }
+
+    bool is_wanted() const override
+    {
+        return !m_service.m_admission.cancel_requested(m_attempt) && m_attempt->log.is_open();
+    }
+
+    time_point first_byte() const { return m_first_byte; }
+
+private:
+    agent_service& m_service;
+    std::shared_ptr<attempt> m_attempt;
+    time_point m_first_byte;
+};
 
 net::task<result<agent_service::answer_end>>
 agent_service::read_events(std::shared_ptr<attempt> value, std::unique_ptr<net::http_stream> stream)
 {
-    answer_end end;
-    sse_splitter splitter;
-    int resumes = 0;
-    while (true) {
-        const auto time_left = std::chrono::duration_cast<milliseconds>(run_deadline(*value) - clock::now());
-        const milliseconds silence_limit(m_settings.engine_silence);
-        // The silence limit applies after the first token, because the prefill of a long prompt may exceed
-        // it.
-        const milliseconds read_timeout =
-            splitter.events() == 0 ? time_left : std::min(time_left, silence_limit);
-        const result<std::string> chunk = co_await stream->read_some(std::max(read_timeout, milliseconds(1)));
-        if (chunk) {
-            const std::string complete_events = splitter.feed(chunk.value());
-            if (!complete_events.empty()) {
-                if (value->log.size() == 0) {
-                    end.first_byte = clock::now();
-                    m_admission.first_token(value, end.first_byte);
-                    dispatch_queued();
-                }
-                value->log.append(complete_events);
-            }
-        }
-        end.tokens = splitter.events();
-        if (splitter.done() || (splitter.finished() && (!chunk || chunk.value().empty()))) {
-            co_return end;
-        }
-        if (chunk && !chunk.value().empty()) {
-            continue;
-        }
-        const error reason =
-            chunk ? make_error(error_kind::io, "the engine closed the stream before the end of the response")
-                  : chunk.error();
-        if (++resumes > max_engine_resumes || m_admission.cancel_requested(value) || !value->log.is_open()) {
-            co_return reason;
-        }
-        splitter.discard_partial();
-        auto resumed = co_await resume_at_engine(value, splitter.events());
-        if (!resumed) {
-            co_return reason;
-        }
-        stream = std::move(resumed.value());
+    engine_event_reader::options options;
+    options.id = value->engine_id();
+    options.deadline = run_deadline(*value);
+    options.silence = milliseconds(m_settings.engine_silence);
+    attempt_events sink(*this, value);
+    const auto reader = std::make_shared<engine_event_reader>(m_engine, std::move(options), sink);
+    const result<std::uint32_t> events = co_await reader->read(std::move(stream));
+    if (!events) {
+        co_return events.error();
     }
+    answer_end end;
+    end.first_byte = sink.first_byte();
+    end.tokens = events.value();
+    co_return end;
 }
 
 net::task<void> agent_service::cancel_at_engine(std::shared_ptr<attempt> value)
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 
 #include "net/address.h"
+#include "net/keep_alive.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -19,6 +20,19 @@
 
 constexpr std::size_t read_size = 16 * 1024;
 
+// The connection to a peer that has lost power, or that no longer takes packets of this connection, ends
+// within 3 s. A peer that is only silent answers the probes.
+constexpr std::chrono::seconds keep_alive_interval{1};
+constexpr int keep_alive_probes = 2;
+
+error stream_error(const char* operation, const error_code& cause)
+{
+    return cause == beast::error::timeout
+               ? make_error(error_kind::timeout, std::string(operation) + ": no answer in time",
+                            "check that the peer runs and is reachable")
+               : io_error(operation, cause);
+}
+
 std::string request_text(const host_port& address, const http_call& call)
 {
     std::string text = call.method + ' ' + call.target + " HTTP/1.1\r\nHost: " + address.host + ':' +
@@ -39,10 +53,11 @@
         m_stream.expires_after(timeout);
         auto [failure] = co_await m_stream.async_connect(endpoint, no_throw);
         if (failure) {
-            co_return io_error("connect", failure);
+            co_return stream_error("connect", failure);
         }
         error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        set_keep_alive(m_stream.socket(), keep_alive_interval, keep_alive_probes);
         co_return success();
     }
 
@@ -51,7 +66,7 @@
         const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(body)};
         auto [failure, written] = co_await asio::async_write(m_stream, buffers, no_throw);
         if (failure) {
-            co_return io_error("send", failure);
+            co_return stream_error("send", failure);
         }
         co_return success();
     }
@@ -62,7 +77,7 @@
         m_stream.expires_after(timeout);
         auto [failure, size] = co_await http::async_read_header(m_stream, m_buffer, m_parser, no_throw);
         if (failure) {
-            co_return io_error("read response head", failure);
+            co_return stream_error("read response head", failure);
         }
         co_return success();
     }
@@ -88,7 +103,7 @@
             m_stream.expires_after(inactivity_timeout);
             auto [failure, size] = co_await http::async_read_some(m_stream, m_buffer, m_parser, no_throw);
             if (failure && failure != http::error::need_buffer) {
-                co_return io_error("read response body", failure);
+                co_return stream_error("read response body", failure);
             }
             chunk.resize(chunk.size() - m_parser.get().body().size);
         }
