Write no second answer and no error text into a begun stream

Callers found the text of an error in the middle of their stream, and could have got a second head.

- A resume answered with 200 and another content type was taken for events; its body went to the caller.
It is now an invalid response.
- The entry's error event was also written after half an event and into bodies without events.
It is now written only after a whole event; otherwise the connection just closes without the last chunk.
- http_exchange::reply() and start_stream() wrote head and body of a second answer after the first had started.
They now write nothing and fail with conflict.

Not possible on this path: a retry at another endpoint after the first byte (dispatcher::may_retry asks sink.started()); a second head for a begun stream; an end without [DONE] taken for the whole, as length and hash are checked. Resumes answered with 404, 500 or without events wrote no text before either.

--- a/src/agent/engine_client.cpp
+++ b/src/agent/engine_client.cpp
@@ -12,6 +12,11 @@
 constexpr milliseconds connect_timeout{1'000};
 constexpr milliseconds call_timeout{2'000};
 
+bool is_event_stream(const std::string& content_type)
+{
+    return content_type.starts_with("text/event-stream");
+}
+
 error invalid_response(const std::string& what)
 {
     return make_error(error_kind::io, "the engine's response to " + what + " is invalid",
@@ -112,7 +117,7 @@
         if (status == 404 || status == 410) {
             co_return make_error(error_kind::not_found, "the engine no longer holds the request");
         }
-        if (status != 200) {
+        if (status != 200 || !is_event_stream(opened.value()->content_type())) {
             co_return invalid_response("a resume");
         }
         co_return opened;
--- a/src/entry/answer_writer.cpp
+++ b/src/entry/answer_writer.cpp
@@ -1,11 +1,14 @@
 #include "entry/answer_writer.h"
 
+#include <algorithm>
+
 namespace verbena::entry {
 
 namespace {
 
 constexpr std::string_view done_event = "data: [DONE]\n\n";
 constexpr std::string_view event_stream = "text/event-stream";
+constexpr std::string_view event_end = "\n\n";
 
 } // namespace
 
@@ -37,6 +40,8 @@
             co_return started;
         }
     }
+    m_tail.append(bytes, bytes.size() - std::min(bytes.size(), event_end.size()));
+    m_tail.erase(0, m_tail.size() - std::min(m_tail.size(), event_end.size()));
     co_return co_await m_exchange.write(bytes);
 }
 
@@ -59,6 +64,9 @@
 
 net::task<void> stream_writer::fail(const caller_error& failure)
 {
+    if (!m_content_type.starts_with(event_stream) || m_tail != event_end) {
+        co_return;
+    }
     const std::string event = to_event(failure);
     (void)co_await m_exchange.write(event);
 }
--- a/src/entry/answer_writer.h
+++ b/src/entry/answer_writer.h
@@ -19,7 +19,8 @@
     // Ends a complete response.
     net::task<result<void>> finish();
 
-    // Reports an interrupted response to the caller; the connection is then closed without the last chunk.
+    // Reports an interrupted response to the caller with an event, if the response consists of events and
+    // ends with a whole one; the connection is then closed without the last chunk.
     net::task<void> fail(const caller_error& failure);
 
 private:
@@ -30,6 +31,8 @@
     std::function<void(clock::duration)> m_first_byte;
     unsigned m_status = 200;
     std::string m_content_type;
+    // The last bytes sent; shows whether they end an event.
+    std::string m_tail;
 };
 
 // Buffers a response that is not streamed; it is sent after it has been verified. `limit` is in bytes.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -234,6 +234,10 @@
 
 task<result<void>> http_exchange::reply(http_response response)
 {
+    if (m_started) {
+        co_return make_error(error_kind::conflict, "the response has already started",
+                             "end the started response");
+    }
     m_started = true;
     std::string text = head_text(response.status, response.content_type, response.headers);
     text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n";
@@ -246,6 +250,10 @@
 task<result<void>> http_exchange::start_stream(unsigned status, std::string content_type,
                                                http_header_list headers)
 {
+    if (m_started) {
+        co_return make_error(error_kind::conflict, "the response has already started",
+                             "end the started response");
+    }
     m_started = true;
     const std::string text = head_text(status, content_type, headers) + "Transfer-Encoding: chunked\r\n\r\n";
     co_return co_await write_all(text);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -73,6 +73,7 @@
     const http_request& request() const { return m_request; }
     http_request& request() { return m_request; }
 
+    // reply() and start_stream() write nothing and fail with `conflict` when a response has started.
     task<result<void>> reply(http_response response);
     task<result<void>> start_stream(unsigned status, std::string content_type, http_header_list headers);
     // Writes one chunk. Returns when the socket has accepted it; fails when the client reads nothing within
--- a/test/http_server_test.cpp
+++ b/test/http_server_test.cpp
@@ -32,6 +32,27 @@
     bool m_empty = false;
 };
 
+// Starts a stream and then answers a second time.
+class second_answer_handler : public net::http_handler {
+public:
+    net::task<void> handle(net::http_exchange& exchange) override
+    {
+        (void)co_await exchange.start_stream(200, "text/plain", {});
+        (void)co_await exchange.write("part");
+        net::http_response second;
+        second.status = 409;
+        second.body = "text of an error";
+        m_replied = (co_await exchange.reply(second)).has_value();
+        m_started = (co_await exchange.start_stream(409, "text/plain", {})).has_value();
+    }
+
+    bool any_written() const { return m_replied || m_started; }
+
+private:
+    bool m_replied = true;
+    bool m_started = true;
+};
+
 struct fixture {
     net::asio::io_context io;
     metrics counters;
@@ -77,6 +98,31 @@
     BOOST_TEST(failed);
 }
 
+// Guards against the head or body of a second answer in the middle of a stream.
+BOOST_AUTO_TEST_CASE(second_answer_is_not_written_into_a_stream)
+{
+    second_answer_handler second;
+    server = net::http_server::create(io, {"127.0.0.1", 0}, limits, second, counters, "test").value();
+    server->start();
+    std::string received;
+    run([&]() -> net::task<void> {
+        net::tcp::socket socket(io);
+        const net::tcp::endpoint peer(net::asio::ip::address_v4::loopback(), server->port());
+        co_await socket.async_connect(peer, net::no_throw);
+        const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        co_await socket.async_write_some(net::asio::buffer(request), net::no_throw);
+        std::array<char, 1024> bytes{};
+        std::size_t size = 0;
+        do {
+            const auto read = co_await socket.async_read_some(net::asio::buffer(bytes), net::no_throw);
+            size = std::get<1>(read);
+            received.append(bytes.data(), size);
+        } while (size != 0);
+    });
+    BOOST_TEST(!second.any_written());
+    BOOST_TEST(received.ends_with("\r\n\r\n4\r\npart\r\n"), received);
+}
+
 // Guards against connections that send nothing and stay open forever.
 BOOST_AUTO_TEST_CASE(idle_connection_is_closed)
 {
