Check the request id of an engine's answer to a resume

An answer to another request that an engine wrote on a resume was taken for the events of this one, and its text went to the caller. An X-Request-Id that differs from the attempt's makes the answer invalid; an absent one is accepted as before.

Before: chat_stream with the answer other_id fails in both cases that use it, the text is in the caller's stream. After: both cases pass.

--- a/src/agent/engine_client.cpp
+++ b/src/agent/engine_client.cpp
@@ -120,6 +120,10 @@
         if (status != 200 || !is_event_stream(opened.value()->content_type())) {
             co_return invalid_response("a resume");
         }
+        const std::string answered = opened.value()->header("X-Request-Id");
+        if (!answered.empty() && answered != id) {
+            co_return invalid_response("a resume, which bears another request's id,");
+        }
         co_return opened;
     }
 
--- a/test/chat_stream_test.cpp
+++ b/test/chat_stream_test.cpp
@@ -97,8 +97,8 @@
 // Guards against a resume answered with an error that ends a stream whose first connection still stands.
 BOOST_AUTO_TEST_CASE(unusable_answer_to_a_look_ends_no_stream)
 {
-    for (const auto kind :
-         {resume_answer::server_error, resume_answer::other_type, resume_answer::no_events}) {
+    for (const auto kind : {resume_answer::server_error, resume_answer::other_type, resume_answer::no_events,
+                            resume_answer::other_id}) {
         BOOST_TEST_CONTEXT("kind of answer " << int(kind))
         {
             engine_script script;
@@ -136,7 +136,7 @@
 BOOST_AUTO_TEST_CASE(error_that_answers_a_resume_is_not_written_to_the_stream)
 {
     for (const auto kind : {resume_answer::not_found, resume_answer::server_error, resume_answer::other_type,
-                            resume_answer::no_events}) {
+                            resume_answer::no_events, resume_answer::other_id}) {
         BOOST_TEST_CONTEXT("kind of answer " << int(kind))
         {
             engine_script script;
