--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -332,8 +332,11 @@
                                    wait + "Content-Length: 0\r\n\r\n");
         co_return;
     }
+    std::size_t position = 0;
     {
         const std::lock_guard lock(m_mutex);
+        request.fault = fault;
+        position = m_requests.size();
         m_requests.push_back(request);
     }
     if (m_options.prefill > milliseconds::zero()) {
@@ -344,6 +347,11 @@
         co_return;
     }
     co_await send_answer(socket, request, fault);
+    if (fault == runner_fault::answer_twice) {
+        co_await send_answer(socket, request, runner_fault::none);
+    }
+    const std::lock_guard lock(m_mutex);
+    m_requests[position].ended = clock::now();
 }
 
 net::task<void> platform_runner::send_answer(net::tcp::socket& socket, const runner_request& request,
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -41,6 +41,7 @@
     reject,            // answers 400
     plain_answer,      // answers 200 with a body that is no event stream
     no_events,         // answers with an event stream that has no events
+    answer_twice,      // sends its complete answer a second time
 };
 
 // A request as received by a runner.
@@ -57,6 +58,8 @@
     std::string authorization;
     std::string prompt_parts;
     time_point received;
+    runner_fault fault = runner_fault::none;
+    std::optional<time_point> ended; // when the runner stopped working on it
 };
 
 // A process that ends as it begins to answer a request with a certain prompt part, and its restart.
--- a/test/process_fixture.cpp
+++ b/test/process_fixture.cpp
@@ -3,6 +3,7 @@
 #include "platform/names.h"
 #include "platform_fixture.h"
 
+#include <cstdlib>
 #include <fstream>
 #include <spawn.h>
 #include <sstream>
@@ -34,6 +35,13 @@
     return std::to_string(value.count()) + "ms";
 }
 
+// VERBENA_PROGRAM=FILE tests another build of the program, such as an earlier version.
+std::string program_file()
+{
+    const char* other = std::getenv("VERBENA_PROGRAM"); // NOLINT(concurrency-mt-unsafe): never set by a test
+    return other != nullptr ? other : VERBENA_BINARY_DIR "/verbenaproxy";
+}
+
 net::task<void> fetch_task(host_port address, net::http_call call,
                            std::shared_ptr<std::promise<result<net::http_response>>> done)
 {
@@ -61,9 +69,10 @@
 result<void> server_process::start()
 {
     const std::lock_guard lock(m_mutex);
-    const std::string program = VERBENA_BINARY_DIR "/verbenaproxy";
+    const std::string program = program_file();
     std::vector<std::string> words{program, m_role, "--config", m_settings_file};
     std::vector<char*> arguments;
+    arguments.reserve(words.size() + 1);
     for (std::string& word : words) {
         arguments.push_back(word.data());
     }
@@ -278,12 +287,17 @@
 }
 
 unsigned process_deployment::publish(std::uint64_t version, std::size_t control)
+{
+    return publish_document(platform_deployment::configuration(version), control);
+}
+
+unsigned process_deployment::publish_document(const std::string& document, std::size_t control)
 {
     host_port address = control_address(control);
     for (int redirects = 0; redirects < 3; ++redirects) {
         net::http_call call;
         call.target = std::string(platform::names::publish);
-        call.body = platform_deployment::configuration(version);
+        call.body = document;
         const result<net::http_response> answer = fetch(address, call);
         if (!answer) {
             return 0;
@@ -297,7 +311,9 @@
         }
         const std::string rest = location.substr(std::string("http://").size());
         const result<host_port> next = parse_host_port(rest.substr(0, rest.find('/')));
-        BOOST_TEST_REQUIRE(next.has_value());
+        if (!next) {
+            return 307;
+        }
         address = next.value();
     }
     return 307;
--- a/test/process_fixture.h
+++ b/test/process_fixture.h
@@ -111,6 +111,8 @@
     // Publishes a version of the configuration at one control process, following redirects. Returns the
     // status, or 0 when there is no answer.
     unsigned publish(std::uint64_t version, std::size_t control = 0);
+    // The same for a configuration of the test's own.
+    unsigned publish_document(const std::string& document, std::size_t control = 0);
 
     // Output of an entry, all starts together. `part`: only the lines that contain it.
     std::string entry_output(std::size_t index, const std::string& part = {}) const;
