Ignore a repeated SIGTERM and SIGHUP during a stop

Repeated SIGTERM and SIGHUP during a stop are now logged with the action "ignored"; a second SIGINT still ends the process. respond_to_signal() decides.

--- a/src/agent/agent_service.cpp
+++ b/src/agent/agent_service.cpp
@@ -12,6 +12,9 @@
 constexpr milliseconds reconcile_interval{1'000};
 constexpr milliseconds table_poll_interval{50};
 
+// Longest wait for open attempts during shutdown: the longest deadline that an entry accepts.
+constexpr std::chrono::hours max_drain_time{1};
+
 admission_options to_options(const settings::agent_settingsT& settings)
 {
     admission_options options;
@@ -152,11 +155,13 @@
 net::task<void> agent_service::drain()
 {
     co_await net::sleep_for(milliseconds(m_process.settings().stop_delay));
-    while (m_admission.open_attempts() != 0 || m_admission.undelivered(clock::now()) != 0) {
+    const time_point end = clock::now() + max_drain_time;
+    while ((m_admission.open_attempts() != 0 || m_admission.undelivered(clock::now()) != 0) &&
+           clock::now() < end) {
         co_await net::sleep_for(table_poll_interval);
     }
     m_server->stop_accepting();
-    log::info("shutdown complete: no open attempts");
+    log::info("shutdown complete: " + std::to_string(m_admission.open_attempts()) + " open attempts");
     m_process.stop();
 }
 
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -6,6 +6,32 @@
 
 namespace verbena::node {
 
+signal_response respond_to_signal(int number, std::uint32_t count, bool stopping)
+{
+    if (number == SIGHUP) {
+        return stopping ? signal_response::ignore : signal_response::reload;
+    }
+    if (!stopping) {
+        return signal_response::stop;
+    }
+    return number == SIGINT && count > 1 ? signal_response::exit : signal_response::ignore;
+}
+
+std::string_view to_string(signal_response value)
+{
+    switch (value) {
+    case signal_response::stop:
+        return "stop";
+    case signal_response::ignore:
+        return "ignored";
+    case signal_response::exit:
+        return "exit";
+    case signal_response::reload:
+        return "reload";
+    }
+    return "unknown";
+}
+
 result<std::unique_ptr<process>> process::create(const settings::node_settingsT& settings)
 {
     auto created = std::make_unique<process>(settings);
@@ -15,8 +41,8 @@
 
 process::process(settings::node_settingsT settings)
     : m_settings(std::move(settings)), m_io(static_cast<int>(m_settings.workers)),
-      m_work(net::asio::make_work_guard(m_io)), m_signals(m_io, SIGTERM, SIGINT),
-      m_reload_signals(m_io, SIGHUP), m_incarnation(make_incarnation())
+      m_work(net::asio::make_work_guard(m_io)), m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
+      m_incarnation(make_incarnation())
 {
 }
 
@@ -74,53 +100,48 @@
     }
 }
 
-void process::log_signal(int number, const char* action)
-{
-    const char* name = number == SIGTERM ? "SIGTERM" : (number == SIGINT ? "SIGINT" : "SIGHUP");
-    event_log::write(event::signal_receivedT{{}, name, ++m_signal_counts[number], action});
-}
-
 net::task<void> process::wait_for_signals()
-{
-    auto [failure, number] = co_await m_signals.async_wait(net::no_throw);
-    if (failure) {
-        co_return;
-    }
-    log::info("stopping on signal " + std::to_string(number));
-    log_signal(number, "stop");
-    m_ready = false;
-    m_on_stop();
-    auto [second_failure, second] = co_await m_signals.async_wait(net::no_throw);
-    if (!second_failure) {
-        log::warn("stopping immediately on a second signal");
-        log_signal(second, "exit");
-        m_io.stop();
-    }
-}
-
-net::task<void> process::wait_for_reload()
 {
     while (true) {
-        auto [failure, number] = co_await m_reload_signals.async_wait(net::no_throw);
+        auto [failure, number] = co_await m_signals.async_wait(net::no_throw);
         if (failure) {
             co_return;
         }
-        log::info("reloading settings on signal " + std::to_string(number));
-        log_signal(number, "reload");
+        handle_signal(number);
+    }
+}
+
+void process::handle_signal(int number)
+{
+    const std::uint32_t count = ++m_signal_counts[number];
+    const signal_response response = respond_to_signal(number, count, m_stopping);
+    const char* name = number == SIGTERM ? "SIGTERM" : (number == SIGINT ? "SIGINT" : "SIGHUP");
+    log::info("received " + std::string(name) + ": " + std::string(to_string(response)));
+    event_log::write(event::signal_receivedT{{}, name, count, std::string(to_string(response))});
+    switch (response) {
+    case signal_response::stop:
+        m_stopping = true;
+        m_ready = false;
+        m_on_stop();
+        return;
+    case signal_response::reload:
         if (m_on_reload) {
             m_on_reload();
         }
+        return;
+    case signal_response::exit:
+        m_io.stop();
+        return;
+    case signal_response::ignore:
+        return;
     }
 }
 
 int process::run(stop_action on_stop)
 {
     m_on_stop = std::move(on_stop);
-    const auto signals = net::asio::make_strand(m_io);
-    net::asio::co_spawn(
-        signals, [this] { return wait_for_reload(); }, net::asio::detached);
     net::asio::co_spawn(
-        signals, [this] { return wait_for_signals(); }, net::asio::detached);
+        net::asio::make_strand(m_io), [this] { return wait_for_signals(); }, net::asio::detached);
     std::vector<std::thread> workers;
     for (std::uint32_t i = 1; i < m_settings.workers; ++i) {
         workers.emplace_back([this] { m_io.run(); });
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -18,14 +18,25 @@
 
 namespace verbena::node {
 
+// What a process does about a signal.
+enum class signal_response : std::uint8_t { stop, ignore, exit, reload };
+
+// `count`: signals of this kind that the process has received, this one included. A supervisor may repeat
+// SIGTERM or send SIGHUP while requests are still being completed, so neither changes a stop in progress. A
+// second SIGINT comes from a person at a terminal, who wants the process to end.
+signal_response respond_to_signal(int number, std::uint32_t count, bool stopping);
+
+std::string_view to_string(signal_response value);
+
 // Functions common to all roles: the worker threads, signal handling, and the HTTP server for metrics and
 // readiness.
 class process : private net::http_handler {
 public:
-    // Called once, on the first SIGTERM or SIGINT; the process exits when stop() is called.
+    // Called once, on the first SIGTERM or SIGINT; the process exits when stop() is called, which the action
+    // has to ensure within a bounded time.
     using stop_action = std::function<void()>;
 
-    // Called on SIGHUP, to reload the settings file.
+    // Called on SIGHUP before a stop, to reload the settings file.
     using reload_action = std::function<void()>;
 
     static result<std::unique_ptr<process>> create(const settings::node_settingsT& settings);
@@ -52,17 +63,16 @@
 private:
     net::task<void> handle(net::http_exchange& exchange) override;
     std::optional<net::http_response> call(const net::http_request& request);
-    void log_signal(int number, const char* action);
     net::task<void> wait_for_signals();
-    net::task<void> wait_for_reload();
+    void handle_signal(int number);
     result<void> open_metrics();
 
     settings::node_settingsT m_settings;
     net::asio::io_context m_io;
     net::asio::executor_work_guard<net::asio::io_context::executor_type> m_work;
     net::asio::signal_set m_signals;
-    net::asio::signal_set m_reload_signals;
-    std::map<int, std::uint32_t> m_signal_counts; // used on the strand of the signals only
+    std::map<int, std::uint32_t> m_signal_counts;
+    bool m_stopping = false;
     metrics m_metrics;
     std::shared_ptr<net::http_server> m_server;
     std::atomic<bool> m_ready{false};
