Count requests from their first byte, and end a drain atomically

The listener first accepts what waits in the accept queue. A connection is busy from the first byte until the caller's machine has acknowledged the answer. When no request is left, request_gate closes admission in one step; later requests get 503 (not run, Connection: close) and do not reach the handler. A connection closes after an answer only if the answer has said so, and lingers so that a reset cannot destroy the end of an answer. The drains of both entry roles and of control use this; control waits at most 3 s for calls, the chat entry at most the longest deadline (1 h). shutdown_step carries refused_late.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -24,6 +24,14 @@
 // Interval at which a leader names itself to processes that are not members.
 constexpr milliseconds leadership_notice_interval{500};
 
+// Longest wait for open calls during shutdown. A call can take longer without a quorum or with a slow client;
+// the caller of a change then has to read the outcome, as after a change of leader. Together with the
+// transfer it ends before the default grace period of 8 s.
+constexpr milliseconds open_calls_timeout{3'000};
+
+// Longest wait for the refusals of calls that arrive after that.
+constexpr milliseconds last_answers_time{150};
+
 constexpr milliseconds expiry_interval{250};
 
 // Longest wait for a leadership transfer before shutdown.
@@ -143,6 +151,8 @@
 
 net::task<void> control_service::shut_down()
 {
+    const time_point begin = clock::now();
+    log_shutdown("begun", begin);
     if (m_raft->is_leader()) {
         m_raft->transfer_leadership();
         const time_point deadline = clock::now() + leadership_transfer_timeout;
@@ -151,16 +161,31 @@
         }
     }
     m_http->stop_accepting();
-    while (m_http->active_requests() != 0) {
-        co_await net::sleep_for(milliseconds(20));
-    }
+    log_shutdown("listener_closed", begin);
+    const bool drained = co_await m_http->close_when_idle(clock::now() + open_calls_timeout);
+    log_shutdown(drained ? "drained" : "grace_over", begin);
     m_frames->stop_accepting();
+    // Refusals of calls that arrived meanwhile.
+    co_await m_http->wait_idle(clock::now() + last_answers_time);
     co_await net::sleep_for(milliseconds(20));
+    log_shutdown("closed", begin);
     event_log::write(
         event::process_stateT{{}, "control", m_process.settings().name, "stopped", version(), ""});
     m_process.stop();
 }
 
+void control_service::log_shutdown(const char* step, time_point begin) const
+{
+    const auto since_begin = std::chrono::duration_cast<milliseconds>(clock::now() - begin);
+    event_log::write(event::shutdown_stepT{{},
+                                           "control",
+                                           step,
+                                           static_cast<std::uint32_t>(m_http->active_requests()),
+                                           static_cast<std::uint32_t>(m_http->connections()),
+                                           static_cast<std::uint32_t>(m_http->late_requests()),
+                                           static_cast<std::uint32_t>(since_begin.count())});
+}
+
 std::optional<milliseconds> control_service::confirmed_age(time_point now) const
 {
     if (m_raft->is_leader()) {
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -54,6 +54,7 @@
     net::task<void> announce_leadership();
     net::task<void> expire_directory();
     net::task<void> shut_down();
+    void log_shutdown(const char* step, time_point begin) const;
     net::task<operator_reply> run_call(std::string call, std::string body);
     void log_call(const char* call, const std::string& subject, std::uint32_t status,
                   const std::string& detail);
--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -16,7 +16,6 @@
 namespace json = boost::json;
 
 constexpr milliseconds min_deadline{100};
-constexpr milliseconds max_deadline{3'600'000};
 constexpr std::uint32_t default_max_tokens = 512;
 constexpr std::uint32_t max_tokens_limit = 32'768;
 
--- a/src/entry/caller_request.h
+++ b/src/entry/caller_request.h
@@ -54,6 +54,9 @@
     milliseconds default_deadline{60'000};
 };
 
+// Longest deadline that a caller may set.
+inline constexpr milliseconds max_deadline{3'600'000};
+
 // Longest deadline of an unrepeatable request; the retention of its idempotency key depends on it.
 inline constexpr std::chrono::minutes max_unrepeatable_deadline{10};
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -170,12 +170,15 @@
 {
     co_await net::sleep_for(milliseconds(m_process.settings().stop_delay));
     m_server->stop_accepting();
-    while (m_server->active_requests() != 0) {
-        co_await net::sleep_for(drain_poll_interval);
+    const time_point end = clock::now() + max_deadline;
+    const bool drained = co_await m_server->close_when_idle(end);
+    if (!drained) {
+        log::warn("shutdown: requests are cut after the longest deadline");
     }
+    co_await m_server->wait_idle(clock::now() + drain_poll_interval * 5);
     // Allows the last acknowledgements to agents to be written.
     co_await net::sleep_for(drain_poll_interval * 5);
-    log::info("shutdown complete: no requests in progress");
+    log::info("shutdown complete: " + std::to_string(m_server->active_requests()) + " requests in progress");
     m_process.stop();
 }
 
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -19,6 +19,9 @@
 // Part of the grace period kept for the shutdown itself; requests still active at its start are abandoned.
 constexpr milliseconds stop_reserve{300};
 
+// Part of that reserve in which the last answers are written.
+constexpr milliseconds last_answers_time{150};
+
 // Numbers of entries among which the fixed part of the retry budget is divided: assumed until the first
 // refresh, and the minimum after that.
 constexpr std::size_t assumed_entries = 10;
@@ -337,10 +340,10 @@
     co_await net::sleep_for(milliseconds(m_process.settings().stop_delay));
     m_server->stop_accepting();
     log_shutdown("listener_closed", begin);
-    while (m_server->active_requests() != 0 && clock::now() < end) {
-        co_await net::sleep_for(drain_interval);
-    }
-    log_shutdown(m_server->active_requests() == 0 ? "drained" : "grace_over", begin);
+    const bool drained = co_await m_server->close_when_idle(end);
+    log_shutdown(drained ? "drained" : "grace_over", begin);
+    // Refusals of requests that arrived meanwhile, and answers that are about to end.
+    co_await m_server->wait_idle(clock::now() + last_answers_time);
     m_control->stop();
     if (m_load_exchange) {
         m_load_exchange->stop();
@@ -365,6 +368,7 @@
                                            step,
                                            static_cast<std::uint32_t>(m_server->active_requests()),
                                            static_cast<std::uint32_t>(m_server->connections()),
+                                           static_cast<std::uint32_t>(m_server->late_requests()),
                                            to_u32(since_begin)});
 }
 
@@ -389,7 +393,8 @@
 net::http_response forward_service::refuse(unsigned status, const std::string& kind,
                                            const std::string& message, const std::string&)
 {
-    return m_adapter.requests->refusal(status, kind, message, milliseconds::zero());
+    const milliseconds retry_after = status == 503 ? not_ready_retry_after : milliseconds::zero();
+    return m_adapter.requests->refusal(status, kind, message, retry_after);
 }
 
 std::optional<forward_service::early_refusal> forward_service::check_team(const route::table& table,
--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -16,7 +16,7 @@
 result<tcp::acceptor> open_acceptor(asio::io_context& io, const host_port& address)
 {
     BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, to_tcp_endpoint(address));
-    tcp::acceptor acceptor(io);
+    tcp::acceptor acceptor(asio::make_strand(io));
     error_code failure;
     acceptor.open(endpoint.protocol(), failure);
     if (!failure) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -12,7 +12,9 @@
 #include <boost/json/value.hpp>
 
 #include <cstdio>
+#include <netinet/tcp.h>
 #include <optional>
+#include <sys/ioctl.h>
 
 namespace verbena::net {
 
@@ -24,10 +26,16 @@
 // Size of the first read of a request, in bytes; the parser reads the rest.
 constexpr std::size_t first_read_size = 4'096;
 
-// Limits for reading and discarding input after a refusal. Closing a socket with unread bytes makes the
-// kernel send a reset, and a client that is still sending then loses the response.
-constexpr std::size_t drain_bytes = 1024 * 1024;
-constexpr milliseconds drain_time{2'000};
+// Limits for reading and discarding input after the last response. Closing a socket with unread bytes makes
+// the kernel send a reset, and the client then loses the part of the response that it has not read.
+constexpr std::size_t linger_bytes = 1024 * 1024;
+constexpr milliseconds linger_time{2'000};
+
+// Interval at which a closing connection is checked for bytes that the client has not acknowledged.
+constexpr milliseconds unsent_poll_interval{10};
+
+// Interval at which a stopping server is checked for requests in work.
+constexpr milliseconds idle_poll_interval{10};
 
 // Cancellation has no effect between two reads of one composed operation, so it is repeated at this interval.
 constexpr milliseconds cancel_interval{10};
@@ -66,6 +74,25 @@
     std::uint64_t m_held = 0;
 };
 
+// Returns the number of written bytes that the peer has not acknowledged; 0 once the connection is reset.
+std::size_t unsent_bytes(tcp::socket& socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+        info.tcpi_state == TCP_CLOSE) {
+        return 0;
+    }
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), TIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+bool has_received_bytes(const tcp::socket& socket)
+{
+    error_code ignored;
+    return socket.available(ignored) > 0;
+}
+
 http_request to_request(http::request<http::string_body>&& message)
 {
     http_request request;
@@ -141,14 +168,24 @@
 };
 
 struct http_server::connection_state {
-    connection_state(tcp::socket socket, std::size_t buffer_limit)
-        : stream(std::move(socket)), buffer(buffer_limit), deadline(stream)
+    connection_state(tcp::socket socket, std::size_t buffer_limit, request_gate::pass entered)
+        : stream(std::move(socket)), buffer(buffer_limit), deadline(stream), pass(std::move(entered))
     {
     }
 
+    // Counts the connection as busy.
+    void enter(request_gate& gate)
+    {
+        if (!pass) {
+            pass = gate.enter();
+        }
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     read_deadline deadline;
+    std::optional<request_gate::pass> pass; // empty while the connection is idle
+    bool answered = false;
 };
 
 // A request whose body is being received.
@@ -165,6 +202,12 @@
     const char* message;
     const char* remedy;
 
+    static refusal stopping()
+    {
+        return {503, "stopping", "the request has not run: this server is stopping",
+                "send the request again"};
+    }
+
     static refusal slow(const char* message)
     {
         return {408, "slow_sender", message, "send the request faster"};
@@ -199,8 +242,9 @@
 }
 
 std::string http_exchange::head_text(unsigned status, std::string_view content_type,
-                                     const http_header_list& headers) const
+                                     const http_header_list& headers)
 {
+    m_keep_alive = m_keep_alive && !m_server.stopping();
     const auto reason_phrase = http::obsolete_reason(static_cast<http::status>(status));
     std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reason_phrase) + "\r\n";
     if (!content_type.empty()) {
@@ -209,7 +253,7 @@
     for (const auto& [name, value] : headers) {
         text += name + ": " + value + "\r\n";
     }
-    if (!m_keep_alive || m_server.stopping()) {
+    if (!m_keep_alive) {
         text += "Connection: close\r\n";
     }
     return text;
@@ -336,27 +380,56 @@
 
 void http_server::stop_accepting()
 {
-    m_stopping = true;
-    asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+    if (m_stopping.exchange(true)) {
+        return;
+    }
+    asio::post(m_acceptor.get_executor(), [self = shared_from_this(), last = m_gate.enter()]() mutable {
+        self->m_accepting = std::move(last);
         error_code ignored;
-        self->m_acceptor.close(ignored);
+        self->m_acceptor.cancel(ignored);
     });
     close_idle();
 }
 
+task<bool> http_server::close_when_idle(time_point end)
+{
+    while (!m_gate.close_if_idle()) {
+        if (clock::now() >= end) {
+            m_gate.close();
+            co_return m_gate.active() == 0;
+        }
+        co_await sleep_for(idle_poll_interval);
+    }
+    co_return true;
+}
+
+task<bool> http_server::wait_idle(time_point end)
+{
+    while (m_gate.active() != 0) {
+        if (clock::now() >= end) {
+            co_return false;
+        }
+        co_await sleep_for(idle_poll_interval);
+    }
+    co_return true;
+}
+
 // A connection is removed from m_idle on its own executor before it ends. Each posted function looks the
-// pointer up again, so it uses the connection only while it exists.
+// pointer up again, so it uses the connection only while it exists. A connection counts as busy from here on
+// until it has ended, since bytes of a request may have arrived meanwhile.
 void http_server::close_idle()
 {
     const std::lock_guard lock(m_idle_mutex);
     for (const auto& [idle, executor] : m_idle) {
-        asio::post(executor, [self = shared_from_this(), connection = idle] {
-            const std::lock_guard recheck_lock(self->m_idle_mutex);
-            if (self->m_idle.contains(connection)) {
-                error_code ignored;
-                connection->stream.socket().cancel(ignored);
-            }
-        });
+        asio::post(executor,
+                   [self = shared_from_this(), connection = idle, entered = m_gate.enter()]() mutable {
+                       const std::lock_guard recheck_lock(self->m_idle_mutex);
+                       if (self->m_idle.contains(connection)) {
+                           connection->pass = std::move(entered);
+                           error_code ignored;
+                           connection->stream.socket().cancel(ignored);
+                       }
+                   });
     }
 }
 
@@ -370,57 +443,96 @@
     while (!m_stopping) {
         tcp::socket socket(asio::make_strand(m_io));
         auto [failure] = co_await m_acceptor.async_accept(socket, no_throw);
-        if (failure == asio::error::operation_aborted || !m_acceptor.is_open()) {
-            co_return;
-        }
-        if (failure) {
+        if (!failure) {
+            admit(std::move(socket));
+        } else if (!m_stopping) {
             count("accept_failed");
             // Out of file descriptors: wait for connections to close instead of retrying at once.
             co_await sleep_for(milliseconds(50));
-            continue;
         }
-        if (m_connections >= limits().max_connections) {
-            count("connection_limit");
-            continue;
+    }
+    accept_waiting();
+    error_code ignored;
+    m_acceptor.close(ignored);
+    m_accepting.reset();
+}
+
+void http_server::accept_waiting()
+{
+    error_code failure;
+    m_acceptor.non_blocking(true, failure);
+    while (!failure || failure == asio::error::connection_aborted) {
+        tcp::socket socket(asio::make_strand(m_io));
+        m_acceptor.accept(socket, failure);
+        if (!failure) {
+            admit(std::move(socket));
         }
-        const auto executor = socket.get_executor();
-        asio::co_spawn(
-            executor,
-            [self = shared_from_this(), accepted = std::move(socket)]() mutable {
-                return self->serve(std::move(accepted));
-            },
-            asio::detached);
     }
 }
 
-task<void> http_server::serve(tcp::socket socket)
+void http_server::admit(tcp::socket socket)
+{
+    if (m_connections >= limits().max_connections) {
+        count("connection_limit");
+        return;
+    }
+    const auto executor = socket.get_executor();
+    asio::co_spawn(
+        executor,
+        [self = shared_from_this(), accepted = std::move(socket), entered = m_gate.enter()]() mutable {
+            return self->serve(std::move(accepted), std::move(entered));
+        },
+        asio::detached);
+}
+
+task<void> http_server::serve(tcp::socket socket, request_gate::pass entered)
 {
     const scoped_count open_connection(m_connections);
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    connection_state connection(std::move(socket), std::max<std::size_t>(limits().max_header, 64 * 1024) * 2);
+    connection_state connection(std::move(socket), std::max<std::size_t>(limits().max_header, 64 * 1024) * 2,
+                                std::move(entered));
     next_step step = next_step::next_request;
     while (step == next_step::next_request) {
         step = co_await serve_one(connection);
     }
-    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    if (step == next_step::drain_and_close) {
-        co_await drain(connection);
+    if (step == next_step::linger) {
+        co_await linger(connection);
+    } else {
+        connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 }
 
-task<void> http_server::drain(connection_state& connection)
+task<void> http_server::linger(connection_state& connection)
 {
+    connection.enter(m_gate);
+    tcp::socket& socket = connection.stream.socket();
+    error_code ignored;
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
     connection.stream.expires_never();
-    connection.deadline.set(clock::now() + drain_time);
+    const milliseconds write_timeout = limits().write_timeout;
     std::vector<char> discarded(first_read_size);
     std::size_t total = 0;
-    while (total < drain_bytes && !connection.deadline.expired()) {
+    std::size_t unsent = unsent_bytes(socket);
+    time_point end = clock::now() + (unsent == 0 ? linger_time : write_timeout);
+    while (total < linger_bytes && clock::now() < end) {
+        const std::size_t now_unsent = unsent_bytes(socket);
+        if (now_unsent != unsent) {
+            unsent = now_unsent;
+            end = clock::now() + (unsent == 0 ? linger_time : write_timeout);
+        }
+        if (unsent == 0) {
+            connection.pass.reset();
+        }
+        connection.deadline.set(unsent == 0 ? end : std::min(end, clock::now() + unsent_poll_interval));
         auto [failure, size] = co_await connection.stream.async_read_some(asio::buffer(discarded), no_throw);
-        if (failure) {
+        total += size;
+        const bool half_closed = failure == asio::error::eof && unsent != 0;
+        if (half_closed) {
+            co_await sleep_for(unsent_poll_interval);
+        } else if (failure && !connection.deadline.expired()) {
             co_return;
         }
-        total += size;
     }
 }
 
@@ -435,7 +547,7 @@
         count("refusal_not_sent");
         co_return next_step::close;
     }
-    co_return next_step::drain_and_close;
+    co_return next_step::linger;
 }
 
 task<bool> http_server::wait_request(connection_state& connection)
@@ -445,24 +557,36 @@
     if (connection.buffer.size() > 0) {
         co_return true;
     }
-    // A request that arrives while the server is stopping is still processed.
     connection.deadline.set(clock::now() + limits().idle_timeout);
-    {
-        const std::lock_guard lock(m_idle_mutex);
-        m_idle.emplace(&connection, connection.stream.get_executor());
-    }
-    if (m_stopping) {
-        close_idle();
+    if (!has_received_bytes(connection.stream.socket())) {
+        {
+            const std::lock_guard lock(m_idle_mutex);
+            m_idle.emplace(&connection, connection.stream.get_executor());
+        }
+        // close_idle() has not seen a connection that is added after stop_accepting() was called.
+        if (m_stopping) {
+            const std::lock_guard lock(m_idle_mutex);
+            m_idle.erase(&connection);
+            co_return false;
+        }
+        connection.pass.reset();
     }
-    auto [failure, size] =
-        co_await connection.stream.async_read_some(connection.buffer.prepare(first_read_size), no_throw);
+    const auto read = [&connection] {
+        return connection.stream.async_read_some(connection.buffer.prepare(first_read_size), no_throw);
+    };
+    auto [failure, size] = co_await read();
     {
         const std::lock_guard lock(m_idle_mutex);
         m_idle.erase(&connection);
     }
+    if (failure == asio::error::operation_aborted && has_received_bytes(connection.stream.socket())) {
+        // A request arrived as the read was cancelled.
+        std::tie(failure, size) = co_await read();
+    }
     if (failure) {
         co_return false;
     }
+    connection.enter(m_gate);
     connection.buffer.commit(size);
     co_return true;
 }
@@ -473,7 +597,7 @@
     body_parser& parser = received.parser;
     const bool has_request = co_await wait_request(connection);
     if (!has_request) {
-        co_return next_step::close;
+        co_return connection.answered ? next_step::linger : next_step::close;
     }
     const http_limits bounds = limits();
     parser.header_limit(bounds.max_header);
@@ -490,7 +614,10 @@
                                    : refusal::for_failure(failure);
         co_return co_await refuse(connection, reason);
     }
-    const scoped_count active(m_active);
+    if (!m_gate.admits()) {
+        ++m_late;
+        co_return co_await refuse(connection, refusal::stopping());
+    }
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
         stream.expires_after(bounds.write_timeout);
@@ -503,13 +630,19 @@
         co_return co_await refuse(connection, *body_refusal);
     }
     connection.deadline.clear();
+    if (!m_gate.admits()) {
+        ++m_late;
+        co_return co_await refuse(connection, refusal::stopping());
+    }
     const bool keep_alive = parser.get().keep_alive();
     http_exchange exchange(*this, stream, to_request(parser.release()), keep_alive);
     co_await m_handler.handle(exchange);
     if (!exchange.finished()) {
         count("unfinished_answer");
+        co_return next_step::close;
     }
-    co_return exchange.keep_alive() && !stopping() ? next_step::next_request : next_step::close;
+    connection.answered = true;
+    co_return exchange.keep_alive() ? next_step::next_request : next_step::linger;
 }
 
 task<std::optional<http_server::refusal>> http_server::read_body(connection_state& connection,
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -3,6 +3,7 @@
 #include "base/metrics.h"
 #include "base/settings.h"
 #include "net/asio.h"
+#include "net/request_gate.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -92,8 +93,8 @@
 
 private:
     task<result<void>> write_all(std::string_view data);
-    std::string head_text(unsigned status, std::string_view content_type,
-                          const http_header_list& headers) const;
+    // Decides whether the connection closes after the response.
+    std::string head_text(unsigned status, std::string_view content_type, const http_header_list& headers);
 
     http_server& m_server;
     boost::beast::tcp_stream& m_stream;
@@ -128,12 +129,23 @@
 
     void start();
 
-    // Closes the listener and idle connections. Requests in progress are completed, and their connections
-    // close after the response.
+    // Accepts the connections that wait in the accept queue, then closes the listener, and closes idle
+    // connections. Requests in progress are completed, and their connections close after the response.
     void stop_accepting();
 
-    // Number of requests being processed, from the complete header to the end of the response.
-    std::size_t active_requests() const { return m_active.load(); }
+    // Number of requests in work, from the first byte to the time when the client's machine has acknowledged
+    // the whole response.
+    std::size_t active_requests() const { return m_gate.active(); }
+
+    // Waits until no request is in work, at most until `end`, and then ends the admission of requests: later
+    // ones are refused with 503 and do not reach the handler. Returns whether no request was in work then.
+    task<bool> close_when_idle(time_point end);
+
+    // Waits until no request is in work, at most until `end`.
+    task<bool> wait_idle(time_point end);
+
+    // Number of requests that were refused because the admission had ended.
+    std::size_t late_requests() const { return m_late.load(); }
     std::size_t connections() const { return m_connections.load(); }
     http_limits limits() const;
     // Applies to requests and writes that start after the call.
@@ -148,15 +160,17 @@
                 http_handler& handler, metrics& counters, std::string name);
 
 private:
-    enum class next_step { next_request, close, drain_and_close };
+    enum class next_step { next_request, close, linger };
 
     struct connection_state;
     struct refusal;
     struct upload;
 
     task<void> accept_loop();
+    void accept_waiting();
+    void admit(tcp::socket socket);
     void close_idle();
-    task<void> serve(tcp::socket socket);
+    task<void> serve(tcp::socket socket, request_gate::pass entered);
     // Reads one request and responds to it.
     task<next_step> serve_one(connection_state& connection);
     // Waits for the first bytes of a request. Returns false when the connection ends instead.
@@ -165,8 +179,10 @@
     // complete.
     task<std::optional<refusal>> read_body(connection_state& connection, upload& received);
     task<next_step> refuse(connection_state& connection, refusal reason);
-    // Reads and discards what a refused client still sends.
-    static task<void> drain(connection_state& connection);
+    // Ends a connection after a response: shuts down the sending side, and reads and discards what the client
+    // still sends until it closes its side, since the kernel would drop unread parts of the response
+    // otherwise.
+    task<void> linger(connection_state& connection);
     void count(const char* event);
 
     asio::io_context& m_io;
@@ -182,7 +198,10 @@
     std::uint16_t m_port = 0;
     std::atomic<bool> m_stopping{false};
     std::atomic<bool> m_closing{false};
-    std::atomic<std::size_t> m_active{0};
+    request_gate m_gate;
+    // Keeps the server busy while it accepts the last connections; used on the executor of the acceptor.
+    std::optional<request_gate::pass> m_accepting;
+    std::atomic<std::size_t> m_late{0};
     std::atomic<std::size_t> m_connections{0};
     std::atomic<std::uint64_t> m_body_bytes{0};
 };
--- a/test/http_limits_test.cpp
+++ b/test/http_limits_test.cpp
@@ -1,10 +1,8 @@
+#include "http_raw_client.h"
 #include "net/http_server.h"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <array>
 #include <functional>
 
 using namespace verbena;
@@ -37,65 +35,6 @@
     bool replied = false;
 };
 
-// A client on a plain socket: HTTP client libraries hide how a connection ends.
-class raw_client {
-public:
-    explicit raw_client(net::asio::io_context& io) : m_socket(io) {}
-
-    net::task<void> connect(std::uint16_t port)
-    {
-        const net::tcp::endpoint peer(net::asio::ip::make_address("127.0.0.1"), port);
-        co_await m_socket.async_connect(peer, net::no_throw);
-    }
-
-    // Returns false when the connection fails before all bytes are sent.
-    net::task<bool> send(std::string bytes)
-    {
-        auto [failure, size] =
-            co_await net::asio::async_write(m_socket, net::asio::buffer(bytes), net::no_throw);
-        co_return !failure;
-    }
-
-    // Reads until the received text contains `end`. Returns false when the connection ends first.
-    net::task<bool> read_until(std::string end)
-    {
-        while (text.find(end) == std::string::npos) {
-            const bool has_data = co_await read_some();
-            if (!has_data) {
-                co_return false;
-            }
-        }
-        co_return true;
-    }
-
-    // Reads until the connection ends. Returns true when the server has closed it gracefully, without a
-    // reset.
-    net::task<bool> read_to_end()
-    {
-        while (true) {
-            const bool has_data = co_await read_some();
-            if (!has_data) {
-                co_return m_failure == net::asio::error::eof;
-            }
-        }
-    }
-
-    std::string text;
-
-private:
-    net::task<bool> read_some()
-    {
-        std::array<char, 4096> bytes{};
-        auto [failure, size] = co_await m_socket.async_read_some(net::asio::buffer(bytes), net::no_throw);
-        m_failure = failure;
-        text.append(bytes.data(), size);
-        co_return !failure;
-    }
-
-    net::tcp::socket m_socket;
-    net::error_code m_failure;
-};
-
 struct fixture {
     net::asio::io_context io;
     metrics counters;
