--- a/src/net/request_gate.h
+++ b/src/net/request_gate.h
@@ -15,6 +15,8 @@
     class pass {
     public:
         explicit pass(request_gate& gate) : m_gate(&gate) { ++gate.m_state; }
+        pass(const pass&) = delete;
+        pass& operator=(const pass&) = delete;
         pass(pass&& other) noexcept : m_gate(std::exchange(other.m_gate, nullptr)) {}
         pass& operator=(pass&& other) noexcept
         {
