--- a/test/platform_answers_test.cpp
+++ b/test/platform_answers_test.cpp
@@ -40,7 +40,7 @@
             system.runner(id).set_resume_fault(fault);
         }
         set_faults({"model-a", "model-b"}, runner_fault::cut_in_event);
-        const std::string bytes = system.request_bytes({});
+        std::string bytes = system.request_bytes({});
         set_faults({"model-a", "model-b"}, runner_fault::none);
         BOOST_TEST(resumes() > 0U);
         return bytes;
