--- a/test/net_request_gate_test.cpp
+++ b/test/net_request_gate_test.cpp
@@ -51,6 +51,7 @@
         std::atomic<bool> ended{false};
         std::atomic<int> admitted_late{0};
         std::vector<std::jthread> threads;
+        threads.reserve(3);
         for (int i = 0; i < 3; ++i) {
             threads.emplace_back([&] {
                 for (int request = 0; request < 200; ++request) {
