Leave part of the retry budget for answers that are lost

Callers lost streams that an endpoint had broken off: since silent endpoints no longer end an answer, another endpoint is asked beside each of them, and those requests used up the budget that a broken stream needs to be resumed.

Change: a request whose endpoint is silent, and may still answer, uses only the first half of a budget.

Test: policy_retry_budget/silent_attempts_leave_retries_for_lost_answers needs the new parameter, so it does not compile on the code before; without the change silence could use all 20 retries of its load, now 10.

--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -182,7 +182,7 @@
     const char* reason = reason_against_attempt(end, now);
     // Only an attempt after one that may have reached an endpoint counts as a retry.
     if (reason == nullptr && m_reached_endpoint &&
-        !m_context.budget.try_retry(m_request.service->name, now)) {
+        !m_context.budget.try_retry(m_request.service->name, now, policy::retry_cause::lost)) {
         reason = "retry_budget";
     }
     if (reason == nullptr) {
@@ -332,7 +332,7 @@
         log_silence("not_ready");
         co_return;
     }
-    if (!m_context.budget.try_retry(m_request.service->name, clock::now())) {
+    if (!m_context.budget.try_retry(m_request.service->name, clock::now(), policy::retry_cause::silent)) {
         m_context.endpoints.record_end(found.choice->number, clock::now());
         log_silence("retry_budget");
         co_return;
--- a/src/forward/shared_retry_budget.cpp
+++ b/src/forward/shared_retry_budget.cpp
@@ -31,10 +31,10 @@
     m_budget.record_request("", service, now);
 }
 
-bool shared_retry_budget::try_retry(const std::string& service, time_point now)
+bool shared_retry_budget::try_retry(const std::string& service, time_point now, policy::retry_cause cause)
 {
     const std::lock_guard lock(m_mutex);
-    return m_budget.try_retry("", service, now);
+    return m_budget.try_retry("", service, now, cause);
 }
 
 } // namespace verbena::forward
--- a/src/forward/shared_retry_budget.h
+++ b/src/forward/shared_retry_budget.h
@@ -24,7 +24,7 @@
 
     void set_options(const policy::retry_budget_options& options);
     void record_request(const std::string& service, time_point now);
-    bool try_retry(const std::string& service, time_point now);
+    bool try_retry(const std::string& service, time_point now, policy::retry_cause cause);
 
 private:
     std::mutex m_mutex;
--- a/src/policy/retry_budget.cpp
+++ b/src/policy/retry_budget.cpp
@@ -42,12 +42,13 @@
     return value;
 }
 
-bool retry_budget::allows(const window& value) const
+bool retry_budget::allows(const window& value, retry_cause cause) const
 {
     const auto requests = std::accumulate(value.requests.begin(), value.requests.end(), std::uint64_t{0});
     const auto retries = std::accumulate(value.retries.begin(), value.retries.end(), std::uint64_t{0});
     const auto share = static_cast<std::uint64_t>(m_options.share * static_cast<double>(requests));
-    return retries < std::max<std::uint64_t>(share, m_options.min_retries);
+    const auto limit = std::max<std::uint64_t>(share, m_options.min_retries);
+    return retries < (cause == retry_cause::silent ? limit / 2 : limit);
 }
 
 void retry_budget::prune(std::int64_t second)
@@ -70,12 +71,13 @@
     }
 }
 
-bool retry_budget::try_retry(std::string_view team, std::string_view service, time_point now)
+bool retry_budget::try_retry(std::string_view team, std::string_view service, time_point now,
+                             retry_cause cause)
 {
     const auto second = second_of(now);
     window& by_team = advance(m_teams, team, second);
     window& by_service = advance(m_services, service, second);
-    if (!allows(by_team) || !allows(by_service)) {
+    if (!allows(by_team, cause) || !allows(by_service, cause)) {
         return false;
     }
     ++by_team.retries[bucket_of(by_team.second)];
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -8,6 +8,12 @@
 
 namespace verbena::policy {
 
+// What has become of the attempt after which a request is sent once more.
+enum class retry_cause : std::uint8_t {
+    lost,   // it has ended without an answer
+    silent, // it may still answer
+};
+
 struct retry_budget_options {
     double share = 0.1;            // retries per first attempt, as a fraction
     std::uint32_t min_retries = 3; // retries per window that are always allowed
@@ -28,8 +34,11 @@
     // Counts a first attempt.
     void record_request(std::string_view team, std::string_view service, time_point now);
 
-    // Counts a retry and returns true if the budgets of both the team and the service allow it.
-    bool try_retry(std::string_view team, std::string_view service, time_point now);
+    // Counts a retry and returns true if the budgets of both the team and the service allow it. Requests
+    // whose attempt is silent may use only the first half of a budget, so that they leave some for lost
+    // answers.
+    bool try_retry(std::string_view team, std::string_view service, time_point now,
+                   retry_cause cause = retry_cause::lost);
 
     std::size_t tracked() const { return m_teams.size() + m_services.size(); }
 
@@ -42,7 +51,7 @@
     };
 
     window& advance(name_map<window>& table, std::string_view name, std::int64_t second);
-    bool allows(const window& value) const;
+    bool allows(const window& value, retry_cause cause) const;
     void prune(std::int64_t second);
 
     retry_budget_options m_options;
--- a/test/policy_retry_budget_test.cpp
+++ b/test/policy_retry_budget_test.cpp
@@ -37,6 +37,26 @@
     BOOST_TEST(allowed == 20);
 }
 
+// Guards against lost answers that are not retried because silent endpoints have used up the budget.
+BOOST_AUTO_TEST_CASE(silent_attempts_leave_retries_for_lost_answers)
+{
+    policy::retry_budget budget;
+    for (int i = 0; i < 200; ++i) {
+        budget.record_request("a", "m", at(seconds(1)));
+    }
+    int silent = 0;
+    int lost = 0;
+    for (int i = 0; i < 50; ++i) {
+        silent += budget.try_retry("a", "m", at(seconds(2)), policy::retry_cause::silent) ? 1 : 0;
+    }
+    for (int i = 0; i < 50; ++i) {
+        lost += budget.try_retry("a", "m", at(seconds(2)), policy::retry_cause::lost) ? 1 : 0;
+    }
+    BOOST_TEST(silent == 10);
+    BOOST_TEST(lost == 10);
+    BOOST_TEST(!budget.try_retry("a", "m", at(seconds(2)), policy::retry_cause::silent));
+}
+
 // Guards against a team that exceeds its own budget by retrying at many services, and against many teams that
 // together exceed the budget of one service.
 BOOST_AUTO_TEST_CASE(team_and_service_budgets_both_apply)
