Let begun streams wait for what their resumption needs

Callers saw streams end after a few events although most of their deadline was left: an endpoint broke off, and at that moment the retry budget was used up, the only other endpoint wanted no requests for a short time, or the configuration was not confirmed. Each of these passes within a second or two, well before the caller of a stream disconnects.

Cause: what a request needs for a further attempt was asked for once. That is right for a request without an answer, which its caller can send again; a begun stream cannot be sent again.

Change: a begun stream waits for the budget, for an endpoint and for the confirmation until its caller would disconnect or its deadline passes. With no other endpoint that takes requests at all it ends at once, as before. New log event: retry_delayed.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -311,6 +311,14 @@
     return found;
 }
 
+bool fleet::has_other_endpoint(const dispatch_request& request, time_point now) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
+        return item.second.info.service == request.service->name && !request.excluded.contains(item.first) &&
+               accepts_work(item.second, now);
+    });
+}
+
 // An endpoint with as little work as possible, which would be lost with it. A prompt that exceeds the memory
 // of one endpoint needs several.
 std::vector<fleet::endpoint_state*> fleet::trial_endpoints(const dispatch_request& request, time_point now)
@@ -355,6 +363,11 @@
         if (refused && now < m_complete_at && request.model.used < request.time_left) {
             outcome.wait = list_wait;
         }
+        const bool waits_to_resume = refused && request.answer_started && request.may_wait;
+        if (waits_to_resume && outcome.refusal.why == dispatch_refusal::reason::no_endpoint &&
+            has_other_endpoint(request, now)) {
+            outcome.wait = list_wait;
+        }
         if (outcome.choice) {
             const policy::work_key key =
                 request.key.value_or(policy::work_key{m_self, outcome.choice->number});
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -231,6 +231,8 @@
 
     void begin_trial(const dispatch_choice& choice, const dispatch_request& request, dispatch_record& record,
                      time_point now);
+    // Whether an endpoint that the request has not tried may take it later, if none can now.
+    bool has_other_endpoint(const dispatch_request& request, time_point now) const;
     std::vector<endpoint_state*> trial_endpoints(const dispatch_request& request, time_point now);
     dispatch_result choose(const dispatch_request& request, const std::vector<endpoint_state*>& found,
                            time_point now);
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -16,12 +16,14 @@
 // not make a request retry until its deadline.
 constexpr std::uint32_t max_total_attempts = 8;
 
-// The caller of a stream disconnects after the longest of these times without an event, as documented by the
-// platform.
+// The caller of a stream disconnects after the longest of these times without an event.
 constexpr milliseconds min_disconnect_time{2'000};
 constexpr int disconnect_in_objectives = 4;
 constexpr int disconnect_in_pauses = 8;
 
+// How often an answer that waits for the retry budget, or for the configuration to be confirmed, tries again.
+constexpr milliseconds retry_poll_interval{20};
+
 } // namespace
 
 request_forwarder::request_forwarder(forwarder_context context, net::http_exchange& exchange,
@@ -42,6 +44,18 @@
     return std::max(std::chrono::duration_cast<milliseconds>(m_request.deadline - now), milliseconds::zero());
 }
 
+milliseconds request_forwarder::disconnect_time() const
+{
+    const route::route_rule& route = *m_request.route;
+    return std::max({min_disconnect_time, route.objective * disconnect_in_objectives,
+                     route.max_pause * disconnect_in_pauses});
+}
+
+time_point request_forwarder::resume_limit() const
+{
+    return std::min(m_request.deadline, m_last_event_at + disconnect_time());
+}
+
 // Maps the priority of a team or route (0 first) and the length class of the prompt to the priority sent to
 // engines. Each team priority covers three levels, one for each length class.
 std::uint32_t request_forwarder::priority_level() const
@@ -64,14 +78,12 @@
     model.output_tokens = m_request.terms.output_tokens;
     model.pause = route.max_pause;
     if (is_stream()) {
-        model.disconnect_after = std::max({min_disconnect_time, route.objective * disconnect_in_objectives,
-                                           route.max_pause * disconnect_in_pauses});
+        model.disconnect_after = disconnect_time();
     }
     // Once an answer has started, its objective is the pause between events, counted from the last event.
-    const bool resumes = m_answer.started && m_last_event_at != time_point{};
-    model.objective = resumes ? std::max(route.max_pause, milliseconds(1)) : route.objective;
+    model.objective = resumes() ? std::max(route.max_pause, milliseconds(1)) : route.objective;
     model.used =
-        std::chrono::duration_cast<milliseconds>(now - (resumes ? m_last_event_at : m_request.arrived));
+        std::chrono::duration_cast<milliseconds>(now - (resumes() ? m_last_event_at : m_request.arrived));
     if (model.disconnect_after > milliseconds::zero()) {
         model.disconnect_after = std::max(model.disconnect_after - model.used, milliseconds(1));
     }
@@ -110,7 +122,7 @@
             co_await refuse(m_may_have_run ? 504 : 503, "deadline", milliseconds::zero());
             co_return;
         }
-        const dispatch_result found = co_await choose_endpoints();
+        const dispatch_result found = co_await choose_endpoints(resumes() ? resume_limit() : objective_end());
         if (m_caller_left) {
             break;
         }
@@ -119,13 +131,17 @@
             co_return;
         }
         if (!confirm(*found.choice)) {
+            if (resumes() && clock::now() + retry_poll_interval < resume_limit()) {
+                co_await net::sleep_for(retry_poll_interval);
+                continue;
+            }
             co_await refuse_unconfirmed();
             co_return;
         }
         start_attempt(*found.choice);
         const attempt_end end = co_await await_attempts();
-        if (end == attempt_end::answered || end == attempt_end::caller_left ||
-            !may_retry(end, clock::now())) {
+        const bool ended = end == attempt_end::answered || end == attempt_end::caller_left;
+        if (ended || !co_await may_retry(end)) {
             co_await finish(end);
             co_return;
         }
@@ -133,13 +149,12 @@
     record_end("caller_left", 0);
 }
 
-net::task<dispatch_result> request_forwarder::choose_endpoints()
+net::task<dispatch_result> request_forwarder::choose_endpoints(time_point wait_end)
 {
     const time_point now = clock::now();
     dispatch_request request = make_dispatch_request(now);
     request.answer_started = m_answer.started;
-    const auto wait_limit =
-        std::chrono::duration_cast<milliseconds>(m_request.arrived + m_request.route->objective - now);
+    const auto wait_limit = std::chrono::duration_cast<milliseconds>(wait_end - now);
     request.may_wait = wait_limit > milliseconds::zero();
     m_choice_call = std::make_shared<choice_call>();
     dispatch_result found =
@@ -177,20 +192,35 @@
     return attempts_left ? nullptr : "max_attempts";
 }
 
-bool request_forwarder::may_retry(attempt_end end, time_point now)
+net::task<bool> request_forwarder::may_retry(attempt_end end)
 {
+    const time_point begin = clock::now();
+    time_point now = begin;
     const char* reason = reason_against_attempt(end, now);
     // Only an attempt after one that may have reached an endpoint counts as a retry.
-    if (reason == nullptr && m_reached_endpoint &&
-        !m_context.budget.try_retry(m_request.service->name, now, policy::retry_cause::lost)) {
-        reason = "retry_budget";
-    }
-    if (reason == nullptr) {
-        return true;
-    }
-    event_log::write(event::retry_refusedT{
-        {}, m_request.terms.id, m_attempts, reason, m_answer.last_event.value_or(0), to_u32(time_left(now))});
-    return false;
+    const bool counts = m_reached_endpoint;
+    while (reason == nullptr && counts &&
+           !m_context.budget.try_retry(m_request.service->name, now, policy::retry_cause::lost)) {
+        if (!resumes() || now + retry_poll_interval >= resume_limit()) {
+            reason = "retry_budget";
+            break;
+        }
+        co_await net::sleep_for(retry_poll_interval);
+        now = clock::now();
+        reason = reason_against_attempt(end, now);
+    }
+    const std::uint64_t last_event = m_answer.last_event.value_or(0);
+    if (reason != nullptr) {
+        event_log::write(event::retry_refusedT{
+            {}, m_request.terms.id, m_attempts, reason, last_event, to_u32(time_left(now))});
+        co_return false;
+    }
+    if (now != begin) {
+        const auto waited = std::chrono::duration_cast<milliseconds>(now - begin);
+        event_log::write(event::retry_delayedT{
+            {}, m_request.terms.id, m_attempts, last_event, to_u32(waited), to_u32(time_left(now))});
+    }
+    co_return true;
 }
 
 void request_forwarder::start_attempt(dispatch_choice choice)
@@ -316,7 +346,7 @@
         co_return;
     }
     m_choosing_another = true;
-    const dispatch_result found = co_await choose_endpoints();
+    const dispatch_result found = co_await choose_endpoints(objective_end());
     m_choosing_another = false;
     if (m_caller_left || m_answered || !all_silent()) {
         if (found.choice) {
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -105,11 +105,19 @@
     bool is_stream() const { return m_request.route->kind == route::request_kind::stream; }
     bool is_idempotent() const;
     milliseconds time_left(time_point now) const;
+    // Time without an event after which the caller of a stream disconnects, as documented by the platform.
+    milliseconds disconnect_time() const;
+    // Whether an answer has begun that another endpoint has to go on with.
+    bool resumes() const { return m_answer.started && m_last_event_at != time_point{}; }
+    // When an answer that has begun is of no use to its caller any more unless it goes on.
+    time_point resume_limit() const;
     dispatch_request make_dispatch_request(time_point now) const;
     std::uint32_t priority_level() const;
 
-    // Selects endpoints; waits for them if they are not free yet.
-    net::task<dispatch_result> choose_endpoints();
+    // Selects endpoints; waits for them until `wait_end` if they are not free yet.
+    net::task<dispatch_result> choose_endpoints(time_point wait_end);
+    // When the first event is late.
+    time_point objective_end() const { return m_request.arrived + m_request.route->objective; }
     // Whether this process may still act on the choice. Gives the endpoints up if not.
     bool confirm(const dispatch_choice& choice);
     void start_attempt(dispatch_choice choice);
@@ -160,8 +168,8 @@
 
     // Why no attempt may follow one that has ended like this; null if one may.
     const char* reason_against_attempt(attempt_end end, time_point now) const;
-    // Draws on the retry budget.
-    bool may_retry(attempt_end end, time_point now);
+    // Draws on the retry budget. Once an answer has begun, waits for the budget until its caller would leave.
+    net::task<bool> may_retry(attempt_end end);
     net::task<void> finish(attempt_end end);
     void log_refusal(unsigned status, const std::string& reason, milliseconds retry_after,
                      const dispatch_refusal& refusal);
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -476,8 +476,11 @@
             event.erase(0, event.find('\n') + 1);
         }
         const bool is_second = number == last_event_number + 2;
+        if (is_second && (fault == runner_fault::pause_in_stream || fault == runner_fault::pause_and_cut)) {
+            co_await net::sleep_for(pause());
+        }
         if (is_second && (fault == runner_fault::cut_in_event || fault == runner_fault::unframed_cut ||
-                          fault == runner_fault::cut_without_ids)) {
+                          fault == runner_fault::cut_without_ids || fault == runner_fault::pause_and_cut)) {
             co_await write(socket, framed(event.substr(0, event.size() / 2)));
             co_return;
         }
@@ -489,9 +492,6 @@
             co_await crash();
             co_return;
         }
-        if (is_second && fault == runner_fault::pause_in_stream) {
-            co_await net::sleep_for(pause());
-        }
         if (is_second && (fault == runner_fault::drip || fault == runner_fault::endless_event)) {
             co_await send_unfinished_event(socket, fault);
             co_return;
