Answer open requests at the end of a stop

Callers whose request was still in work when the grace period of their entry was over saw the connection end without a status. They could not tell whether the request had run, nor that the entry had stopped.

Cause: the drain waited until 0.3 s before the end of the grace period and then left. Requests taken during the drain kept deadlines beyond the end of the process, and endpoints were told these deadlines.

Change: requests taken during a stop get a deadline before its end, which endpoints are told. At that moment requests whose answer has not begun get a last one: 503 with a time to return if no endpoint has got them, else 502; the reason is `stopping`. The endpoint's health is not charged for it. Answers that have begun go on until the process ends.

Open: slow readers of an answer that is complete are still cut, as are begun streams longer than the grace period. Entries of the chat-completions path (src/entry) have the same gap.

--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -329,6 +329,7 @@
 
 void forward_service::stop()
 {
+    m_stop_end = clock::now() + milliseconds(m_settings.grace) - stop_reserve;
     m_stopping = true;
     m_process.set_ready(false);
     m_server->close_after_responses();
@@ -340,13 +341,14 @@
 net::task<void> forward_service::drain()
 {
     const time_point begin = clock::now();
-    const time_point end = begin + milliseconds(m_settings.grace) - stop_reserve;
+    const time_point end = m_stop_end;
     log_shutdown("begun", begin);
     co_await net::sleep_for(milliseconds(m_process.settings().stop_delay));
     m_server->stop_accepting();
     log_shutdown("listener_closed", begin);
     const bool drained = co_await m_server->close_when_idle(end);
     log_shutdown(drained ? "drained" : "grace_over", begin);
+    end_open_requests();
     // Refusals of requests that arrived meanwhile, and answers that are about to end.
     co_await m_server->wait_idle(clock::now() + last_answers_time);
     m_control->stop();
@@ -377,6 +379,14 @@
                                            to_u32(since_begin)});
 }
 
+void forward_service::end_open_requests()
+{
+    const std::lock_guard lock(m_open_mutex);
+    for (const auto& [forwarder, executor] : m_open) {
+        net::asio::post(executor, [open = forwarder] { open->end_for_stop(); });
+    }
+}
+
 void forward_service::log_open_requests() const
 {
     const std::lock_guard lock(m_open_mutex);
@@ -447,7 +457,7 @@
     out.config_version = out.rules->version();
     out.config_age = m_config.age(out.arrived).value_or(max_wait);
     const milliseconds wait = std::min({out.route->timeout, out.terms.timeout.value_or(max_wait), max_wait});
-    out.deadline = out.arrived + wait;
+    out.deadline = std::min(out.arrived + wait, m_stop_end.load());
     return std::nullopt;
 }
 
--- a/src/forward/forward_service.h
+++ b/src/forward/forward_service.h
@@ -67,6 +67,8 @@
     net::task<void> query_peers();
     net::task<void> drain();
     void log_shutdown(const char* step, time_point begin) const;
+    // Answers the requests whose answer has not begun, in the background, each on its strand.
+    void end_open_requests();
     void log_open_requests() const; // logs them in the background, each on its strand
 
     node::process& m_process;
@@ -84,6 +86,7 @@
     std::mutex m_rules_mutex;
     rules_in_force m_rules;
     std::atomic<bool> m_stopping{false};
+    std::atomic<time_point> m_stop_end{time_point::max()}; // when the last answers are due
     // Guards m_open, the requests in work and the strands that they run on; held alone.
     mutable std::mutex m_open_mutex;
     std::map<std::shared_ptr<request_forwarder>, net::asio::any_io_executor> m_open;
--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -80,7 +80,7 @@
                                                                 m_request.terms.id, current->choice);
     const std::string refused_by = co_await current->reservation->reserve();
     attempt_end end = attempt_end::not_run;
-    if (refused_by.empty() && !current->superseded && !m_caller_left) {
+    if (refused_by.empty() && !current->superseded && !m_caller_left && !m_stopped) {
         if (reserved_tokens != 0) {
             current->reservation->start_renewal(m_executor);
         }
@@ -95,7 +95,8 @@
     if (current->call) {
         current->call->close();
     }
-    const bool lost = current->connection_lost && !m_answer.started && !m_caller_left && !current->superseded;
+    const bool lost =
+        current->connection_lost && !m_answer.started && !m_caller_left && !m_stopped && !current->superseded;
     if (lost && !m_request.terms.shared_parts.empty()) {
         co_await examine_lost_answer(current);
     }
@@ -146,7 +147,7 @@
     const auto call = std::make_shared<endpoint_call>(m_executor);
     current->call = call;
     const result<void> connected = co_await call->connect(first.address, connect_timeout);
-    if (!connected || current->superseded || m_caller_left) {
+    if (!connected || current->superseded || m_caller_left || m_stopped) {
         co_return record_attempt(*current, attempt_end::not_run, "not_run", 0,
                                  connected ? "" : connected.error().message, attempt_health::unreachable);
     }
@@ -497,6 +498,9 @@
         health = attempt_health::neutral;
         outcome = m_caller_left ? "caller_left" : "superseded";
         end = m_caller_left ? attempt_end::caller_left : attempt_end::superseded;
+    } else if (m_stopped && end != attempt_end::answered) {
+        health = attempt_health::neutral;
+        outcome = "stopping";
     }
     if (health == attempt_health::unreachable && current.silence_recorded) {
         health = attempt_health::neutral;
--- a/src/forward/request_ending.cpp
+++ b/src/forward/request_ending.cpp
@@ -42,7 +42,11 @@
     }
     if (!m_may_have_run) {
         const dispatch_refusal refusal;
-        co_await refuse(503, "not_run", retry_after_time(refusal, clock::now()));
+        co_await refuse(503, m_stopped ? "stopping" : "not_run", retry_after_time(refusal, clock::now()));
+        co_return;
+    }
+    if (m_stopped) {
+        co_await refuse(502, "stopping", milliseconds::zero());
         co_return;
     }
     const bool late = clock::now() >= m_request.deadline;
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -111,6 +111,20 @@
     }
 }
 
+void request_forwarder::end_for_stop()
+{
+    if (m_answer.started || m_answering || m_caller_left) {
+        return;
+    }
+    m_stopped = true;
+    m_choice_call->cancel();
+    for (const attempt_ptr& current : m_open) {
+        if (current->call) {
+            current->call->close();
+        }
+    }
+}
+
 net::task<void> request_forwarder::run(net::asio::any_io_executor executor)
 {
     m_executor = executor;
@@ -126,6 +140,13 @@
         if (m_caller_left) {
             break;
         }
+        if (m_stopped) {
+            if (found.choice) {
+                m_context.endpoints.record_end(found.choice->number, clock::now());
+            }
+            co_await finish(attempt_end::not_run);
+            co_return;
+        }
         if (!found.choice) {
             co_await refuse_dispatch(found.refusal);
             co_return;
@@ -178,6 +199,9 @@
     if (m_caller_left) {
         return "caller_left";
     }
+    if (m_stopped) {
+        return "stopping";
+    }
     if (now >= m_request.deadline) {
         return "deadline";
     }
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -61,6 +61,10 @@
     // Cancels all attempts; called when the caller has closed its connection.
     void cancel();
 
+    // Answers the request now unless a part of its answer has been delivered; called when this process has
+    // to stop before the request has ended.
+    void end_for_stop();
+
 private:
     enum class attempt_end : std::uint8_t {
         answered, // the caller has received the answer
@@ -200,6 +204,7 @@
     bool m_silence_noticed = false;
     bool m_choosing_another = false;
     bool m_caller_left = false;
+    bool m_stopped = false; // by end_for_stop()
     bool m_may_have_run = false;
     std::uint32_t m_attempts = 0;      // attempts so far; also the attempt number in the log
     std::uint32_t m_possible_runs = 0; // attempts that may have run or may still run
