Keep begun streams out of the queue for free endpoints

A begun stream that has to wait for an endpoint would have stood behind waiting prompts from then on, since it may now wait at all. It is resumed whatever it costs others, as docs/platform.md says, so it passes them.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -423,7 +423,7 @@
     }
     dispatch_result outcome;
     const std::size_t reserved = m_waiting.empty() ? 0 : parts_before(request, found.size(), now);
-    if (request.wait && request.may_wait && reserved >= idle) {
+    if (request.wait && request.may_wait && !request.answer_started && reserved >= idle) {
         outcome.wait = line_wait;
         return outcome;
     }
--- a/test/forward_resume_test.cpp
+++ b/test/forward_resume_test.cpp
@@ -118,4 +118,40 @@
     BOOST_TEST(event_ids(answer.body) == "1234");
 }
 
+// Guards against begun streams that wait although no endpoint is left, and requests without an answer that
+// wait like them.
+BOOST_AUTO_TEST_CASE(only_begun_answers_wait_for_an_endpoint_that_is_left)
+{
+    forward::fleet fleet(7, "a", 1.0, [](const wire::dispatch_noteT&) {});
+    for (const char* name : {"e1", "e2"}) {
+        wire::announcementT value;
+        value.endpoint = name;
+        value.address = std::string("127.0.0.1:900") + name[1];
+        value.failure_domain = "a";
+        value.service = "desk";
+        value.born_ms = 1;
+        value.incarnation = 1;
+        value.slots = 6;
+        fleet.on_endpoint(name, &value);
+    }
+    route::service_rule desk;
+    desk.name = "desk";
+    forward::dispatch_request request;
+    request.service = &desk;
+    request.time_left = 2s;
+    request.model.objective = 300ms;
+    request.excluded = {"e1"};
+    const time_point now = clock::now();
+    fleet.record_retry_after("e2", 1s, now);
+    BOOST_TEST((fleet.dispatch(request, now).wait == 0ms));
+    request.answer_started = true;
+    BOOST_TEST((fleet.dispatch(request, now).wait > 0ms));
+    request.may_wait = false;
+    BOOST_TEST((fleet.dispatch(request, now).wait == 0ms));
+    request.may_wait = true;
+    BOOST_TEST(fleet.dispatch(request, now + 1s).choice.has_value());
+    request.excluded = {"e1", "e2"};
+    BOOST_TEST((fleet.dispatch(request, now).wait == 0ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
