--- a/src/forward/memory_reservation.cpp
+++ b/src/forward/memory_reservation.cpp
@@ -47,7 +47,7 @@
     co_return std::string();
 }
 
-net::task<bool> memory_reservation::is_used()
+net::task<std::optional<bool>> memory_reservation::is_used()
 {
     for (std::size_t i = 1; i < m_choice.endpoints.size(); ++i) {
         const chosen_endpoint& endpoint = m_choice.endpoints[i];
@@ -56,10 +56,11 @@
         }
         const result<net::http_response> response =
             co_await net::fetch_http(endpoint.address, m_protocol.report(), call_timeout);
-        co_return response&& response.value().status == 200 &&
-            m_protocol.is_reservation_used(response.value().body, reservation_id(i));
+        if (response && response.value().status == 200) {
+            co_return m_protocol.is_reservation_used(response.value().body, reservation_id(i));
+        }
     }
-    co_return false;
+    co_return std::nullopt;
 }
 
 void memory_reservation::start_renewal(const net::asio::any_io_executor& executor)
--- a/src/forward/memory_reservation.h
+++ b/src/forward/memory_reservation.h
@@ -21,8 +21,9 @@
     // empty when all reservations succeeded.
     net::task<std::string> reserve();
 
-    // Whether an endpoint with a reservation reports that a request uses it. False if none answers.
-    net::task<bool> is_used();
+    // Whether a request uses the reservations, as reported by the first endpoint with one that answers;
+    // nullopt if none answers.
+    net::task<std::optional<bool>> is_used();
 
     // Renews the reservations in the background until release().
     void start_renewal(const net::asio::any_io_executor& executor);
--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -197,8 +197,8 @@
 // memory.
 net::task<void> request_forwarder::examine_reservation(attempt_ptr current)
 {
-    const bool used = co_await current->reservation->is_used();
-    if (!used && current->silent && !current->superseded) {
+    const std::optional<bool> used = co_await current->reservation->is_used();
+    if (used == false && current->silent && !current->superseded) {
         current->reservation_unused = true;
         current->call->close();
     }
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -338,6 +338,7 @@
         co_return;
     }
     if (const std::string report = report_body(); request.target == names::report && !report.empty()) {
+        co_await net::sleep_for(m_report_delay.exchange(milliseconds(0)));
         co_await write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(report.size()) +
                                    "\r\n\r\n" + report);
         co_return;
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -3,6 +3,7 @@
 #include "base/settings.h"
 #include "net/asio.h"
 
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -109,6 +110,7 @@
 
     // Reports the reservations that it was asked for as used by a request from now on.
     void report_tickets_as_used();
+    void set_report_delay(milliseconds delay) { m_report_delay = delay; }
 
     // Sets how long the faults with a pause last.
     void set_pause(std::chrono::milliseconds pause);
@@ -164,6 +166,7 @@
     mutable std::mutex m_mutex;
     std::deque<runner_fault> m_faults;
     bool m_reports_tickets = false;
+    std::atomic<milliseconds> m_report_delay{milliseconds{0}};
     runner_fault m_resume_fault = runner_fault::none;
     milliseconds m_pause{};
     std::optional<runner_crash> m_crash;
--- a/test/forward_silence_test.cpp
+++ b/test/forward_silence_test.cpp
@@ -143,6 +143,20 @@
     BOOST_TEST(system.runner("model-a").orders().size() + system.runner("model-b").orders().size() > 0U);
 }
 
+// Guards against long prompts whose stream ends because the report about its reserved memory comes late.
+BOOST_FIXTURE_TEST_CASE(a_stream_with_reserved_memory_outlasts_a_late_report, silence_fixture)
+{
+    pause({"model-a", "model-b"}, runner_fault::pause_before_head, 4'500ms);
+    for (const char* id : {"model-a", "model-b"}) {
+        system.runner(id).report_tickets_as_used();
+        system.runner(id).set_report_delay(600ms);
+    }
+    platform_deployment::call call;
+    call.tokens = "235000,100";
+    call.deadline = 15s;
+    check_whole_stream(system.request(call));
+}
+
 // Guards against endpoints that work on for a caller who has left while they were silent.
 BOOST_FIXTURE_TEST_CASE(all_attempts_end_when_the_caller_leaves, silence_fixture)
 {
