Read what has arrived before an endpoint counts as silent

After a stall of the entry itself its expired timers run before the data that has arrived meanwhile is read. Each open attempt then recorded its endpoint as unreachable, and asked another one beside it, although the endpoint had answered.

Change: while data is waiting in the socket, the inactivity timeout is put off until the pending read has taken it.

--- a/src/forward/endpoint_call.cpp
+++ b/src/forward/endpoint_call.cpp
@@ -23,6 +23,9 @@
 constexpr std::chrono::seconds keep_alive_interval{1};
 constexpr int keep_alive_probes = 2;
 
+// How long data that has arrived may stay unread before the inactivity timeout counts.
+constexpr milliseconds unread_data_time{10};
+
 } // namespace
 
 endpoint_call::endpoint_call(const net::asio::any_io_executor& executor)
@@ -43,6 +46,12 @@
                 return;
             }
             const time_point now = clock::now();
+            error_code unknown;
+            if (extend && self->m_socket.available(unknown) > 0) {
+                // This process was held up, and the pending read takes what has arrived meanwhile.
+                self->arm(now + unread_data_time, extend);
+                return;
+            }
             const time_point new_deadline = extend ? extend() : now;
             if (new_deadline > now) {
                 self->arm(new_deadline, extend);
