Answer requests at the end of a stop whatever their attempts wait for

Three gaps of, found by a review: a request whose attempt was reserving memory, or looking whether its endpoint still accepts connections, was waited for (0.3 s and more) and then cut; the 503 to requests taken during a stop had no time to return; and their deadline was the moment at which the last answers are written, so that either could be first.

Change: the last answer does not wait for the attempts, none of which uses the caller's connection then. An attempt that may have been sent makes it 502. The 503 has a time to return. Deadlines during a stop end 150 ms before the last answers.

--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -457,7 +457,7 @@
     out.config_version = out.rules->version();
     out.config_age = m_config.age(out.arrived).value_or(max_wait);
     const milliseconds wait = std::min({out.route->timeout, out.terms.timeout.value_or(max_wait), max_wait});
-    out.deadline = std::min(out.arrived + wait, m_stop_end.load());
+    out.deadline = std::min(out.arrived + wait, m_stop_end.load() - last_answers_time);
     return std::nullopt;
 }
 
--- a/src/forward/request_ending.cpp
+++ b/src/forward/request_ending.cpp
@@ -42,7 +42,8 @@
     }
     if (!m_may_have_run) {
         const dispatch_refusal refusal;
-        co_await refuse(503, m_stopped ? "stopping" : "not_run", retry_after_time(refusal, clock::now()));
+        co_await refuse(503, m_stopped ? "stopping" : "not_run",
+                        m_stopped ? min_retry_after : retry_after_time(refusal, clock::now()));
         co_return;
     }
     if (m_stopped) {
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -119,10 +119,12 @@
     m_stopped = true;
     m_choice_call->cancel();
     for (const attempt_ptr& current : m_open) {
+        m_may_have_run = m_may_have_run || current->sent;
         if (current->call) {
             current->call->close();
         }
     }
+    m_change->cancel();
 }
 
 net::task<void> request_forwarder::run(net::asio::any_io_executor executor)
@@ -266,7 +268,7 @@
 net::task<request_forwarder::attempt_end> request_forwarder::await_attempts()
 {
     // Without an answering attempt none uses the exchange, so that the open ones may outlive it.
-    while (!m_answered && !m_open.empty() && (!m_caller_left || m_answering)) {
+    while (!m_answered && !m_open.empty() && (!(m_caller_left || m_stopped) || m_answering)) {
         if (std::exchange(m_silence_noticed, false) && !m_caller_left) {
             co_await ask_another();
             continue;
@@ -318,7 +320,7 @@
 
 bool request_forwarder::claim(const attempt_ptr& current)
 {
-    if (current->superseded || m_caller_left) {
+    if (current->superseded || m_caller_left || m_stopped) {
         return false;
     }
     current->silent = false;
