Let begun streams wait for endpoints that had no room

Callers saw streams end at once, or after 2 s, when the endpoint that was to resume them had answered "no room" before: an endpoint that refuses was excluded for the rest of the request. And the wait for an endpoint that wants no requests for a while did nothing at entries that do not schedule: they tell the scheduler to leave such endpoints out, which then knew none that was left.

Change: the entry that holds the stream waits and asks again, with those endpoints that have only refused, while one is left that takes requests at all. The choice itself (fleet::dispatch) no longer waits for that.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -311,10 +311,12 @@
     return found;
 }
 
-bool fleet::has_other_endpoint(const dispatch_request& request, time_point now) const
+bool fleet::has_endpoint_left(const std::string& service, const std::set<std::string>& excluded,
+                              time_point now) const
 {
+    const std::lock_guard lock(m_mutex);
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
-        return item.second.info.service == request.service->name && !request.excluded.contains(item.first) &&
+        return item.second.info.service == service && !excluded.contains(item.first) &&
                accepts_work(item.second, now);
     });
 }
@@ -363,11 +365,6 @@
         if (refused && now < m_complete_at && request.model.used < request.time_left) {
             outcome.wait = list_wait;
         }
-        const bool waits_to_resume = refused && request.answer_started && request.may_wait;
-        if (waits_to_resume && outcome.refusal.why == dispatch_refusal::reason::no_endpoint &&
-            has_other_endpoint(request, now)) {
-            outcome.wait = list_wait;
-        }
         if (outcome.choice) {
             const policy::work_key key =
                 request.key.value_or(policy::work_key{m_self, outcome.choice->number});
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -134,6 +134,10 @@
     // The notes of a dispatch, one for each endpoint, the answering one first; empty for an unknown dispatch.
     std::vector<wire::dispatch_noteT> notes_of(const policy::work_key& key) const;
 
+    // Whether another endpoint of the service may take a request later, if none can now.
+    bool has_endpoint_left(const std::string& service, const std::set<std::string>& excluded,
+                           time_point now) const;
+
     void record_first_event(std::uint64_t number, time_point now);
     void record_end(std::uint64_t number, time_point now, const attempt_report& report = {});
 
@@ -231,8 +235,6 @@
 
     void begin_trial(const dispatch_choice& choice, const dispatch_request& request, dispatch_record& record,
                      time_point now);
-    // Whether an endpoint that the request has not tried may take it later, if none can now.
-    bool has_other_endpoint(const dispatch_request& request, time_point now) const;
     std::vector<endpoint_state*> trial_endpoints(const dispatch_request& request, time_point now);
     dispatch_result choose(const dispatch_request& request, const std::vector<endpoint_state*>& found,
                            time_point now);
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -24,6 +24,9 @@
 // How often an answer that waits for the retry budget, or for the configuration to be confirmed, tries again.
 constexpr milliseconds retry_poll_interval{20};
 
+// The same for one that waits for an endpoint.
+constexpr milliseconds endpoint_poll_interval{100};
+
 } // namespace
 
 request_forwarder::request_forwarder(forwarder_context context, net::http_exchange& exchange,
@@ -150,6 +153,9 @@
             co_return;
         }
         if (!found.choice) {
+            if (co_await await_endpoint(found.refusal)) {
+                continue;
+            }
             co_await refuse_dispatch(found.refusal);
             co_return;
         }
@@ -186,6 +192,23 @@
     co_return found;
 }
 
+net::task<bool> request_forwarder::await_endpoint(const dispatch_refusal& refusal)
+{
+    const time_point next = clock::now() + endpoint_poll_interval;
+    if (refusal.why != dispatch_refusal::reason::no_endpoint || !resumes() || next >= resume_limit()) {
+        co_return false;
+    }
+    // An endpoint that was full may have room by then.
+    for (const std::string& name : std::exchange(m_refused_by, {})) {
+        m_excluded.erase(name);
+    }
+    if (!m_context.endpoints.has_endpoint_left(m_request.service->name, m_excluded, clock::now())) {
+        co_return false;
+    }
+    co_await net::sleep_for(endpoint_poll_interval);
+    co_return true;
+}
+
 bool request_forwarder::confirm(const dispatch_choice& choice)
 {
     // This process may have been suspended, or the request may have waited for long.
@@ -288,6 +311,7 @@
         m_reached_endpoint = true;
         if (end == attempt_end::not_run) {
             --m_possible_runs;
+            m_refused_by.insert(current->endpoint());
         } else {
             m_may_have_run = true;
         }
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -122,6 +122,9 @@
     net::task<dispatch_result> choose_endpoints(time_point wait_end);
     // When the first event is late.
     time_point objective_end() const { return m_request.arrived + m_request.route->objective; }
+    // Whether a begun answer that no endpoint can go on with now may find one later; waits before the next
+    // try.
+    net::task<bool> await_endpoint(const dispatch_refusal& refusal);
     // Whether this process may still act on the choice. Gives the endpoints up if not.
     bool confirm(const dispatch_choice& choice);
     void start_attempt(dispatch_choice choice);
@@ -206,10 +209,11 @@
     bool m_caller_left = false;
     bool m_stopped = false; // by end_for_stop()
     bool m_may_have_run = false;
-    std::uint32_t m_attempts = 0;      // attempts so far; also the attempt number in the log
-    std::uint32_t m_possible_runs = 0; // attempts that may have run or may still run
-    bool m_reached_endpoint = false;   // some attempt may have reached an endpoint
-    std::set<std::string> m_excluded;
+    std::uint32_t m_attempts = 0;       // attempts so far; also the attempt number in the log
+    std::uint32_t m_possible_runs = 0;  // attempts that may have run or may still run
+    bool m_reached_endpoint = false;    // some attempt may have reached an endpoint
+    std::set<std::string> m_excluded;   // endpoints that attempts have used or found failed
+    std::set<std::string> m_refused_by; // those that only have refused the request
     answer_state m_answer;
     std::optional<net::http_response> m_failed_answer;
     time_point m_last_event_at;
