Believe "not run" only of the attempt that it is about

What callers saw: an unsafe request could be bound to a further attempt, and run twice or be told "not run", after an agent's stale or doubled frame. A begun stream was cut by such a frame.

Cause: key_dispatcher::query() took the first attempt_state without comparing its id, and attempt_client accepted "refused" and "failed: not run" after the head or data of the answer had arrived.

The state of another attempt: "check outcome.done has failed", "check queries == 2 has failed [1 != 2]". After a begun answer: "check (ended.outcome == attempt_outcome::unknown) has failed", "check resumes == 3 has failed [0 != 3]". The frames are made by a scripted agent; no agent of this version was seen sending them.

Change: states of other attempts are dropped and counted, and the query waits for its own within its timeout. A "not run" that contradicts a begun answer closes the frame stream and the attempt is resumed, at most three times: the agent knows how the attempt goes on. Before the answer begins "not run" is believed as before.

--- a/src/entry/attempt_client.cpp
+++ b/src/entry/attempt_client.cpp
@@ -127,7 +127,7 @@
         case wire::body::admitted:
             return handle_admitted(*frame.message_as_admitted());
         case wire::body::refused:
-            return handle_refused(*frame.message_as_refused());
+            return handle_refused(*frame.message_as_refused(), *stream);
         case wire::body::answer_head:
             return handle_head(*frame.message_as_answer_head());
         case wire::body::answer_data:
@@ -135,7 +135,7 @@
         case wire::body::answer_end:
             return handle_end(*frame.message_as_answer_end());
         case wire::body::failed:
-            return handle_failed(*frame.message_as_failed());
+            return handle_failed(*frame.message_as_failed(), *stream);
         default:
             count_dropped("unexpected_message");
             return std::nullopt;
@@ -158,12 +158,25 @@
         return std::nullopt;
     }
 
-    std::optional<attempt_result> handle_refused(const wire::refused& message)
+    // Rejects a message that says "not run" although the answer has begun: the attempt has run. The agent is
+    // asked on a new stream, since only it knows how the attempt goes on.
+    std::optional<attempt_result> reject_not_run(net::frame_stream& stream)
+    {
+        count_dropped("not_run_after_begin");
+        stream.close(make_error(error_kind::invalid_frame, "not run, but the answer has begun",
+                                "check that both processes run the same version"));
+        return std::nullopt;
+    }
+
+    std::optional<attempt_result> handle_refused(const wire::refused& message, net::frame_stream& stream)
     {
         if (!matches(message.id(), message.attempt(), m_id)) {
             count_dropped("other_attempt");
             return std::nullopt;
         }
+        if (m_begun) {
+            return reject_not_run(stream);
+        }
         m_selector.report(m_endpoint, message.load(), clock::now());
         attempt_result end;
         end.outcome = attempt_outcome::not_run;
@@ -177,6 +190,7 @@
     {
         if (matches(message.id(), message.attempt(), m_id)) {
             m_agent = message.agent_incarnation();
+            m_begun = true;
             m_sink.head(message.status(),
                         message.content_type() == nullptr ? "" : message.content_type()->str());
         } else {
@@ -203,6 +217,7 @@
         if (m_received == 0) {
             m_selector.first_token(m_endpoint, m_request);
         }
+        m_begun = true;
         m_received += data->size();
         XXH3_64bits_update(m_hash.get(), data->data(), data->size());
         bytes.append(reinterpret_cast<const char*>(data->data()), data->size());
@@ -224,16 +239,19 @@
         return end;
     }
 
-    std::optional<attempt_result> handle_failed(const wire::failed& message)
+    std::optional<attempt_result> handle_failed(const wire::failed& message, net::frame_stream& stream)
     {
         if (!matches(message.id(), message.attempt(), m_id)) {
             count_dropped("other_attempt");
             return std::nullopt;
         }
+        const bool not_run = message.result() == wire::outcome::not_run;
+        if (not_run && m_begun) {
+            return reject_not_run(stream);
+        }
         m_selector.report(m_endpoint, message.load(), clock::now());
         attempt_result end;
-        end.outcome =
-            message.result() == wire::outcome::not_run ? attempt_outcome::not_run : attempt_outcome::unknown;
+        end.outcome = not_run ? attempt_outcome::not_run : attempt_outcome::unknown;
         end.message = message.message() == nullptr ? "" : message.message()->str();
         return end;
     }
@@ -247,6 +265,8 @@
     std::unique_ptr<XXH3_state_t, hash_deleter> m_hash{XXH3_createState()};
     std::uint64_t m_received = 0;
     bool m_admitted = false;
+    // The head or data of the answer has arrived.
+    bool m_begun = false;
     incarnation m_agent = 0;
 };
 
--- a/src/entry/key_dispatcher.cpp
+++ b/src/entry/key_dispatcher.cpp
@@ -237,18 +237,24 @@
     stream->send(net::make_frame(std::move(message)));
     net::steady_timer timer(co_await net::asio::this_coro::executor);
     node::close_after(timer, stream, query_timeout);
-    const result<net::received_frame> answer = co_await stream->receive();
-    timer.cancel();
-    if (!answer) {
-        co_return answer.error();
-    }
-    const wire::attempt_state* state = answer.value().frame->message_as_attempt_state();
-    if (state == nullptr) {
-        co_return make_error(error_kind::invalid_frame, "unexpected reply to an attempt query");
+    while (true) {
+        const result<net::received_frame> answer = co_await stream->receive();
+        if (!answer) {
+            timer.cancel();
+            co_return answer.error();
+        }
+        const wire::attempt_state* state = answer.value().frame->message_as_attempt_state();
+        // The state of another attempt would make this one count as not run, or pass on a foreign answer.
+        if (state != nullptr && state->id() != nullptr &&
+            attempt_id{request_id{state->id()->high(), state->id()->low()}, state->attempt()} == bound.id) {
+            timer.cancel();
+            wire::attempt_stateT unpacked;
+            state->UnPackTo(&unpacked);
+            co_return unpacked;
+        }
+        m_metrics.add("verbena_entry_dropped_messages_total",
+                      {{"reason", state == nullptr ? "unexpected_message" : "other_attempt"}});
     }
-    wire::attempt_stateT unpacked;
-    state->UnPackTo(&unpacked);
-    co_return unpacked;
 }
 
 // Queries the agent until the attempt has ended or its outcome cannot be determined.
