Keep an engine's connection when the engine no longer lists its request

What callers saw: a stream ended with "the engine no longer holds the request" though the first connection to the engine stood and still gave the rest of the answer.

Cause: engine_event_reader ended the answer as soon as a second connection was answered with 404 or 410.

Change: the first connection stays until it ends or the deadline. An engine that has said that it doesn't hold the request is not asked again before the next event. Without another connection the answer ends at once, as before.

The case stream_ends_when_the_engine_no_longer_holds_the_request asked for this fault: it wanted the answer ended while its connection stood. Its engine now closes the connection, with the same bounds and exactly one resume; two cases ask for the whole answer and for the end at the deadline.

Cost: a request that the engine has lost without closing its connection is held until its deadline.

--- a/src/agent/engine_events.cpp
+++ b/src/agent/engine_events.cpp
@@ -127,6 +127,7 @@
     if (last > m_events) {
         const std::uint32_t known = m_events - first;
         m_events = last;
+        m_not_held = false;
         // The engine goes on with this connection, so the others are no longer needed.
         close_others(value);
         m_sink.on_events(skip_events(events, known));
@@ -146,14 +147,16 @@
 void engine_event_reader::on_not_opened(const std::shared_ptr<source>& value, const error& reason)
 {
     remove(value);
-    const bool gone = reason.kind == error_kind::not_found && value->begin == m_events;
-    // After a timeout the connection that stood when this one was opened may have broken; the engine may
-    // still hold the request.
-    const bool may_go_on = !m_sources.empty() || (reason.kind == error_kind::timeout && m_events != 0);
-    if (gone || !may_go_on) {
-        end(reason);
-    } else if (m_sources.empty()) {
+    if (!m_sources.empty()) {
+        // An engine that no longer holds the request may already have written the rest of its events to the
+        // connection that stands.
+        m_not_held = m_not_held || reason.kind == error_kind::not_found;
+    } else if (reason.kind == error_kind::timeout && m_events != 0) {
+        // The connection that stood when this one was opened has broken; the engine may still hold the
+        // request.
         open_source(time_left());
+    } else {
+        end(reason);
     }
     m_wakeup->cancel();
 }
@@ -186,7 +189,7 @@
         return;
     }
     const std::shared_ptr<source> newest = m_sources.back();
-    if (!newest->stream) {
+    if (m_not_held || !newest->stream) {
         return;
     }
     // An earlier second connection is silent too: only a new one shows whether the engine holds the request.
--- a/src/agent/engine_events.h
+++ b/src/agent/engine_events.h
@@ -28,10 +28,10 @@
     virtual bool is_wanted() const = 0;
 };
 
-// Reads the events of one request from a model engine until the text is complete, the engine no longer holds
-// the request, its connections break too often, or the deadline passes. An engine that is silent is asked on
-// a second connection whether it holds the request; the first connection is kept until the second one has
-// given an event. All calls run on the executor of read().
+// Reads the events of one request from a model engine until the text is complete, the last connection breaks
+// and the engine no longer holds the request, its connections break too often, or the deadline passes. An
+// engine that is silent is asked on a second connection whether it holds the request; the first connection is
+// kept until the second one has given an event. All calls run on the executor of read().
 class engine_event_reader : public std::enable_shared_from_this<engine_event_reader> {
 public:
     struct options {
@@ -81,6 +81,8 @@
     std::vector<std::shared_ptr<source>> m_sources;
     std::uint32_t m_events = 0;
     bool m_finished = false;
+    // The engine does not hold the request, as of the last event; it is not asked again before the next one.
+    bool m_not_held = false;
     int m_breaks = 0;
     // Time of the last byte or of the last look at a silent engine.
     time_point m_last_activity;
--- a/test/chat_stream_test.cpp
+++ b/test/chat_stream_test.cpp
@@ -87,11 +87,37 @@
 BOOST_AUTO_TEST_CASE(stream_ends_when_the_engine_no_longer_holds_the_request)
 {
     engine_script script;
+    script.close_after = 2;
     script.pauses = {{2, 6'000ms}};
     script.resumes = resume_answer::not_found;
     const auto answer = ask(script);
     check_broken(answer, 2);
     BOOST_TEST((answer.duration < 3s));
+    BOOST_TEST(system.engine.resumes() == 1U);
+}
+
+// Guards against a first connection that is given up although it still gives the rest of the answer.
+BOOST_AUTO_TEST_CASE(first_connection_outlasts_an_engine_that_does_not_hold_the_request)
+{
+    engine_script script;
+    script.pauses = {{2, 1'200ms}, {4, 700ms}};
+    script.resumes = resume_answer::not_found;
+    check_whole(ask(script), script);
+    // Asked once in each pause.
+    BOOST_TEST(system.engine.resumes() == 2U);
+    BOOST_TEST(system.engine.cancels() == 0U);
+}
+
+// Guards against an answer that stays open after its deadline, or ends before it while its connection stands.
+BOOST_AUTO_TEST_CASE(silent_first_connection_ends_at_the_deadline)
+{
+    engine_script script;
+    script.pauses = {{2, 6'000ms}};
+    script.resumes = resume_answer::not_found;
+    const auto answer = ask(script, true, 2s);
+    check_broken(answer, 2);
+    BOOST_TEST((answer.duration >= 1'900ms));
+    BOOST_TEST((answer.duration < 3s));
 }
 
 // Guards against a resume answered with an error that ends a stream whose first connection still stands.
