Test endpoints that are silent in the body of a safe request

The path by which another endpoint is asked while one is silent after its head had no test. The stand-in gets the fault pause_in_body for it. No fault was found: the caller gets one whole answer.

--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -441,6 +441,12 @@
     }
     if (!m_options.streams || fault == runner_fault::wrong_request_id) {
         std::string text = complete_response(200, id, fault != runner_fault::no_mac, "ok " + request.body);
+        if (fault == runner_fault::pause_in_body) {
+            const std::size_t rest = request.body.size() / 2;
+            co_await write(socket, text.substr(0, text.size() - rest));
+            co_await net::sleep_for(pause());
+            text.erase(0, text.size() - rest);
+        }
         text += fault == runner_fault::extra_answer ? complete_response(200, "another-request", true, "stray")
                                                     : "";
         co_await write(socket, std::move(text));
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -36,6 +36,7 @@
     unframed_crash,    // the same, and its process crashes before its second event
     pause_before_head, // sends nothing for the pause, then answers
     pause_in_stream,   // sends nothing for the pause before its second event, then goes on
+    pause_in_body,     // of a runner without streams: the same in the middle of its body
     pause_and_cut,     // the same, and closes the connection in the middle of that event
     stale_refusal,     // executes the request and sends a refusal that was meant for another one
     stale_misdirected, // the same with 421
--- a/test/forward_silence_test.cpp
+++ b/test/forward_silence_test.cpp
@@ -103,6 +103,34 @@
     BOOST_TEST(eventually([&] { return system.runner("model-a").cancelled() == 2; }));
 }
 
+// Guards against callers who wait for the rest of a body although another endpoint can answer, and against
+// answers that are mixed from both.
+BOOST_FIXTURE_TEST_CASE(another_endpoint_answers_while_one_is_silent_in_its_body, silence_fixture)
+{
+    constexpr milliseconds duration = 2'500ms;
+    platform_deployment::call call;
+    call.path = "/safe/1";
+    call.body = "look up";
+    BOOST_TEST_REQUIRE(eventually([&] {
+        const std::size_t before = system.requests_at("desk-a");
+        return system.request(call).status == 200 && system.requests_at("desk-a") > before;
+    }));
+    pause({"desk-a"}, runner_fault::pause_in_body, duration);
+    std::size_t paused = 0;
+    for (int i = 0; i < 20 && paused == 0; ++i) {
+        const std::size_t before = runs(call.body);
+        const time_point begin = clock::now();
+        const std::string received = system.request_bytes(call);
+        BOOST_TEST((clock::now() - begin < duration));
+        BOOST_TEST(received.starts_with("HTTP/1.1 200 "));
+        BOOST_TEST(received.find("HTTP/1.1", 1) == std::string::npos);
+        BOOST_TEST(received.ends_with("\r\n\r\nok look up"));
+        paused = runs(call.body) - before - 1;
+    }
+    BOOST_TEST(paused == 1U);
+    BOOST_TEST((system.runner("desk-a").requests().back().fault == runner_fault::pause_in_body));
+}
+
 // Guards against unsafe requests that are sent again because their endpoint is silent.
 BOOST_FIXTURE_TEST_CASE(an_unsafe_request_waits_for_its_silent_endpoint, silence_fixture)
 {
