Move the exchange and the upload of the HTTP server into files of their own

The code is moved; types that two files use are in http_connection.h, those that were local to the file in namespace detail.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,17 +1,12 @@
 #include "net/http_server.h"
 
 #include "net/address.h"
+#include "net/http_connection.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/json/serialize.hpp>
-#include <boost/json/value.hpp>
 
-#include <cstdio>
 #include <netinet/tcp.h>
 #include <optional>
 #include <sys/ioctl.h>
@@ -37,11 +32,6 @@
 // Interval at which a stopping server is checked for requests in work.
 constexpr milliseconds idle_poll_interval{10};
 
-// Cancellation has no effect between two reads of one composed operation, so it is repeated at this interval.
-constexpr milliseconds cancel_interval{10};
-
-using body_parser = http::request_parser<http::string_body>;
-
 // Increments a counter for the lifetime of the object.
 class scoped_count {
 public:
@@ -54,26 +44,6 @@
     std::atomic<std::size_t>& m_counter;
 };
 
-// Accounts for the bytes of one growing request body in the total over all connections.
-class body_reservation {
-public:
-    explicit body_reservation(std::atomic<std::uint64_t>& total) : m_total(total) {}
-    body_reservation(const body_reservation&) = delete;
-    body_reservation& operator=(const body_reservation&) = delete;
-    ~body_reservation() { m_total -= m_held; }
-
-    std::uint64_t set(std::uint64_t bytes)
-    {
-        m_total += bytes - m_held;
-        m_held = bytes;
-        return m_total.load();
-    }
-
-private:
-    std::atomic<std::uint64_t>& m_total;
-    std::uint64_t m_held = 0;
-};
-
 // Returns the number of written bytes that the peer has not acknowledged; 0 once the connection is reset.
 std::size_t unsent_bytes(tcp::socket& socket)
 {
@@ -105,253 +75,6 @@
 
 } // namespace
 
-// Cancels the reads of a connection at a deadline but leaves the socket open, so that a response can still be
-// written; the timeout of beast::tcp_stream would close the socket. Used on the strand of the connection.
-class read_deadline {
-public:
-    explicit read_deadline(beast::tcp_stream& stream) : m_state(std::make_shared<state>(stream))
-    {
-        asio::co_spawn(
-            stream.get_executor(), [shared = m_state] { return watch(shared); }, asio::detached);
-    }
-    read_deadline(const read_deadline&) = delete;
-    read_deadline& operator=(const read_deadline&) = delete;
-    ~read_deadline()
-    {
-        m_state->ended = true;
-        m_state->timer.cancel();
-    }
-
-    void set(time_point deadline)
-    {
-        m_state->expired = false;
-        m_state->deadline = deadline;
-        // A later deadline needs no new wait: watch() checks it when the timer fires.
-        if (deadline < m_state->timer.expiry()) {
-            m_state->timer.cancel();
-        }
-    }
-
-    void clear() { set(time_point::max()); }
-
-    bool expired() const { return m_state->expired; }
-
-private:
-    struct state {
-        explicit state(beast::tcp_stream& read_stream)
-            : stream(read_stream), timer(read_stream.get_executor())
-        {
-        }
-
-        beast::tcp_stream& stream;
-        steady_timer timer;
-        time_point deadline = time_point::max();
-        bool expired = false;
-        bool ended = false;
-    };
-
-    static task<void> watch(std::shared_ptr<state> shared)
-    {
-        while (!shared->ended) {
-            shared->timer.expires_at(shared->deadline);
-            co_await shared->timer.async_wait(no_throw);
-            if (!shared->ended && clock::now() >= shared->deadline) {
-                shared->expired = true;
-                shared->deadline = clock::now() + cancel_interval;
-                error_code ignored;
-                shared->stream.socket().cancel(ignored);
-            }
-        }
-    }
-
-    std::shared_ptr<state> m_state;
-};
-
-struct http_server::connection_state {
-    connection_state(tcp::socket socket, std::size_t buffer_limit, request_gate::pass entered)
-        : stream(std::move(socket)), buffer(buffer_limit), deadline(stream), pass(std::move(entered))
-    {
-    }
-
-    // Counts the connection as busy.
-    void enter(request_gate& gate)
-    {
-        if (!pass) {
-            pass = gate.enter();
-        }
-    }
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    read_deadline deadline;
-    std::optional<request_gate::pass> pass; // empty while the connection is idle
-    bool answered = false;
-};
-
-// A request whose body is being received.
-struct http_server::upload {
-    explicit upload(std::atomic<std::uint64_t>& total) : reservation(total) {}
-
-    body_parser parser;
-    body_reservation reservation;
-};
-
-struct http_server::refusal {
-    unsigned status;
-    const char* kind;
-    const char* message;
-    const char* remedy;
-
-    static refusal stopping()
-    {
-        return {503, "stopping", "the request has not run: this server is stopping",
-                "send the request again"};
-    }
-
-    static refusal slow(const char* message)
-    {
-        return {408, "slow_sender", message, "send the request faster"};
-    }
-
-    static refusal for_failure(const error_code& failure)
-    {
-        if (failure == http::error::header_limit) {
-            return {431, "headers_too_large", "the request headers are too large",
-                    "send fewer or shorter headers"};
-        }
-        if (failure == http::error::body_limit) {
-            return {413, "body_too_large", "the request body is too large", "send a shorter prompt"};
-        }
-        return {400, "malformed_http", "the request is not valid HTTP",
-                "check the client's HTTP implementation"};
-    }
-};
-
-http_response http_handler::refuse(unsigned status, const std::string& kind, const std::string& message,
-                                   const std::string& remedy)
-{
-    const boost::json::value body = {
-        {"error", {{"type", kind}, {"message", message}, {"remedy", remedy}, {"outcome", "not_run"}}}};
-    return http_response{status, "application/json", boost::json::serialize(body) + "\n", {}};
-}
-
-http_exchange::http_exchange(http_server& server, beast::tcp_stream& stream, http_request request,
-                             bool keep_alive)
-    : m_server(server), m_stream(stream), m_request(std::move(request)), m_keep_alive(keep_alive)
-{
-}
-
-std::string http_exchange::head_text(unsigned status, std::string_view content_type,
-                                     const http_header_list& headers)
-{
-    m_keep_alive = m_keep_alive && !m_server.stopping();
-    const auto reason_phrase = http::obsolete_reason(static_cast<http::status>(status));
-    std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reason_phrase) + "\r\n";
-    if (!content_type.empty()) {
-        text += "Content-Type: " + std::string(content_type) + "\r\n";
-    }
-    for (const auto& [name, value] : headers) {
-        text += name + ": " + value + "\r\n";
-    }
-    if (!m_keep_alive) {
-        text += "Connection: close\r\n";
-    }
-    return text;
-}
-
-task<result<void>> http_exchange::write_all(std::string_view data)
-{
-    while (!data.empty()) {
-        m_stream.expires_after(m_server.limits().write_timeout);
-        auto [failure, written] =
-            co_await m_stream.async_write_some(asio::buffer(data.data(), data.size()), no_throw);
-        if (failure) {
-            co_return failure == beast::error::timeout
-                ? make_error(error_kind::timeout, "the client read nothing within the write timeout",
-                             "read faster")
-                : io_error("write", failure);
-        }
-        data.remove_prefix(written);
-    }
-    co_return success();
-}
-
-task<result<void>> http_exchange::reply(http_response response)
-{
-    if (m_started) {
-        co_return make_error(error_kind::conflict, "the response has already started",
-                             "end the started response");
-    }
-    m_started = true;
-    std::string text = head_text(response.status, response.content_type, response.headers);
-    text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n";
-    text += response.body;
-    const result<void> written = co_await write_all(text);
-    m_finished = written.has_value();
-    co_return written;
-}
-
-task<result<void>> http_exchange::start_stream(unsigned status, std::string content_type,
-                                               http_header_list headers)
-{
-    if (m_started) {
-        co_return make_error(error_kind::conflict, "the response has already started",
-                             "end the started response");
-    }
-    m_started = true;
-    const std::string text = head_text(status, content_type, headers) + "Transfer-Encoding: chunked\r\n\r\n";
-    co_return co_await write_all(text);
-}
-
-task<result<void>> http_exchange::write(std::string_view data)
-{
-    if (data.empty()) {
-        // A chunk of length 0 would end the body and make a partial response look complete.
-        co_return success();
-    }
-    char size[20];
-    const int length = std::snprintf(size, sizeof size, "%zx\r\n", data.size());
-    std::string text;
-    text.reserve(data.size() + static_cast<std::size_t>(length) + 2);
-    text.append(size, static_cast<std::size_t>(length)).append(data).append("\r\n");
-    co_return co_await write_all(text);
-}
-
-task<result<void>> http_exchange::finish()
-{
-    const result<void> written = co_await write_all("0\r\n\r\n");
-    m_finished = written.has_value();
-    co_return written;
-}
-
-task<bool> http_exchange::wait_closed(std::shared_ptr<bool> ended)
-{
-    beast::tcp_stream& stream = m_stream;
-    while (true) {
-        auto [failure] = co_await stream.socket().async_wait(tcp::socket::wait_read, no_throw);
-        if (*ended || failure) {
-            co_return !*ended && failure != asio::error::operation_aborted;
-        }
-        // The wake-up may be stale, caused by request bytes that have been read since; a peek gives the
-        // current state.
-        char peeked = 0;
-        error_code result;
-        stream.socket().non_blocking(true, result);
-        const std::size_t size =
-            stream.socket().receive(asio::buffer(&peeked, 1), tcp::socket::message_peek, result);
-        if (result == asio::error::would_block || result == asio::error::try_again) {
-            continue;
-        }
-        co_return size == 0;
-    }
-}
-
-void http_exchange::cancel_wait()
-{
-    error_code ignored;
-    m_stream.socket().cancel(ignored);
-}
-
 result<std::shared_ptr<http_server>> http_server::create(asio::io_context& io, const host_port& address,
                                                          const http_limits& limits, http_handler& handler,
                                                          metrics& counters, std::string name)
@@ -544,20 +267,6 @@
     }
 }
 
-task<http_server::next_step> http_server::refuse(connection_state& connection, refusal reason)
-{
-    count(reason.kind);
-    connection.deadline.clear();
-    http_exchange exchange(*this, connection.stream, http_request{}, false);
-    http_response response = m_handler.refuse(reason.status, reason.kind, reason.message, reason.remedy);
-    const result<void> sent = co_await exchange.reply(std::move(response));
-    if (!sent) {
-        count("refusal_not_sent");
-        co_return next_step::close;
-    }
-    co_return next_step::linger;
-}
-
 task<bool> http_server::wait_request(connection_state& connection)
 {
     // The timeout of an earlier write must not close the connection while it is idle.
@@ -602,7 +311,7 @@
 task<http_server::next_step> http_server::serve_one(connection_state& connection)
 {
     upload received(m_body_bytes);
-    body_parser& parser = received.parser;
+    detail::body_parser& parser = received.parser;
     const bool has_request = co_await wait_request(connection);
     if (!has_request) {
         co_return connection.answered ? next_step::linger : next_step::close;
@@ -653,32 +362,4 @@
     co_return exchange.keep_alive() ? next_step::next_request : next_step::linger;
 }
 
-task<std::optional<http_server::refusal>> http_server::read_body(connection_state& connection,
-                                                                 upload& received)
-{
-    const time_point start = clock::now();
-    const http_limits bounds = limits();
-    while (!received.parser.is_done()) {
-        connection.deadline.set(std::min(start + bounds.body_timeout, clock::now() + bounds.header_timeout));
-        auto [failure, size] =
-            co_await http::async_read_some(connection.stream, connection.buffer, received.parser, no_throw);
-        if (failure) {
-            co_return connection.deadline.expired() ? refusal::slow("the body did not arrive in time")
-                                                    : refusal::for_failure(failure);
-        }
-        const std::uint64_t bytes = received.parser.get().body().size();
-        if (received.reservation.set(bytes) > bounds.max_total_body) {
-            co_return refusal{503, "upload_memory",
-                              "the request bodies being received exceed the memory limit of the server",
-                              "retry after a second"};
-        }
-        const auto elapsed = std::chrono::duration_cast<milliseconds>(clock::now() - start);
-        if (elapsed > bounds.body_rate_grace &&
-            bytes * 1000 < static_cast<std::uint64_t>(elapsed.count()) * bounds.min_body_rate) {
-            co_return refusal::slow("the body arrives too slowly");
-        }
-    }
-    co_return std::nullopt;
-}
-
 } // namespace verbena::net
