--- /dev/null
+++ b/test/forward_fleet_work.cpp
@@ -0,0 +1,242 @@
+#include "fleet_fixture.h"
+#include "net/frame.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <tuple>
+
+using namespace verbena;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(forward_fleet)
+
+// Each phase change is published to the other entries, and the work of another entry counts until it
+// disconnects.
+BOOST_FIXTURE_TEST_CASE(shares_work_between_entries, fleet_fixture)
+{
+    const auto found = fleet.dispatch(request(), clock::now());
+    BOOST_TEST_REQUIRE(found.choice.has_value());
+    fleet.record_first_event(found.choice->number, clock::now());
+    fleet.record_first_event(found.choice->number, clock::now());
+    fleet.record_end(found.choice->number, clock::now());
+    BOOST_TEST_REQUIRE(sent_notes.size() == 3U);
+    BOOST_TEST(sent_notes[0].phase == 0U);
+    BOOST_TEST(sent_notes[2].phase == 2U);
+    wire::load_notesT notes;
+    notes.incarnation = 9;
+    for (std::uint64_t i = 1; i <= 6; ++i) {
+        wire::dispatch_noteT note;
+        note.number = i;
+        note.endpoint = "e1";
+        notes.notes.push_back(std::make_unique<wire::dispatch_noteT>(note));
+    }
+    fleet.apply_notes(notes, clock::now());
+    BOOST_TEST(choose() == "e2");
+    fleet.remove_entry(9, clock::now());
+    BOOST_TEST(choose() == "e1");
+}
+
+// A scheduler chooses for another entry and reports the choice further; the work ends with the entry.
+BOOST_FIXTURE_TEST_CASE(chooses_for_another_entry, fleet_fixture)
+{
+    forward::dispatch_request value = request();
+    value.key = policy::work_key{9, 4};
+    const auto found = fleet.dispatch(value, clock::now());
+    BOOST_TEST_REQUIRE(found.choice.has_value());
+    BOOST_TEST(found.choice->number == 4U);
+    BOOST_TEST(fleet.notes_of({9, 4}).size() == 1U);
+    BOOST_TEST_REQUIRE(sent_notes.size() == 1U);
+    BOOST_TEST(sent_notes.back().entry == 9U);
+    fleet.remove_entry(9, clock::now());
+    BOOST_TEST_REQUIRE(sent_notes.size() == 2U);
+    BOOST_TEST(sent_notes.back().phase == 2U);
+    BOOST_TEST(fleet.notes_of({9, 4}).empty());
+}
+
+// When an entry moves to another scheduler, the former one ends the entry's work. A third scheduler that has
+// heard of the work from the new one must not lose it.
+BOOST_FIXTURE_TEST_CASE(keeps_work_that_another_scheduler_has_taken_over, fleet_fixture)
+{
+    const auto report = [this](incarnation scheduler, std::uint8_t phase) {
+        wire::load_notesT notes;
+        notes.incarnation = scheduler;
+        wire::dispatch_noteT note;
+        note.entry = 9;
+        note.number = 1;
+        note.endpoint = phase == 0 ? "e1" : "";
+        note.phase = phase;
+        notes.notes.push_back(std::make_unique<wire::dispatch_noteT>(note));
+        fleet.apply_notes(notes, clock::now());
+    };
+    report(100, 0);
+    report(200, 0);
+    report(100, 2);
+    BOOST_TEST(fleet.notes_of({9, 1}).size() == 1U);
+    fleet.remove_entry(100, clock::now());
+    BOOST_TEST(fleet.notes_of({9, 1}).size() == 1U);
+    // What a scheduler has reported is not reported further.
+    BOOST_TEST(sent_notes.empty());
+    fleet.remove_entry(200, clock::now());
+    BOOST_TEST(fleet.notes_of({9, 1}).empty());
+}
+
+// An entry checks the choice of its scheduler against what it knows itself.
+BOOST_FIXTURE_TEST_CASE(adopts_only_endpoints_that_it_may_use, fleet_fixture)
+{
+    const auto adopt = [this](const std::string& endpoint, std::uint64_t number, std::string& rejected) {
+        std::vector<std::unique_ptr<wire::dispatch_noteT>> notes;
+        notes.push_back(std::make_unique<wire::dispatch_noteT>());
+        notes.back()->endpoint = endpoint;
+        notes.back()->parts = 1;
+        return fleet.adopt(number, notes, rejected, clock::now());
+    };
+    std::string rejected;
+    BOOST_TEST(adopt("e1", 1, rejected).has_value());
+    BOOST_TEST(!adopt("unknown", 2, rejected).has_value());
+    BOOST_TEST(rejected == "unknown");
+    fleet.record_leaving("e1");
+    BOOST_TEST(!adopt("e1", 3, rejected).has_value());
+    BOOST_TEST(rejected == "e1");
+    const time_point now = clock::now();
+    fleet.record_retry_after("e2", 2s, now);
+    BOOST_TEST(!adopt("e2", 4, rejected).has_value());
+    BOOST_TEST(fleet.blocked("desk", now + 1s).size() == 2U);
+    BOOST_TEST(fleet.blocked("desk", now + 3s).size() == 1U);
+    BOOST_TEST(choose() == "none");
+    // A restart of the endpoint clears what its former start has announced.
+    add("e1", "a", 2);
+    BOOST_TEST(choose() == "e1");
+}
+
+// The limit of a cold endpoint holds for the sum over all entries, which an entry without a scheduler does
+// not know.
+BOOST_FIXTURE_TEST_CASE(sends_nothing_to_cold_endpoints_without_a_scheduler, fleet_fixture)
+{
+    desk.cold_rate = 4;
+    wire::announcementT cold = make_endpoint("e1", "a");
+    cold.cold_ms = 5'000;
+    fleet.on_endpoint("e1", &cold);
+    forward::dispatch_request value = request();
+    value.excluded = {"e2"};
+    value.alone = true;
+    BOOST_TEST(!fleet.dispatch(value, clock::now()).choice.has_value());
+    value.alone = false;
+    BOOST_TEST(fleet.dispatch(value, clock::now()).choice.has_value());
+}
+
+namespace {
+
+// Five schedulers, each for 21 entries and 30 endpoints of 10 slots, that hear of each other's choices 10 ms
+// late.
+struct scheduler_group {
+    struct domain {
+        std::unique_ptr<forward::fleet> fleet;
+        std::vector<wire::dispatch_noteT> queued;
+    };
+
+    static constexpr std::size_t count = 5;
+    static constexpr std::size_t slots = 10;
+    route::service_rule model;
+    std::vector<domain> domains{count};
+    std::map<std::string, std::size_t> running;
+    std::size_t sent = 0;
+    std::size_t sent_to_full = 0;
+    time_point now = clock::now();
+
+    scheduler_group()
+    {
+        model.name = "model";
+        model.engine = route::engine_rule{10, 232'000, 68, 1.02, 0.00226, 0.00431, 206, 0.138, 2048, 0.075};
+        for (std::size_t i = 0; i < count; ++i) {
+            domains[i].fleet = std::make_unique<forward::fleet>(
+                100 + i, "domain-" + std::to_string(i), 1.0,
+                [this, i](wire::dispatch_noteT note) { domains[i].queued.push_back(std::move(note)); });
+            for (std::size_t endpoint = 0; endpoint < count * 30; ++endpoint) {
+                wire::announcementT value;
+                value.endpoint = "e" + std::to_string(endpoint);
+                value.address = "127.0.0.1:" + std::to_string(endpoint + 1);
+                value.failure_domain = "domain-" + std::to_string(endpoint % count);
+                value.service = "model";
+                value.born_ms = 1;
+                value.slots = slots;
+                domains[i].fleet->on_endpoint(value.endpoint, &value);
+            }
+        }
+    }
+
+    void exchange()
+    {
+        for (std::size_t from = 0; from < count; ++from) {
+            wire::load_notesT notes;
+            notes.incarnation = 100 + from;
+            for (const wire::dispatch_noteT& note : domains[from].queued) {
+                notes.notes.push_back(std::make_unique<wire::dispatch_noteT>(note));
+            }
+            domains[from].queued.clear();
+            for (std::size_t to = 0; to < count; ++to) {
+                if (to != from) {
+                    domains[to].fleet->apply_notes(notes, now);
+                }
+            }
+        }
+    }
+
+    void send_quote(std::size_t from,
+                    std::vector<std::tuple<time_point, std::size_t, std::uint64_t, std::string>>& ends)
+    {
+        forward::dispatch_request request;
+        request.service = &model;
+        request.time_left = 10s;
+        request.model.prompt_tokens = 5'000;
+        request.model.output_tokens = 1'500;
+        request.model.objective = 400ms;
+        request.model.pause = 250ms;
+        request.model.disconnect_after = 2s;
+        request.model.value = 21;
+        const auto found = domains[from].fleet->dispatch(request, now);
+        if (!found.choice) {
+            return;
+        }
+        const std::string& name = found.choice->endpoints.front().name;
+        ++sent;
+        sent_to_full += running[name] >= slots ? 1 : 0;
+        ++running[name];
+        ends.emplace_back(now + 1'600ms, from, found.choice->number, name);
+    }
+};
+
+} // namespace
+
+// Load: 500 short prompts a second over five schedulers, half of the slots. Decisions that are made at the
+// same time must not fill one endpoint beyond its slots, where a prompt waits for the end of another one's
+// answer.
+BOOST_AUTO_TEST_CASE(schedulers_that_decide_at_the_same_time_leave_no_prompt_without_a_slot)
+{
+    scheduler_group group;
+    std::vector<std::tuple<time_point, std::size_t, std::uint64_t, std::string>> ends;
+    const time_point begin = group.now;
+    std::size_t next_domain = 0;
+    for (int ms = 0; ms < 4'000; ++ms) {
+        group.now = begin + milliseconds(ms);
+        if (ms % 2 == 0) {
+            group.send_quote(next_domain++ % scheduler_group::count, ends);
+        }
+        std::erase_if(ends, [&group](const auto& item) {
+            const auto& [end, domain, number, name] = item;
+            if (end > group.now) {
+                return false;
+            }
+            group.domains[domain].fleet->record_end(number, group.now);
+            --group.running[name];
+            return true;
+        });
+        if (ms % 10 == 0) {
+            group.exchange();
+        }
+    }
+    BOOST_TEST(group.sent == 2'000U);
+    BOOST_TEST(group.sent_to_full * 100 <= group.sent, group.sent_to_full);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
