Refuse check-ins that a full directory does not list

What callers saw: a member whose list was full answered a check-in with success without listing the endpoint. The endpoint believed that it was listed and got no request.

Cause: control_service ignored that directory::announce had rejected the announcement, and a full directory took no new entry until a lease expired, however many of its entries nobody renewed.

Change: such a check-in is refused as unavailable (503), with a remedy, so that the endpoint calls the next member. In a full directory the oldest entry that was not renewed within 2 s makes room. 10,000 entries fill the list; by calculation, not run, odd ones keep a sound endpoint out of a member as long as more than 5,000 new names arrive each second, or 10,000 names are renewed.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -523,42 +523,47 @@
 // An endpoint relies on the entries learning of an acknowledged announcement. It is therefore accepted only
 // while most entries poll this member or, when many entries are down, while at least one entry polls it and
 // its state is confirmed by the group.
-bool control_service::accept_announcement(const wire::announcementT& announcement, time_point now)
+result<void> control_service::accept_announcement(const wire::announcementT& announcement, time_point now)
 {
+    const char* const call = announcement.gone ? "leave" : announcement.leaving ? "drain" : "check_in";
     const bool confirmed_and_polled = confirmed_age(now).has_value() && m_polls.any_entry_polls(now);
     if (!confirmed_and_polled && !m_polls.most_entries_poll(now)) {
         log_call("announce", announcement.endpoint, 503, "too few entries poll this member");
-        return false;
+        return make_error(error_kind::unavailable, "too few entries poll this member",
+                          "check in at another member");
     }
-    const bool accepted = announcement.gone ? m_directory.announce_gone(announcement, now)
-                                            : m_directory.announce(announcement, now);
+    const result<bool> stored = m_directory.check_in(announcement, now);
+    const bool accepted = stored && stored.value();
     m_process.counters().add("verbena_control_announcements_total", {{"taken", accepted ? "true" : "false"}});
-    if (announcement.gone && !accepted) {
-        log_call("leave", announcement.endpoint, 503, "endpoint is not in the directory of this member");
-        return false;
+    if (!stored) {
+        log_call(call, announcement.endpoint, 503, stored.error().message);
+        return stored.error();
     }
     if (announcement.leaving || announcement.gone) {
         forward_announcement(announcement.endpoint);
-        log_call(announcement.gone ? "leave" : "drain", announcement.endpoint, 200,
+        log_call(call, announcement.endpoint, 200,
                  accepted ? "acknowledged" : "superseded by a newer announcement");
     }
-    return true;
+    return success();
 }
 
 change_outcome control_service::take_announcement(const wire::announcementT& announcement, time_point now)
 {
     change_outcome outcome;
     if (m_raft->is_member()) {
-        outcome.state = accept_announcement(announcement, now) ? change_outcome::kind::accepted
-                                                               : change_outcome::kind::unavailable;
-        outcome.message = "too few entries poll this member";
+        const result<void> accepted = accept_announcement(announcement, now);
+        outcome.state = accepted ? change_outcome::kind::accepted : change_outcome::kind::unavailable;
+        if (!accepted) {
+            outcome.message = accepted.error().message;
+            outcome.remedy = accepted.error().remedy;
+        }
     } else {
         outcome.leader = m_raft->leader_operator_address();
         outcome.state =
             outcome.leader.empty() ? change_outcome::kind::unavailable : change_outcome::kind::not_leader;
         outcome.message = "this process is not a member of the group";
+        outcome.remedy = "check in at another member";
     }
-    outcome.remedy = "check in at another member";
     return outcome;
 }
 
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -63,7 +63,7 @@
     void forward_announcement(const std::string& endpoint);
     // Stores an announcement, or redirects it if this process is not a member.
     change_outcome take_announcement(const wire::announcementT& announcement, time_point now);
-    bool accept_announcement(const wire::announcementT& announcement, time_point now);
+    result<void> accept_announcement(const wire::announcementT& announcement, time_point now);
 
     node::process& m_process;
     settings::control_settingsT m_settings;
--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+// Age from which an entry that was announced once makes room in a full directory. Agents announce themselves
+// every 500 ms, other endpoints every 1 to 2 s.
+constexpr milliseconds first_renewal_timeout{2'000};
+
 std::size_t size_of(const wire::announcementT& announcement)
 {
     constexpr std::size_t overhead = 96;
@@ -55,13 +59,13 @@
     }
     const auto position = m_entries.find(announcement.endpoint);
     if (position == m_entries.end()) {
-        if (m_entries.size() >= m_limits.endpoints) {
+        const bool can_make_room =
+            !m_unrenewed.empty() &&
+            now - m_entries.at(m_unrenewed.begin()->second).last_announced >= first_renewal_timeout;
+        if (m_entries.size() >= m_limits.endpoints && !(can_make_room && make_room())) {
             return false;
         }
-        entry added{announcement, now, 0, 0};
-        m_next_expiry = std::min(m_next_expiry, now + lease_of(added));
-        assign_new_version(announcement.endpoint,
-                           m_entries.emplace(announcement.endpoint, std::move(added)).first->second);
+        add(announcement, now);
         return true;
     }
     entry& known = position->second;
@@ -69,7 +73,7 @@
         is_older(announcement, known.announcement)) {
         return false;
     }
-    known.last_announced = now;
+    set_renewed(known, now);
     if (is_renewal(announcement, known.announcement)) {
         known.announcement.sequence = announcement.sequence;
         known.announcement.cold_ms = announcement.cold_ms;
@@ -106,6 +110,20 @@
     return true;
 }
 
+result<bool> directory::check_in(const wire::announcementT& announcement, time_point now)
+{
+    const bool stored = announcement.gone ? announce_gone(announcement, now) : announce(announcement, now);
+    if (stored || m_entries.count(announcement.endpoint) != 0) {
+        return stored;
+    }
+    if (announcement.gone) {
+        return make_error(error_kind::unavailable, "endpoint is not in the directory of this member",
+                          "send the leave to another member");
+    }
+    return make_error(error_kind::overloaded, "the directory of this member is full or rejects the endpoint",
+                      "check in at another member");
+}
+
 milliseconds directory::lease_of(const entry& value) const
 {
     return value.announcement.born_ms != 0 ? m_limits.self_announced_lease : m_limits.lease;
@@ -194,6 +212,32 @@
     return found == m_entries.end() ? nullptr : &found->second.announcement;
 }
 
+bool directory::make_room()
+{
+    if (m_unrenewed.empty()) {
+        return false;
+    }
+    remove(m_entries.find(m_unrenewed.begin()->second));
+    prune_removals();
+    return true;
+}
+
+void directory::add(const wire::announcementT& announcement, time_point now)
+{
+    entry added{announcement, now, 0, 0, ++m_last_arrival};
+    m_unrenewed.emplace(m_last_arrival, announcement.endpoint);
+    m_next_expiry = std::min(m_next_expiry, now + lease_of(added));
+    assign_new_version(announcement.endpoint,
+                       m_entries.emplace(announcement.endpoint, std::move(added)).first->second);
+}
+
+void directory::set_renewed(entry& renewed, time_point now)
+{
+    renewed.last_announced = now;
+    m_unrenewed.erase(renewed.arrival);
+    renewed.arrival = 0;
+}
+
 void directory::assign_new_version(const std::string& name, entry& changed)
 {
     m_changed_by_version.erase(changed.version);
@@ -205,6 +249,7 @@
 {
     m_changed_by_version.erase(position->second.version);
     m_removals_by_version.emplace(++m_version, position->first);
+    m_unrenewed.erase(position->second.arrival);
     m_entries.erase(position);
 }
 
--- a/src/control/directory.h
+++ b/src/control/directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/error.h"
 #include "base/types.h"
 #include "wire_generated.h"
 
@@ -17,7 +18,8 @@
     milliseconds lease = std::chrono::seconds(3);
     // Lease of endpoints that announce themselves: they do so every 1 to 2 s, occasionally seconds late.
     milliseconds self_announced_lease = std::chrono::seconds(8);
-    // Most endpoints held. The design size, two years ahead, is 1,400.
+    // Most endpoints held. The design size, two years ahead, is 1,400. When the directory is full, a new
+    // endpoint takes the place of the oldest entry that has never been renewed.
     std::size_t endpoints = 10'000;
     // Largest accepted announcement, in estimated bytes.
     std::size_t announcement_bytes = std::size_t{8} << 10U;
@@ -53,8 +55,8 @@
     explicit directory(std::uint64_t epoch, const directory_limits& limits = {});
 
     // Renews the lease and stores a changed announcement. Returns false when it is rejected: it names no
-    // endpoint to use, it is too large, the directory is full, or it is older than the stored one or from the
-    // process that was replaced.
+    // endpoint to use, it is too large, the directory is full of renewed entries, or it is older than the
+    // stored one or from the process that was replaced.
     bool announce(const wire::announcementT& announcement, time_point now);
 
     // Marks an endpoint as gone after it announced its end. It stays listed as gone until its lease expires,
@@ -62,6 +64,11 @@
     // announcement identifies which start of the endpoint has ended; another member may know it.
     bool announce_gone(const wire::announcementT& announcement, time_point now);
 
+    // Stores the announcement, or marks the endpoint as gone, for an endpoint that relies on being listed
+    // once this is acknowledged. The value is false when the listed announcement is newer. Returns an error
+    // when the endpoint is not listed afterwards.
+    result<bool> check_in(const wire::announcementT& announcement, time_point now);
+
     // Removes endpoints whose lease has expired. Returns at once before the earliest expiry, so it can be
     // called with every poll.
     void expire(time_point now);
@@ -84,9 +91,14 @@
         std::uint64_t version = 0;
         // Incarnation that the current one replaced; 0 when there was none.
         incarnation replaced_incarnation = 0;
+        // Position in m_unrenewed; 0 once the entry has been renewed.
+        std::uint64_t arrival = 0;
     };
 
     milliseconds lease_of(const entry& value) const;
+    bool make_room();
+    void add(const wire::announcementT& announcement, time_point now);
+    void set_renewed(entry& renewed, time_point now);
     void assign_new_version(const std::string& name, entry& changed);
     void remove(std::map<std::string, entry>::iterator position);
     void prune_removals();
@@ -102,6 +114,9 @@
     // No lease expires before this time.
     time_point m_next_expiry = time_point::max();
     std::map<std::string, entry> m_entries;
+    // Names of the entries that have been announced once, in the order of their arrival.
+    std::map<std::uint64_t, std::string> m_unrenewed;
+    std::uint64_t m_last_arrival = 0;
     std::map<std::uint64_t, std::string> m_changed_by_version;
     std::map<std::uint64_t, std::string> m_removals_by_version;
 };
--- a/test/control_directory_test.cpp
+++ b/test/control_directory_test.cpp
@@ -133,6 +133,51 @@
     BOOST_TEST(endpoints.size() == 1U);
 }
 
+// Guards against odd entries that fill the list and keep an endpoint out that renews its lease.
+BOOST_AUTO_TEST_CASE(entries_that_nobody_renews_make_room_for_others)
+{
+    control::directory_limits limits;
+    limits.endpoints = 100;
+    limits.removals = 50;
+    control::directory endpoints(7, limits);
+    delta_client client;
+    BOOST_TEST(endpoints.announce(make_announcement("sound-0"), start));
+    BOOST_TEST(endpoints.announce(make_announcement("sound-0"), start + 500ms));
+    for (int i = 0; i < 1'000; ++i) {
+        endpoints.announce(make_announcement("odd-" + std::to_string(i)), start + 600ms);
+        BOOST_TEST(endpoints.size() <= limits.endpoints);
+        client.update(endpoints);
+    }
+    BOOST_TEST(endpoints.announce(make_announcement("sound-1"), start + 2'700ms));
+    for (int i = 0; i < 1'000; ++i) {
+        endpoints.announce(make_announcement("last-" + std::to_string(i)), start + 2'800ms);
+    }
+    BOOST_TEST(endpoints.announce(make_announcement("sound-1"), start + 3'900ms));
+    BOOST_TEST(endpoints.size() == limits.endpoints);
+    BOOST_TEST(endpoints.find("sound-0") != nullptr);
+    BOOST_TEST(endpoints.find("sound-1") != nullptr);
+    BOOST_TEST(endpoints.find("odd-0") == nullptr);
+    client.update(endpoints);
+    BOOST_TEST(client.held.size() == endpoints.size());
+    BOOST_TEST(client.held.count("sound-1") == 1U);
+}
+
+// Guards against an acknowledged check-in of an endpoint that a full list leaves out.
+BOOST_AUTO_TEST_CASE(check_ins_that_a_full_list_leaves_out_are_refused)
+{
+    control::directory_limits limits;
+    limits.endpoints = 1;
+    control::directory endpoints(7, limits);
+    BOOST_TEST(endpoints.check_in(make_announcement("a"), start).value());
+    BOOST_TEST(endpoints.check_in(make_announcement("a"), start + 1s).value());
+    const result<bool> refused = endpoints.check_in(make_announcement("b"), start + 1s);
+    BOOST_TEST_REQUIRE(!refused);
+    BOOST_TEST(!refused.error().remedy.empty());
+    BOOST_TEST(endpoints.find("b") == nullptr);
+    endpoints.expire(start + 5s);
+    BOOST_TEST(endpoints.check_in(make_announcement("b"), start + 5s).value());
+}
+
 // Guards against a client that never receives a complete list when it spans several deltas, also while old
 // removals are pruned, and against a client that keeps a removed endpoint.
 BOOST_AUTO_TEST_CASE(clients_converge_under_churn_with_small_deltas)
