Renew the entries of endpoints that send no start time

What callers saw: an endpoint whose check-ins have no start time got each of them acknowledged, but from the second one on they changed nothing. Its entry ran out after 3 s, and an acknowledged drain or leave had no effect.

Cause: without a start time the incarnation is 0, which equals the initial value of replaced_incarnation, so each later check-in counted as one of a replaced process. The lease was that of agents.

--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -25,7 +25,12 @@
 }
 
 // Endpoints that announce themselves send their start time and a sequence number, which identify late
-// announcements. Agents send neither.
+// announcements. The start time may be missing. Agents send neither.
+bool is_self_announced(const wire::announcementT& announcement)
+{
+    return announcement.born_ms != 0 || announcement.sequence != 0;
+}
+
 bool is_older(const wire::announcementT& received, const wire::announcementT& held)
 {
     return std::tie(received.born_ms, received.sequence) < std::tie(held.born_ms, held.sequence);
@@ -69,8 +74,10 @@
         return true;
     }
     entry& known = position->second;
-    if (announcement.incarnation == known.replaced_incarnation ||
-        is_older(announcement, known.announcement)) {
+    // Without a start time the incarnation is 0 too and replaces none.
+    const bool replaced =
+        announcement.incarnation != 0 && announcement.incarnation == known.replaced_incarnation;
+    if (replaced || is_older(announcement, known.announcement)) {
         return false;
     }
     set_renewed(known, now);
@@ -126,7 +133,7 @@
 
 milliseconds directory::lease_of(const entry& value) const
 {
-    return value.announcement.born_ms != 0 ? m_limits.self_announced_lease : m_limits.lease;
+    return is_self_announced(value.announcement) ? m_limits.self_announced_lease : m_limits.lease;
 }
 
 void directory::expire(time_point now)
--- a/test/control_check_in_test.cpp
+++ b/test/control_check_in_test.cpp
@@ -118,6 +118,42 @@
     BOOST_TEST(endpoints.size() == 0U);
 }
 
+// Guards against an endpoint without a start time that is removed although it checks in, and against an
+// acknowledged drain or leave of it that changes nothing.
+BOOST_AUTO_TEST_CASE(check_ins_without_a_start_time_renew_and_change_an_entry)
+{
+    control::directory endpoints(7);
+    BOOST_TEST(endpoints.announce(make_announcement(0, 1), start));
+    BOOST_TEST(endpoints.announce(make_announcement(0, 2), start + 2s));
+    endpoints.expire(start + 9s);
+    BOOST_TEST_REQUIRE(endpoints.size() == 1U);
+    BOOST_TEST(!endpoints.announce(make_announcement(0, 1), start + 9s));
+    BOOST_TEST(endpoints.announce(make_announcement(0, 3, true), start + 9s));
+    BOOST_TEST(endpoints.find("i-1")->leaving);
+    wire::announcementT gone = make_announcement(0, UINT64_MAX);
+    gone.gone = true;
+    BOOST_TEST(endpoints.announce_gone(gone, start + 10s));
+    BOOST_TEST(endpoints.find("i-1")->gone);
+}
+
+// Guards against late check-ins of an ended start that replace its next start.
+BOOST_AUTO_TEST_CASE(late_check_ins_do_not_replace_a_later_start)
+{
+    control::directory endpoints(7);
+    endpoints.announce(make_announcement(100, 5), start);
+    endpoints.announce(make_announcement(200, 1), start + 100ms);
+    BOOST_TEST(!endpoints.announce(make_announcement(100, 6), start + 200ms));
+    BOOST_TEST(!endpoints.announce(make_announcement(100, 7), start + 1200ms));
+    BOOST_TEST(endpoints.announce(make_announcement(200, 2), start + 1300ms));
+    BOOST_TEST(!endpoints.announce(make_announcement(100, 8), start + 2400ms));
+    // Check-ins that a partition has delayed arrive together, in any order.
+    BOOST_TEST(!endpoints.announce(make_announcement(100, 10), start + 4400ms));
+    BOOST_TEST(!endpoints.announce(make_announcement(100, 9), start + 4400ms));
+    BOOST_TEST(!endpoints.announce(make_announcement(100, 11), start + 4400ms));
+    BOOST_TEST(endpoints.find("i-1")->born_ms == 200U);
+    BOOST_TEST(endpoints.announce(make_announcement(200, 3), start + 4500ms));
+}
+
 // Guards against a member that lists what no endpoint has sent, as another member passes it on, and then
 // ignores the check-ins of the endpoint.
 BOOST_AUTO_TEST_CASE(odd_announcements_change_nothing)
