--- a/src/forward/memory_reservation.cpp
+++ b/src/forward/memory_reservation.cpp
@@ -56,8 +56,9 @@
         }
         const result<net::http_response> response =
             co_await net::fetch_http(endpoint.address, m_protocol.report(), call_timeout);
-        if (response && response.value().status == 200) {
-            co_return m_protocol.is_reservation_used(response.value().body, reservation_id(i));
+        if (response) {
+            co_return response.value().status == 200 &&
+                m_protocol.is_reservation_used(response.value().body, reservation_id(i));
         }
     }
     co_return std::nullopt;
