Use a stand-in runner's listener on its strand

Test programs crashed now and then: a runner closed its listener on one thread of the test while its accept loop began the next accept on another.

Evidence: standin_runner/stops_while_connections_arrive failed in 4 of 11 runs before ("memory access violation at address 0xab") and passes in 6 of 6 now.

A trial that also moved the end of a crashing runner's listener to the strand, with a co_await on a spawned lambda, made platform_crash crash in malloc and hang; it is not part of this change, so a runner that crashes still closes its listener from its connection's strand.

--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -110,12 +110,13 @@
 void platform_runner::start()
 {
     net::asio::co_spawn(
-        m_io, [self = shared_from_this()] { return self->accept_loop(); }, net::asio::detached);
+        m_acceptor.get_executor(), [self = shared_from_this()] { return self->accept_loop(); },
+        net::asio::detached);
 }
 
 void platform_runner::stop()
 {
-    net::asio::post(m_io, [self = shared_from_this()] {
+    net::asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
         net::error_code ignored;
         self->m_acceptor.close(ignored);
     });
