--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -3,6 +3,7 @@
 #include "base/settings.h"
 #include "net/asio.h"
 
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -36,6 +37,7 @@
     unframed_crash,    // the same, and its process crashes before its second event
     pause_before_head, // sends nothing for the pause, then answers
     pause_in_stream,   // sends nothing for the pause before its second event, then goes on
+    pause_in_body,     // of a runner without streams: the same in the middle of its body
     pause_and_cut,     // the same, and closes the connection in the middle of that event
     stale_refusal,     // executes the request and sends a refusal that was meant for another one
     stale_misdirected, // the same with 421
@@ -109,6 +111,7 @@
 
     // Reports the reservations that it was asked for as used by a request from now on.
     void report_tickets_as_used();
+    void set_report_delay(milliseconds delay) { m_report_delay = delay; }
 
     // Sets how long the faults with a pause last.
     void set_pause(std::chrono::milliseconds pause);
@@ -164,6 +167,7 @@
     mutable std::mutex m_mutex;
     std::deque<runner_fault> m_faults;
     bool m_reports_tickets = false;
+    std::atomic<milliseconds> m_report_delay{milliseconds{0}};
     runner_fault m_resume_fault = runner_fault::none;
     milliseconds m_pause{};
     std::optional<runner_crash> m_crash;
