--- a/test/control_later_start_test.cpp
+++ b/test/control_later_start_test.cpp
@@ -32,9 +32,9 @@
     endpoints.announce(make_announcement(100, 5, 9000), start);
     const wire::announcementT odd = make_announcement(200, 1, 9001);
     BOOST_TEST(endpoints.announce(odd, start + 100ms));
-    endpoints.announce(make_announcement(100, 6, 9000), start + 1'200ms);
-    endpoints.announce(make_announcement(100, 7, 9000), start + 2'400ms);
-    endpoints.announce(make_announcement(100, 8, 9000), start + 3'600ms);
+    BOOST_TEST(!endpoints.announce(make_announcement(100, 6, 9000), start + 1'200ms));
+    BOOST_TEST(!endpoints.announce(make_announcement(100, 7, 9000), start + 2'400ms));
+    BOOST_TEST(endpoints.announce(make_announcement(100, 8, 9000), start + 3'600ms));
     BOOST_TEST(endpoints.find("i-1")->address == "127.0.0.1:9000");
     BOOST_TEST(!endpoints.announce(odd, start + 4s));
     BOOST_TEST(endpoints.announce(make_announcement(200, 2, 9001), start + 5s),
