--- a/src/forward/protocol_adapter.h
+++ b/src/forward/protocol_adapter.h
@@ -52,6 +52,9 @@
                                    // stopped it
     bool leaving = false;          // the endpoint leaves and wants no further requests
     milliseconds retry_after{};    // the endpoint wants no further requests for this long
+    std::optional<double>
+        request_limit;            // requests a second that the endpoint takes from all entries together
+    std::string unreadable_limit; // what it has named in place of such a limit
     std::string content_type;
     net::http_header_list headers; // passed on to the caller
 };
--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/string.hpp>
 
 #include <algorithm>
+#include <cstdio>
 
 namespace verbena::forward {
 
@@ -38,6 +39,17 @@
            boost::beast::iequals({found.data(), found.size()}, {type.data(), type.size()});
 }
 
+// The limit that an answer names, for the log.
+std::string limit_text(const answer_metadata& head)
+{
+    if (!head.request_limit) {
+        return head.unreadable_limit;
+    }
+    char text[32];
+    std::snprintf(text, sizeof text, "%g", *head.request_limit);
+    return text;
+}
+
 // Shortest interval at which another endpoint is looked for while one is silent.
 constexpr milliseconds min_check_interval{1'000};
 
@@ -236,6 +248,7 @@
 
 void request_forwarder::record_endpoint_notice(attempt& current, const answer_metadata& head)
 {
+    current.named_limit = limit_text(head);
     if (head.leaving) {
         current.report.leaving = true;
         m_context.endpoints.record_leaving(current.endpoint());
@@ -518,6 +531,7 @@
     line.elapsed_ms = to_u32(now - current.began);
     line.last_event = m_answer.last_event.value_or(0);
     line.last_event_age_ms = to_u32(last_event_age(current, now));
+    line.named_limit = current.named_limit;
     event_log::write(line);
     m_context.counters.add("verbena_forward_attempt_ends_total",
                            {{"service", m_request.service->name}, {"outcome", outcome}});
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -92,6 +92,7 @@
         bool superseded = false;         // another attempt answers
         bool reservation_unused = false; // so the endpoint no longer runs the request
         time_point next_check;           // of a silent endpoint
+        std::string named_limit;         // in the head of its answer; for the log
         double min_interval_ms = 0;
 
         const std::string& endpoint() const { return choice.endpoints.front().name; }
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -13,6 +13,7 @@
 #include <boost/json/value.hpp>
 
 #include <chrono>
+#include <sstream>
 
 namespace verbena::standin {
 
@@ -166,12 +167,45 @@
     return m_pause;
 }
 
+void platform_runner::set_request_limit(std::optional<std::string> text)
+{
+    const std::lock_guard lock(m_mutex);
+    m_request_limit = std::move(text);
+}
+
+std::string platform_runner::limit_headers() const
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_request_limit) {
+        return {};
+    }
+    std::string headers;
+    std::istringstream lines(*m_request_limit);
+    std::string line;
+    do {
+        std::getline(lines, line);
+        headers.append(names::request_limit).append(": ").append(line).append("\r\n");
+    } while (!lines.eof());
+    return headers;
+}
+
+std::string platform_runner::with_limit(std::string answer) const
+{
+    return answer.insert(answer.find("\r\n") + 2, limit_headers());
+}
+
 std::vector<runner_request> platform_runner::requests() const
 {
     const std::lock_guard lock(m_mutex);
     return m_requests;
 }
 
+std::vector<time_point> platform_runner::arrivals() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_arrivals;
+}
+
 std::vector<runner_order> platform_runner::orders() const
 {
     const std::lock_guard lock(m_mutex);
@@ -330,6 +364,10 @@
     request.authorization = header_text(message, names::authorization);
     request.prompt_parts = header_text(message, names::prompt_parts);
     request.received = clock::now();
+    if (request.target != names::report) {
+        const std::lock_guard lock(m_mutex);
+        m_arrivals.push_back(request.received);
+    }
     if (request.target == names::order) {
         {
             const std::lock_guard lock(m_mutex);
@@ -356,8 +394,8 @@
             ++m_refused;
         }
         const std::string wait = fault == runner_fault::refuse ? "" : "Retry-After: 2\r\n";
-        co_await write(socket, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: " + request.id + "\r\n" +
-                                   wait + "Content-Length: 0\r\n\r\n");
+        co_await write(socket, with_limit("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: " + request.id +
+                                          "\r\n" + wait + "Content-Length: 0\r\n\r\n"));
         co_return;
     }
     std::size_t position = 0;
@@ -399,7 +437,7 @@
         co_await net::sleep_for(pause());
     }
     if (fault == runner_fault::fail) {
-        co_await write(socket, complete_response(500, request.id, true, "failed"));
+        co_await write(socket, with_limit(complete_response(500, request.id, true, "failed")));
         co_return;
     }
     if (fault == runner_fault::stale_refusal || fault == runner_fault::stale_misdirected) {
@@ -442,7 +480,8 @@
         co_return;
     }
     if (!m_options.streams || fault == runner_fault::wrong_request_id) {
-        std::string text = complete_response(200, id, fault != runner_fault::no_mac, "ok " + request.body);
+        std::string text =
+            with_limit(complete_response(200, id, fault != runner_fault::no_mac, "ok " + request.body));
         if (fault == runner_fault::pause_in_body) {
             const std::size_t rest = request.body.size() / 2;
             co_await write(socket, text.substr(0, text.size() - rest));
@@ -465,11 +504,11 @@
 net::task<void> platform_runner::stream_events(net::tcp::socket& socket, const runner_request& request,
                                                runner_fault fault)
 {
-    const bool head_sent =
-        co_await write(socket, response_head(200, request.id, fault != runner_fault::no_mac) +
-                                   (fault == runner_fault::leaving ? "Server-Leaving: 1\r\n" : "") +
-                                   "Content-Type: text/event-stream\r\n" +
-                                   (is_unframed(fault) ? "" : "Transfer-Encoding: chunked\r\n") + "\r\n");
+    const bool head_sent = co_await write(
+        socket, response_head(200, request.id, fault != runner_fault::no_mac) + limit_headers() +
+                    (fault == runner_fault::leaving ? "Server-Leaving: 1\r\n" : "") +
+                    "Content-Type: text/event-stream\r\n" +
+                    (is_unframed(fault) ? "" : "Transfer-Encoding: chunked\r\n") + "\r\n");
     const auto framed = [fault](const std::string& text) { return is_unframed(fault) ? text : chunk(text); };
     const auto last_event_number = static_cast<std::uint32_t>(
         request.last_event.empty() ? 0 : std::strtoul(request.last_event.c_str(), nullptr, 10));
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -116,6 +116,10 @@
     // Sets how long the faults with a pause last.
     void set_pause(std::chrono::milliseconds pause);
 
+    // Sets the text of the limit header of all answers; several, separated by line feeds, are sent as several
+    // headers. Without a text the answers have no such header.
+    void set_request_limit(std::optional<std::string> text);
+
     // Crashes under requests with a prompt part. The process is back after a while, with a new id.
     void set_crash(runner_crash crash);
 
@@ -123,6 +127,8 @@
     std::vector<time_point> crashes() const;
 
     std::vector<runner_request> requests() const;
+    // When requests and orders have arrived, those that were refused included.
+    std::vector<time_point> arrivals() const;
     std::vector<runner_order> orders() const;
     // Number of connections that the caller closed before the answer was complete.
     std::size_t cancelled() const;
@@ -151,6 +157,10 @@
     // The report on its state, or empty if it makes none.
     std::string report_body() const;
     std::string event_text(std::uint32_t number) const;
+    // The limit headers of an answer, each with its line end.
+    std::string limit_headers() const;
+    // Adds the limit headers to the text of a whole answer.
+    std::string with_limit(std::string answer) const;
     net::task<void> send_answer(net::tcp::socket& socket, const runner_request& request, runner_fault fault);
     net::task<void> stream_events(net::tcp::socket& socket, const runner_request& request,
                                   runner_fault fault);
@@ -170,12 +180,14 @@
     std::atomic<milliseconds> m_report_delay{milliseconds{0}};
     runner_fault m_resume_fault = runner_fault::none;
     milliseconds m_pause{};
+    std::optional<std::string> m_request_limit;
     std::optional<runner_crash> m_crash;
     std::vector<time_point> m_crashes;
     std::set<std::shared_ptr<net::tcp::socket>> m_open;
     std::string m_current_id; // after a restart
     std::size_t m_refused = 0;
     std::vector<runner_request> m_requests;
+    std::vector<time_point> m_arrivals;
     std::vector<runner_order> m_orders;
     std::size_t m_cancelled = 0;
 };
