Keep to the limit that an endpoint names, for all entries together

Cause: no part of the product read the header, so an endpoint in need was chosen like any other.

Change: a limit belongs to an endpoint from its start on (policy::request_limit). An entry passes what an answer names to all entries, on the streams of the load notes; a statement has a number of changes, so that order and repetition do not matter. Schedulers use 0.8 of a limit together: each choice that one makes or hears of moves the time of the next, and idle time allows no burst. A scheduler that knows only some failure domains uses their part, a new one takes the limit for used up, and an entry that chooses alone uses its part of the other 0.2, at random times. Endpoints at their limit are passed over; where all are, requests take turns as they are due and worth, and the rest is refused at once (rate_limited) with times to return that follow from the rate. Limited endpoints get no prompt parts to read for others, since the calls that reserve memory would count. An entry whose control members are all silent no longer takes itself for the only one. New event: endpoint_limit; new fields of dispatched; four gauges.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -66,6 +66,8 @@
         return "too_harmful";
     case dispatch_refusal::reason::crashing_prompt:
         return "crashing_prompt";
+    case dispatch_refusal::reason::rate_limited:
+        return "rate_limited";
     }
     return "unknown";
 }
@@ -138,6 +140,7 @@
     }
     m_names_by_address[value.address].insert(value.endpoint);
     update_superseded(value.address);
+    apply_kept_limit(value.endpoint, now);
 }
 
 void fleet::remove_expired(time_point now)
@@ -149,6 +152,9 @@
             continue;
         }
         const std::string address = state.info.address;
+        if (state.limit.rate()) {
+            keep_limit({item->first, state.info.born_ms, state.limit.statement()});
+        }
         m_names_by_address[address].erase(item->first);
         item = m_endpoints.erase(item);
         update_superseded(address);
@@ -273,6 +279,12 @@
     return static_cast<double>(state.recent_dispatches.size()) + 1 > service.cold_rate * m_cold_fraction;
 }
 
+bool fleet::is_candidate(const endpoint_state& state, const dispatch_request& request, time_point now) const
+{
+    return state.info.service == request.service->name && !request.excluded.contains(state.info.endpoint) &&
+           accepts_work(state, now) && !is_blocked(state, now) && now >= state.superseded_until;
+}
+
 // Endpoints in backoff are returned only when there are no others, so that an outage of many endpoints does
 // not leave a service without any. The same holds for endpoints of failure domains whose load is not known,
 // and for those that may crash under the trial of a suspect prompt part.
@@ -283,9 +295,8 @@
     std::vector<endpoint_state*> on_trial;
     std::vector<endpoint_state*> backing_off;
     for (auto& [name, state] : m_endpoints) {
-        if (state.info.service != request.service->name || request.excluded.contains(name) ||
-            !accepts_work(state, now) || is_blocked(state, now) || now < state.superseded_until ||
-            at_cold_limit(state, request, now)) {
+        if (!is_candidate(state, request, now) || at_cold_limit(state, request, now) ||
+            at_request_limit(state, request, now)) {
             continue;
         }
         const std::string& domain = state.info.failure_domain;
@@ -359,8 +370,12 @@
             return outcome;
         }
         const bool trial = verdict.what == action::trial;
-        outcome =
-            choose(request, trial ? trial_endpoints(request, now) : eligible_endpoints(request, now), now);
+        if (!request.alone) {
+            update_scheduling(true, now);
+        }
+        const auto found = trial ? trial_endpoints(request, now) : eligible_endpoints(request, now);
+        std::optional<dispatch_result> not_permitted = await_permit(request, found, now);
+        outcome = not_permitted ? std::move(*not_permitted) : choose(request, found, now);
         const bool refused = !outcome.choice && outcome.wait == milliseconds::zero();
         if (refused && now < m_complete_at && request.model.used < request.time_left) {
             outcome.wait = list_wait;
@@ -401,6 +416,7 @@
     std::vector<policy::placement_candidate> candidates;
     candidates.reserve(found.size());
     std::size_t idle = 0;
+    std::size_t unlimited = 0;
     for (const endpoint_state* state : found) {
         policy::placement_candidate candidate;
         candidate.load = &state->load;
@@ -412,8 +428,10 @@
             // Several schedulers may choose the same endpoint before they hear of each other's choice.
             candidate.slots -= static_cast<std::uint32_t>(candidate.slots * other_domain_slot_reserve);
         }
+        // The calls that reserve memory would count towards the limit of an endpoint.
         candidate.accepts_prefill_parts =
-            state->load.parts() < state->info.slots && candidate.failure_share < 0.2;
+            !state->limit.rate() && state->load.parts() < state->info.slots && candidate.failure_share < 0.2;
+        unlimited += state->limit.rate() ? 0 : 1;
         candidates.push_back(candidate);
         const bool is_idle = state->load.backlog_ms(now) <= policy::placement_options{}.idle_backlog_ms;
         idle += is_idle && candidate.accepts_prefill_parts ? 1 : 0;
@@ -438,7 +456,8 @@
         outcome.refusal.why =
             harmful ? dispatch_refusal::reason::too_harmful : dispatch_refusal::reason::too_large;
         const std::uint64_t needed = std::uint64_t{request.model.prompt_tokens} + request.model.output_tokens;
-        const bool possible = needed <= cost.rule().memory_tokens * candidates.size();
+        const std::size_t usable_memories = std::max<std::size_t>(unlimited, 1);
+        const bool possible = needed <= cost.rule().memory_tokens * usable_memories;
         outcome.wait = possible && request.may_wait ? max_wait : milliseconds::zero();
         return outcome;
     }
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/random.h"
 #include "base/settings.h"
+#include "forward/limit_messages.h"
 #include "policy/crash_suspects.h"
 #include "policy/placement.h"
 #include "policy/prefill_order.h"
@@ -54,10 +55,18 @@
 
 // Why no endpoint can take a request now.
 struct dispatch_refusal {
-    enum class reason : std::uint8_t { no_endpoint, too_late, too_large, too_harmful, crashing_prompt };
+    enum class reason : std::uint8_t {
+        no_endpoint,
+        too_late,
+        too_large,
+        too_harmful,
+        crashing_prompt,
+        rate_limited // by the limits of all endpoints that could take it
+    };
 
     reason why = reason::no_endpoint;
-    milliseconds predicted{};     // time to the first event; set for `too_late`
+    milliseconds
+        predicted{}; // time to the first event, or until it could be sent; for the last reason and `too_late`
     policy::prompt_part part = 0; // set for `crashing_prompt`: endpoints have crashed under it
     milliseconds retry_after{};   // time until such a request may be tried again; 0 = not known
 };
@@ -83,6 +92,20 @@
     bool leaving = false;                 // the answering endpoint has announced that it leaves
 };
 
+// The limit that this process holds of an endpoint.
+struct known_limit {
+    double rate = 0; // requests a second
+    milliseconds age{};
+};
+
+// The limits that this process holds of all endpoints together.
+struct limit_summary {
+    std::size_t endpoints = 0; // with a limit
+    double rate = 0;           // sum of their limits, in requests a second
+    milliseconds oldest{};
+    std::uint64_t skips = 0; // choices so far that left an endpoint out because of its limit
+};
+
 // The endpoints known to this entry and the work dispatched to them, as far as this entry knows it: a
 // scheduler knows the work of all entries, any other entry its own. Thread-safe; its mutex comes after the
 // directory's in the lock order.
@@ -95,10 +118,14 @@
     // Called without the lock with what this entry has learned of prompt parts under which endpoints crash.
     using crash_listener = std::function<void(const std::vector<policy::crash_statement>&)>;
 
+    // Called without the lock with limits of endpoints that have changed.
+    using limit_listener = std::function<void(const std::vector<endpoint_limit>&)>;
+
     fleet(incarnation self, std::string own_domain, double cold_fraction, note_listener on_note);
 
     // Not thread-safe.
     void set_crash_listener(crash_listener listener) { m_on_crash = std::move(listener); }
+    void set_limit_listener(limit_listener listener) { m_on_limits = std::move(listener); }
 
     // Applies a directory update; `value` is null when no control member lists the endpoint any more.
     void on_endpoint(const std::string& name, const wire::announcementT* value);
@@ -168,6 +195,24 @@
     void record_leaving(const std::string& endpoint);
     void record_retry_after(const std::string& endpoint, milliseconds time, time_point now);
 
+    // An answer of the endpoint names a limit on the requests a second of all entries together, or none.
+    // `sent` is when this entry sent the request that it answers.
+    void record_limit(const std::string& endpoint, std::optional<double> rate, time_point sent,
+                      const std::string& request, time_point now);
+
+    // Limits that other entries have learned of, and all that are known, those that have ended included.
+    void apply_limits(const std::vector<endpoint_limit>& received, time_point now);
+    std::vector<endpoint_limit> limits() const;
+    std::optional<known_limit> limit_of(const std::string& endpoint, time_point now) const;
+    limit_summary summarize_limits(time_point now) const;
+
+    // Sets the parts of these limits that this entry may use.
+    void set_limit_shares(const policy::limit_shares& shares);
+
+    // Whether this entry knows the choices of the other entries. When that begins, the limits count as used
+    // up: the choices before are not known.
+    void set_scheduling(bool scheduling, time_point now);
+
     // Endpoints of a service that this entry sends nothing to because of what they have answered to it.
     std::set<std::string> blocked(const std::string& service, time_point now) const;
 
@@ -215,6 +260,13 @@
         std::uint32_t trials = 0;                 // running requests with suspect prompt parts
         time_point superseded_until{};            // another endpoint has announced the address later
         std::deque<time_point> recent_dispatches; // by all entries
+        policy::request_limit limit;
+    };
+
+    struct limit_change {
+        endpoint_limit now;
+        std::optional<double> previous;
+        time_point known_since; // the previous one
     };
 
     struct dispatch_record {
@@ -252,6 +304,23 @@
     bool accepts_work(const endpoint_state& state, time_point now) const;
     bool is_blocked(const endpoint_state& state, time_point now) const;
     bool at_cold_limit(endpoint_state& state, const dispatch_request& request, time_point now) const;
+    bool at_request_limit(endpoint_state& state, const dispatch_request& request, time_point now);
+    // Whether the endpoint could take the request but for its limits.
+    bool is_candidate(const endpoint_state& state, const dispatch_request& request, time_point now) const;
+    // Waiting requests that go first when all endpoints together take `rate` requests a second.
+    std::size_t requests_ahead(const dispatch_request& request, double rate, time_point now) const;
+    // The wait or the refusal of a request that only limited endpoints could take, if it is not its turn;
+    // `found` are those that may take a request now.
+    std::optional<dispatch_result> await_permit(const dispatch_request& request,
+                                                const std::vector<endpoint_state*>& found, time_point now);
+    void take_permit(endpoint_state& state, bool alone, time_point now);
+    void update_scheduling(bool scheduling, time_point now);
+    std::optional<limit_change> merge_limit(const endpoint_limit& value, time_point now);
+    void keep_limit(const endpoint_limit& value);
+    void apply_kept_limit(const std::string& endpoint, time_point now);
+    // Logs changed limits and passes them to the listener; called without the lock.
+    void publish_limits(const std::vector<limit_change>& changed, const char* cause,
+                        const std::string& request, time_point now);
     double slowdown_of(const endpoint_state& state, time_point now) const;
     double failure_rate_of(const endpoint_state& state, time_point now) const;
     std::vector<endpoint_state*> eligible_endpoints(const dispatch_request& request, time_point now);
@@ -264,8 +333,9 @@
     bool is_direct(const policy::work_key& key, incarnation reporter) const;
     wire::dispatch_noteT to_published(const policy::work_key& key, wire::dispatch_noteT note) const;
     note_list notes_to_publish(const policy::work_key& key, const dispatch_record& record) const;
-    void apply_note(incarnation reporter, const wire::dispatch_noteT& note, time_point now);
-    void start_part(const policy::work_key& key, incarnation reporter, const wire::dispatch_noteT& note,
+    // Returns whether the note reports the start of work that was not known.
+    bool apply_note(incarnation reporter, const wire::dispatch_noteT& note, time_point now);
+    bool start_part(const policy::work_key& key, incarnation reporter, const wire::dispatch_noteT& note,
                     time_point now);
     void advance_phase(const policy::work_key& key, const wire::dispatch_noteT& note, time_point now);
     void apply_report(const dispatch_record& record, const wire::dispatch_noteT& note, time_point now);
@@ -284,6 +354,7 @@
     const double m_cold_fraction;
     const note_listener m_on_note;
     crash_listener m_on_crash;
+    limit_listener m_on_limits;
 
     mutable std::mutex m_mutex;
     std::map<std::string, endpoint_state> m_endpoints;
@@ -299,6 +370,12 @@
     std::map<std::string, route::engine_rule> m_engines;   // by service, from the latest dispatch
     std::set<std::string> m_unknown_domains;
     std::set<std::string> m_domains_out;
+    policy::limit_shares m_limit_shares;
+    bool m_scheduling = false;
+    std::uint64_t m_limit_skips = 0;
+    std::map<std::string, endpoint_limit> m_unlisted_limits; // of endpoints that are not listed yet
+    std::map<std::string, time_point>
+        m_returns; // by service: when the last refused caller was told to return
     time_point m_complete_at{};
     bool m_crashes_known = true;
     std::uint64_t m_next_number = 1;
--- a/src/forward/fleet_notes.cpp
+++ b/src/forward/fleet_notes.cpp
@@ -81,6 +81,7 @@
         parts[i]->load.start(key, to_work(note, now), slowdown_of(*parts[i], now), now);
         if (i == 0) {
             parts[i]->recent_dispatches.push_back(now);
+            take_permit(*parts[i], request.alone, now);
         }
         record.notes.push_back(std::move(note));
     }
@@ -108,7 +109,7 @@
         return std::nullopt;
     }
     for (const auto& note : notes) {
-        start_part(key, m_self, *note, now);
+        (void)start_part(key, m_self, *note, now);
     }
     return choice;
 }
@@ -144,7 +145,7 @@
     return notes;
 }
 
-void fleet::start_part(const policy::work_key& key, incarnation reporter, const wire::dispatch_noteT& note,
+bool fleet::start_part(const policy::work_key& key, incarnation reporter, const wire::dispatch_noteT& note,
                        time_point now)
 {
     m_waiting.erase(key);
@@ -153,22 +154,24 @@
     const bool known = std::any_of(record.notes.begin(), record.notes.end(),
                                    [&note](const auto& item) { return item.endpoint == note.endpoint; });
     if (known) {
-        return;
+        return false;
     }
     record.notes.push_back(note);
     record.notes.back().phase = phase_started;
     const auto found = m_endpoints.find(note.endpoint);
     if (found == m_endpoints.end()) {
-        return;
+        return false;
     }
     const double slowdown = slowdown_of(found->second, now);
     found->second.load.start(key, to_work(note, now), slowdown, now);
     if (record.phase == phase_answering) {
         found->second.load.first_event(key, slowdown, now);
     }
-    if (!note.reads_for_other && note.phase == phase_started) {
-        found->second.recent_dispatches.push_back(now);
+    if (note.reads_for_other || note.phase != phase_started) {
+        return false;
     }
+    found->second.recent_dispatches.push_back(now);
+    return true;
 }
 
 void fleet::advance_phase(const policy::work_key& key, const wire::dispatch_noteT& note, time_point now)
@@ -263,11 +266,11 @@
     }
 }
 
-void fleet::apply_note(incarnation reporter, const wire::dispatch_noteT& note, time_point now)
+bool fleet::apply_note(incarnation reporter, const wire::dispatch_noteT& note, time_point now)
 {
     const policy::work_key key{note.entry == 0 ? reporter : note.entry, note.number};
     if (key.entry == m_self || note.phase > phase_waiting) {
-        return;
+        return false;
     }
     if (note.phase == phase_waiting) {
         policy::model_request model;
@@ -278,11 +281,10 @@
         m_waiting[key] = {reporter,
                           note.endpoint,
                           {key, due, note.read_us / 1000.0, note.value, policy::loss_per_ms(model)}};
-        return;
-    }
-    if (!note.endpoint.empty() && note.phase != phase_ended) {
-        start_part(key, reporter, note, now);
+        return false;
     }
+    const bool has_started =
+        !note.endpoint.empty() && note.phase != phase_ended && start_part(key, reporter, note, now);
     const auto waiting = m_waiting.find(key);
     if (waiting != m_waiting.end() && waiting->second.reporter == reporter) {
         m_waiting.erase(waiting);
@@ -292,6 +294,7 @@
     if (found != m_dispatches.end() && found->second.reporter == reporter && note.phase != phase_started) {
         advance_phase(key, note, now);
     }
+    return has_started;
 }
 
 void fleet::apply_notes(const wire::load_notesT& notes, time_point now)
@@ -304,7 +307,13 @@
             published = remove_reporter(notes.incarnation, now);
         }
         for (const auto& note : notes.notes) {
-            apply_note(notes.incarnation, *note, now);
+            const bool has_started = apply_note(notes.incarnation, *note, now);
+            const auto endpoint = m_endpoints.find(note->endpoint);
+            // A whole report repeats work that began before; at a scheduler that has just begun it is used
+            // up.
+            if (has_started && !notes.whole && endpoint != m_endpoints.end()) {
+                take_permit(endpoint->second, false, now);
+            }
             const policy::work_key key{note->entry == 0 ? notes.incarnation : note->entry, note->number};
             if (key.entry == notes.incarnation && key.entry != m_self) {
                 published.push_back(to_published(key, *note));
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -105,6 +105,11 @@
             m_load_exchange->send_crash_records(changed);
         }
     });
+    m_fleet.set_limit_listener([this](const std::vector<endpoint_limit>& changed) {
+        if (m_load_exchange) {
+            m_load_exchange->send_limits(changed);
+        }
+    });
 }
 
 result<void> forward_service::open()
@@ -180,6 +185,14 @@
     counters.gauge("verbena_forward_peers", {}, [self] {
         return static_cast<double>(self->m_load_exchange ? self->m_load_exchange->peers() : 0);
     });
+    const auto limits = [self] { return self->m_fleet.summarize_limits(clock::now()); };
+    counters.gauge("verbena_forward_limited_endpoints", {},
+                   [limits] { return static_cast<double>(limits().endpoints); });
+    counters.gauge("verbena_forward_limit_rate", {}, [limits] { return limits().rate; });
+    counters.gauge("verbena_forward_limit_age_seconds", {},
+                   [limits] { return std::chrono::duration<double>(limits().oldest).count(); });
+    counters.gauge("verbena_forward_limit_skips", {},
+                   [limits] { return static_cast<double>(limits().skips); });
     for (const policy::crash_state state : {policy::crash_state::suspect, policy::crash_state::blocked}) {
         counters.gauge("verbena_forward_prompt_parts", {{"state", to_string(state)}}, [self, state] {
             const auto records = self->m_fleet.crash_records(clock::now());
--- a/src/forward/load_exchange.cpp
+++ b/src/forward/load_exchange.cpp
@@ -153,44 +153,56 @@
     }
     found->second.stream = opened.value();
     found->second.stream->send(net::make_frame(std::move(hello)));
-    send_all_crash_records(found->second.stream);
+    send_all_records(found->second.stream);
     net::asio::co_spawn(
         m_strand,
-        [self = shared_from_this(), stream = found->second.stream] {
-            return self->receive_crash_records(stream);
-        },
+        [self = shared_from_this(), stream = found->second.stream] { return self->receive_records(stream); },
         net::asio::detached);
     event_log::write(event::dependencyT{{}, "entry " + target.address, "regained", ""});
 }
 
-void load_exchange::send_all_crash_records(const std::shared_ptr<net::frame_stream>& stream)
+void load_exchange::send_all_records(const std::shared_ptr<net::frame_stream>& stream)
 {
     const time_point now = clock::now();
     stream->send(net::make_frame(to_message(m_fleet.crash_records(now), now)));
+    const std::vector<endpoint_limit> limits = m_fleet.limits();
+    if (!limits.empty()) {
+        stream->send(net::make_frame(to_message(limits)));
+    }
 }
 
-bool load_exchange::apply_crash_records(const net::received_frame& message)
+void load_exchange::apply_records(const net::received_frame& message)
 {
-    const wire::crash_records* records = message.frame->message_as_crash_records();
-    if (records != nullptr) {
-        const time_point now = clock::now();
+    const time_point now = clock::now();
+    if (const wire::crash_records* records = message.frame->message_as_crash_records()) {
         m_fleet.apply_crash_records(read_crash_records(*records, now), now);
+    } else if (const wire::endpoint_limits* limits = message.frame->message_as_endpoint_limits()) {
+        m_fleet.apply_limits(read_limits(*limits), now);
     }
-    return records != nullptr;
 }
 
-net::task<void> load_exchange::receive_crash_records(std::shared_ptr<net::frame_stream> stream)
+net::task<void> load_exchange::receive_records(std::shared_ptr<net::frame_stream> stream)
 {
     while (true) {
         const result<net::received_frame> next = co_await stream->receive();
         if (!next) {
             co_return;
         }
-        apply_crash_records(next.value());
+        apply_records(next.value());
     }
 }
 
 void load_exchange::send_crash_records(const std::vector<policy::crash_statement>& records)
+{
+    send_to_all(net::make_frame(to_message(records, clock::now())));
+}
+
+void load_exchange::send_limits(const std::vector<endpoint_limit>& limits)
+{
+    send_to_all(net::make_frame(to_message(limits)));
+}
+
+void load_exchange::send_to_all(const wire::frameT& frame)
 {
     std::set<std::shared_ptr<net::frame_stream>> streams;
     {
@@ -204,7 +216,6 @@
             streams.insert(known.streams.begin(), known.streams.end());
         }
     }
-    const wire::frameT frame = net::make_frame(to_message(records, clock::now()));
     for (const auto& stream : streams) {
         stream->send(frame);
     }
@@ -377,7 +388,7 @@
         known.streams.insert(stream);
     }
     apply(*notes);
-    send_all_crash_records(stream);
+    send_all_records(stream);
     while (true) {
         const result<net::received_frame> next = co_await stream->receive();
         if (!next) {
@@ -387,7 +398,7 @@
         if (notes != nullptr) {
             apply(*notes);
         } else {
-            apply_crash_records(next.value());
+            apply_records(next.value());
         }
     }
     bool last = false;
--- a/src/forward/load_exchange.h
+++ b/src/forward/load_exchange.h
@@ -76,6 +76,9 @@
     // Sends what this entry has learned of prompt parts to all entries with which it exchanges notes.
     void send_crash_records(const std::vector<policy::crash_statement>& records);
 
+    // The same for limits of endpoints.
+    void send_limits(const std::vector<endpoint_limit>& limits);
+
     // The connection to an entry to which this one has reported its work; null if there is none.
     std::shared_ptr<net::connection> connection_to(const std::string& address) const;
 
@@ -108,12 +111,14 @@
 
     net::task<void> connect_loop();
     net::task<void> connect(report_target target, host_port address);
-    // Receives the crash records that an entry sends on the stream on which it gets notes.
-    net::task<void> receive_crash_records(std::shared_ptr<net::frame_stream> stream);
-    // Sent even if there are none: the receiver lets requests wait for it.
-    void send_all_crash_records(const std::shared_ptr<net::frame_stream>& stream);
-    // Returns whether the frame was a message of crash records.
-    bool apply_crash_records(const net::received_frame& message);
+    // Receives the records that an entry sends on the stream on which it gets notes.
+    net::task<void> receive_records(std::shared_ptr<net::frame_stream> stream);
+    // Sends all crash records and limits. The former even if there are none: the receiver lets requests wait
+    // for them.
+    void send_all_records(const std::shared_ptr<net::frame_stream>& stream);
+    // Applies crash records or limits; other messages are ignored.
+    void apply_records(const net::received_frame& message);
+    void send_to_all(const wire::frameT& frame);
     net::task<void> receive_notes(std::shared_ptr<net::frame_stream> stream, net::received_frame first);
     void answer_placement(const std::shared_ptr<net::frame_stream>& stream, net::received_frame message);
     bool is_reporter(incarnation entry) const;
--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -39,11 +39,14 @@
            boost::beast::iequals({found.data(), found.size()}, {type.data(), type.size()});
 }
 
+// Length up to which a text in place of a limit is logged, in bytes.
+constexpr std::size_t max_logged_limit = 64;
+
 // The limit that an answer names, for the log.
 std::string limit_text(const answer_metadata& head)
 {
     if (!head.request_limit) {
-        return head.unreadable_limit;
+        return head.unreadable_limit.substr(0, max_logged_limit);
     }
     char text[32];
     std::snprintf(text, sizeof text, "%g", *head.request_limit);
@@ -77,6 +80,10 @@
     line.config_age_ms = to_u32(m_request.config_age);
     line.chosen_by = m_chosen_by;
     line.prompt_parts = part_names(m_request.terms.shared_parts);
+    if (const auto limit = m_context.endpoints.limit_of(line.endpoint, current.began)) {
+        line.limit = limit->rate;
+        line.limit_age_ms = to_u32(limit->age);
+    }
     event_log::write(line);
     m_context.counters.add("verbena_forward_attempts_total", {{"service", m_request.service->name}});
 }
@@ -176,6 +183,7 @@
                                  has_reservation ? current->reservation->reservation_id(i) : std::string()});
     }
     current->sent = true;
+    current->sent_at = now;
     ++m_possible_runs;
     call->send(m_context.protocol.endpoint_head(m_exchange.request(), terms), m_exchange.request().body);
     const inactivity_limits limits =
@@ -249,6 +257,7 @@
 void request_forwarder::record_endpoint_notice(attempt& current, const answer_metadata& head)
 {
     current.named_limit = limit_text(head);
+    record_limit(current, head);
     if (head.leaving) {
         current.report.leaving = true;
         m_context.endpoints.record_leaving(current.endpoint());
@@ -258,6 +267,27 @@
     }
 }
 
+// Only an answer of a run shows that the endpoint names no limit any more: a refusal may come from a part of
+// it that does not know, and another endpoint at its address says nothing about it.
+void request_forwarder::record_limit(const attempt& current, const answer_metadata& head)
+{
+    const time_point now = clock::now();
+    if (!head.unreadable_limit.empty()) {
+        event::endpoint_limitT line;
+        line.endpoint = current.endpoint();
+        line.state = "unreadable";
+        line.cause = "answer";
+        line.request = m_request.terms.id;
+        line.detail = head.unreadable_limit.substr(0, max_logged_limit);
+        event_log::write(line);
+    }
+    const bool shows_none = head.sealed && !head.not_run && head.unreadable_limit.empty();
+    if (!head.misdirected && (head.request_limit || shows_none)) {
+        m_context.endpoints.record_limit(current.endpoint(), head.request_limit, current.sent_at,
+                                         m_request.terms.id, now);
+    }
+}
+
 net::task<request_forwarder::attempt_end> request_forwarder::handle_answer(attempt_ptr current,
                                                                            const answer_metadata& head)
 {
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -195,7 +195,9 @@
 net::task<bool> request_forwarder::await_endpoint(const dispatch_refusal& refusal)
 {
     const time_point next = clock::now() + endpoint_poll_interval;
-    if (refusal.why != dispatch_refusal::reason::no_endpoint || !resumes() || next >= resume_limit()) {
+    const bool may_change = refusal.why == dispatch_refusal::reason::no_endpoint ||
+                            refusal.why == dispatch_refusal::reason::rate_limited;
+    if (!may_change || !resumes() || next >= resume_limit()) {
         co_return false;
     }
     // An endpoint that was full may have room by then.
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -92,6 +92,7 @@
         bool superseded = false;         // another attempt answers
         bool reservation_unused = false; // so the endpoint no longer runs the request
         time_point next_check;           // of a silent endpoint
+        time_point sent_at;              // when its request was sent
         std::string named_limit;         // in the head of its answer; for the log
         double min_interval_ms = 0;
 
@@ -171,6 +172,7 @@
     void record_begun_answer();
     // Records what the head of an answer says about its endpoint itself.
     void record_endpoint_notice(attempt& current, const answer_metadata& head);
+    void record_limit(const attempt& current, const answer_metadata& head);
     // Asks for the backlog of an endpoint that is silent, to extend the time it is waited for.
     net::task<void> query_backlog(attempt_ptr current);
 
--- a/src/forward/scheduler_client.cpp
+++ b/src/forward/scheduler_client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/event_log.h"
 #include "forward/placement_messages.h"
+#include "forward/shared_retry_budget.h"
 #include "node/control_client.h"
 
 namespace verbena::forward {
@@ -126,16 +127,47 @@
     return targets;
 }
 
+// Without any list the latest one counts for the shares: entries that are cut off from the control members
+// must not all take themselves for the only one.
 void scheduler_client::refresh(time_point now)
 {
+    std::set<std::string> domains;
     std::set<std::string> unknown;
     for (const node::scheduler_candidate& value : m_schedulers.candidates(std::string(), now)) {
+        domains.insert(value.failure_domain);
         const bool known = m_exchange && m_exchange->has_scheduler_of(value.failure_domain);
         if (value.failure_domain != m_own_domain && !known) {
             unknown.insert(value.failure_domain);
         }
     }
+    const std::size_t entries = m_schedulers.entry_count(now);
+    std::size_t known_domains = 1;
+    policy::limit_shares shares;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_known_domains = domains.empty() ? std::move(m_known_domains) : std::move(domains);
+        m_known_entries = entries == 0 ? m_known_entries : entries;
+        for (const std::string& domain : m_known_domains) {
+            const bool known = m_exchange && m_exchange->has_scheduler_of(domain);
+            known_domains += domain != m_own_domain && known ? 1 : 0;
+        }
+        const std::size_t all_domains =
+            m_known_domains.size() + (m_known_domains.contains(m_own_domain) ? 0 : 1);
+        shares.scheduled =
+            shared_limit_fraction * static_cast<double>(known_domains) / static_cast<double>(all_domains);
+        shares.alone =
+            (1 - shared_limit_fraction) / static_cast<double>(std::max<std::size_t>(m_known_entries, 1));
+    }
     m_fleet.set_unknown_domains(std::move(unknown));
+    m_fleet.set_limit_shares(shares);
+    m_fleet.set_scheduling(!m_exchange || schedules(now) || m_exchange->has_reporters(m_own_domain), now);
+}
+
+std::size_t scheduler_client::known_entries(time_point now) const
+{
+    const std::size_t entries = m_schedulers.entry_count(now);
+    const std::lock_guard lock(m_mutex);
+    return entries == 0 ? m_known_entries : entries;
 }
 
 void scheduler_client::on_unreachable(const std::string& address, const std::string& reason)
@@ -174,7 +206,7 @@
         request.excluded = std::move(excluded);
     }
     const bool is_scheduler = !m_exchange || schedules(clock::now());
-    request.alone = !is_scheduler && m_schedulers.entry_count(clock::now()) > 1;
+    request.alone = !is_scheduler && known_entries(clock::now()) > 1;
     auto observer = std::make_shared<local_wait>(call);
     dispatch_result found =
         co_await dispatch_with_wait(m_fleet, request, wait_limit - since(begin), std::move(observer));
--- a/src/forward/scheduler_client.h
+++ b/src/forward/scheduler_client.h
@@ -46,7 +46,8 @@
     std::vector<report_target> report_targets(time_point now) const override;
     void on_unreachable(const std::string& address, const std::string& reason) override;
 
-    // Updates the failure domains whose load is known. Call it in intervals.
+    // Updates the failure domains whose load is known and this entry's part of shared limits. Call it in
+    // intervals.
     void refresh(time_point now);
 
     // Whether this entry schedules the requests of its failure domain.
@@ -54,6 +55,8 @@
 
 private:
     std::string scheduler(time_point now) const;
+    // The entries that control members list, or have listed last.
+    std::size_t known_entries(time_point now) const;
     std::vector<node::scheduler_candidate> usable_candidates(const std::string& domain, time_point now) const;
     net::task<std::optional<dispatch_result>> ask(std::string address, dispatch_request& request,
                                                   milliseconds wait_limit, std::shared_ptr<choice_call> call);
@@ -67,6 +70,8 @@
     // Guards the members below. In the lock order it comes before the mutex of the scheduler list.
     mutable std::mutex m_mutex;
     std::map<std::string, time_point> m_suspected_until;
+    std::set<std::string> m_known_domains; // with entries, from the latest list
+    std::size_t m_known_entries = 0;       // from the latest list
 };
 
 } // namespace verbena::forward
