Send waiting prompts when all endpoints of their model are limited

Cause: endpoints that get no prompt parts did not count as idle, so a waiting prompt always found less idle endpoints than the line needs.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -428,13 +428,13 @@
             // Several schedulers may choose the same endpoint before they hear of each other's choice.
             candidate.slots -= static_cast<std::uint32_t>(candidate.slots * other_domain_slot_reserve);
         }
+        const bool takes_parts = state->load.parts() < state->info.slots && candidate.failure_share < 0.2;
         // The calls that reserve memory would count towards the limit of an endpoint.
-        candidate.accepts_prefill_parts =
-            !state->limit.rate() && state->load.parts() < state->info.slots && candidate.failure_share < 0.2;
+        candidate.accepts_prefill_parts = takes_parts && !state->limit.rate();
         unlimited += state->limit.rate() ? 0 : 1;
         candidates.push_back(candidate);
         const bool is_idle = state->load.backlog_ms(now) <= policy::placement_options{}.idle_backlog_ms;
-        idle += is_idle && candidate.accepts_prefill_parts ? 1 : 0;
+        idle += is_idle && takes_parts ? 1 : 0;
     }
     dispatch_result outcome;
     const std::size_t reserved = m_waiting.empty() ? 0 : parts_before(request, found.size(), now);
--- a/test/forward_limit_test.cpp
+++ b/test/forward_limit_test.cpp
@@ -206,6 +206,29 @@
     group.fleets[0]->end_wait(key);
 }
 
+BOOST_AUTO_TEST_CASE(waiting_prompt_is_sent_when_all_endpoints_of_its_model_are_limited)
+{
+    scheduler_group group(1);
+    group.desk.engine = route::engine_rule{};
+    group.desk.engine->slots = 16;
+    group.desk.engine->memory_tokens = 232'000;
+    group.desk.engine->prefill_tokens_per_ms = 206;
+    group.add("limited-1", "d0");
+    group.name_limit("limited-1", 4);
+    forward::dispatch_request request;
+    request.service = &group.desk;
+    request.time_left = 2s;
+    request.model.objective = 1s;
+    request.model.prompt_tokens = 1'000;
+    request.model.output_tokens = 10;
+    request.model.value = 1;
+    BOOST_TEST(group.fleets[0]->dispatch(request, group.now).wait.count() > 0);
+    request.wait = group.fleets[0]->begin_wait(request, group.now);
+    group.advance(400ms);
+    request.model.used = 400ms;
+    BOOST_TEST(group.fleets[0]->dispatch(request, group.now).choice.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(limits_reach_other_entries_and_later_listed_endpoints)
 {
     fleet_fixture told;
