Take an answer that ends after its head for broken off

Cause: the end of the connection is the only end of such an answer, and an empty body was taken for a whole one.

Change: a success with neither a length nor chunks and without a single byte of body counts as broken off (502, or another attempt); answers to HEAD do not. With a body, the check whether the endpoint still accepts connections stays the only one.

Evidence: platform_heads cuts four heads (a length, chunks, neither, after an interim answer of 103) after every 13th byte and after the last one, with a close and with a reset, on three routes.

--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -355,10 +355,16 @@
                                      "answer larger than 16 MiB", attempt_health::failed);
         }
     }
-    if (co_await has_broken_off(current)) {
+    // Nothing tells a success whose body is empty from one that was cut after its head.
+    const bool good = head.status >= 200 && head.status < 300;
+    const bool cut_after_head = good && response.body.empty() && current->call->ends_with_connection() &&
+                                m_exchange.request().method != "HEAD";
+    if (cut_after_head || co_await has_broken_off(current)) {
         current->connection_lost = true;
         co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
-                                 "the endpoint ended before the end of the answer", attempt_health::failed);
+                                 cut_after_head ? "connection closed before the first byte of the body"
+                                                : "the endpoint ended before the end of the answer",
+                                 attempt_health::failed);
     }
     if (head.status >= 500) {
         m_failed_answer = std::move(response);
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -173,6 +173,24 @@
     m_request_limit = std::move(text);
 }
 
+void platform_runner::set_head(std::string head, std::size_t bytes)
+{
+    const std::lock_guard lock(m_mutex);
+    m_head = std::move(head);
+    m_head_bytes = bytes;
+}
+
+std::string platform_runner::cut_head(const std::string& request_id) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::string head = m_head;
+    const auto placeholder = head.find("ID");
+    if (placeholder != std::string::npos) {
+        head.replace(placeholder, 2, request_id);
+    }
+    return head.substr(0, m_head_bytes);
+}
+
 std::string platform_runner::limit_headers() const
 {
     const std::lock_guard lock(m_mutex);
@@ -433,6 +451,14 @@
     if (fault == runner_fault::reset) {
         co_return;
     }
+    if (fault == runner_fault::cut_head || fault == runner_fault::cut_head_reset) {
+        co_await write(socket, cut_head(request.id));
+        if (fault == runner_fault::cut_head_reset) {
+            co_await net::sleep_for(event_interval); // what was written is not discarded by the reset
+            reset(socket);
+        }
+        co_return;
+    }
     if (fault == runner_fault::pause_before_head) {
         co_await net::sleep_for(pause());
     }
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -46,6 +46,8 @@
     no_events,         // answers with an event stream that has no events
     cut_without_ids,   // sends events without ids and closes the connection in the middle of the second
     answer_twice,      // sends its complete answer a second time
+    cut_head,          // sends the first bytes of the set head and closes the connection
+    cut_head_reset,    // the same, and resets the connection
 };
 
 // A request as received by a runner.
@@ -120,6 +122,10 @@
     // headers. Without a text the answers have no such header.
     void set_request_limit(std::optional<std::string> text);
 
+    // Sets the head that the faults with a cut head send, and how many of its bytes. "ID" in it becomes the
+    // id of the request.
+    void set_head(std::string head, std::size_t bytes);
+
     // Crashes under requests with a prompt part. The process is back after a while, with a new id.
     void set_crash(runner_crash crash);
 
@@ -157,6 +163,7 @@
     // The report on its state, or empty if it makes none.
     std::string report_body() const;
     std::string event_text(std::uint32_t number) const;
+    std::string cut_head(const std::string& request_id) const;
     // The limit headers of an answer, each with its line end.
     std::string limit_headers() const;
     // Adds the limit headers to the text of a whole answer.
@@ -181,6 +188,8 @@
     runner_fault m_resume_fault = runner_fault::none;
     milliseconds m_pause{};
     std::optional<std::string> m_request_limit;
+    std::string m_head;
+    std::size_t m_head_bytes = 0;
     std::optional<runner_crash> m_crash;
     std::vector<time_point> m_crashes;
     std::set<std::shared_ptr<net::tcp::socket>> m_open;
--- /dev/null
+++ b/test/platform_heads_test.cpp
@@ -0,0 +1,88 @@
+#include "platform_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+
+using namespace verbena;
+using standin::runner_fault;
+
+namespace {
+
+const std::vector<std::string> heads{
+    "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nRunner-Seal: s1.standin\r\nContent-Length: 5\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nRunner-Seal: s1.standin\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nRunner-Seal: s1.standin\r\nContent-Type: text/plain\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: ID\r\nRunner-Seal: "
+    "s1.standin\r\n\r\n"};
+
+struct heads_fixture {
+    platform_deployment system;
+
+    heads_fixture() { system.start_serving(); }
+
+    // The status that the caller of a request gets while all runners cut their heads like this.
+    unsigned status_of(const std::string& path, const std::string& head, std::size_t bytes,
+                       runner_fault fault)
+    {
+        const std::size_t before = runs();
+        for (const char* id : runner_ids) {
+            system.runner(id).set_head(head, bytes);
+            system.runner(id).set_faults({fault, fault, fault});
+        }
+        platform_deployment::call spec;
+        spec.path = path;
+        spec.deadline = std::chrono::milliseconds(2'000);
+        const unsigned status = system.request(spec).status;
+        BOOST_TEST(runs() > before);
+        return status;
+    }
+
+    std::size_t runs()
+    {
+        std::size_t count = 0;
+        for (const char* id : runner_ids) {
+            count += system.requests_at(id);
+        }
+        return count;
+    }
+
+    static constexpr std::array<const char*, 4> runner_ids{"model-a", "model-b", "desk-a", "desk-b"};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_heads)
+
+// Guards against heads of answers that are cut and reach callers as whole answers.
+BOOST_FIXTURE_TEST_CASE(head_that_is_cut_is_no_answer, heads_fixture)
+{
+    constexpr std::size_t step = 13;
+    for (const std::string& head : heads) {
+        for (const runner_fault fault : {runner_fault::cut_head, runner_fault::cut_head_reset}) {
+            for (std::size_t bytes = 0; bytes < head.size() - 1; bytes += step) {
+                for (const std::string path : {"/once/1", "/safe/1", "/model/1"}) {
+                    const unsigned status = status_of(path, head, bytes, fault);
+                    BOOST_TEST(status >= 500,
+                               path << ", " << bytes << " bytes of " << head << ": " << status);
+                }
+            }
+        }
+    }
+}
+
+// Guards against answers that end after their head and reach callers as whole and empty.
+BOOST_FIXTURE_TEST_CASE(whole_head_without_length_or_body_is_no_answer, heads_fixture)
+{
+    for (const std::string& head : heads) {
+        for (const runner_fault fault : {runner_fault::cut_head, runner_fault::cut_head_reset}) {
+            for (const std::string path : {"/once/1", "/safe/1", "/model/1"}) {
+                const unsigned status = status_of(path, head, std::string::npos, fault);
+                BOOST_TEST((status >= 500 || status == 0), path << ", all of " << head << ": " << status);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
