Refuse requests that a stopping entry could not answer in time

Cause: during a stop each request was passed on with a deadline before the end, whatever its answer takes.

Evidence: process_drain/a_request_that_cannot_end_before_the_process_is_refused_at_once: a stream and an unsafe request of routes whose answers take 2.2 s, 0.5 s into a stop of 3 s, were passed on before (4 checks fail) and are refused now within 300 ms and not run; a request of a fast route is still answered.

--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -6,6 +6,7 @@
 #include "forward/crash_calls.h"
 #include "node/freshness.h"
 #include "node/publication.h"
+#include "policy/engine_cost.h"
 
 #include <algorithm>
 
@@ -471,7 +472,31 @@
     out.config_age = m_config.age(out.arrived).value_or(max_wait);
     const milliseconds wait = std::min({out.route->timeout, out.terms.timeout.value_or(max_wait), max_wait});
     out.deadline = std::min(out.arrived + wait, m_stop_end.load() - last_answers_time);
-    return std::nullopt;
+    return check_stop(out);
+}
+
+std::optional<forward_service::early_refusal> forward_service::check_stop(const routed_request& request) const
+{
+    const time_point end = m_stop_end.load();
+    if (end == time_point::max() || request.arrived + expected_time(request) <= end - last_answers_time) {
+        return std::nullopt;
+    }
+    return early_refusal{503, "stopping",
+                         "the request has not run: this entry ends before it could be answered; send it to "
+                         "another one",
+                         not_ready_retry_after};
+}
+
+milliseconds forward_service::expected_time(const routed_request& request) const
+{
+    const milliseconds recent = m_answer_times.longest(request.route->name, request.arrived);
+    if (!request.service->engine) {
+        return recent;
+    }
+    const policy::engine_cost cost(*request.service->engine);
+    const std::uint32_t prompt = request.terms.prompt_tokens;
+    const double alone_ms = cost.prefill_ms(prompt) + cost.decode_ms(request.terms.output_tokens, 0, prompt);
+    return std::max(recent, milliseconds(static_cast<std::int64_t>(alone_ms)));
 }
 
 net::task<void> forward_service::refuse_early(net::http_exchange& exchange, early_refusal refusal,
@@ -526,6 +551,8 @@
                                     [this](time_point now) { return can_serve(now); },
                                     m_stopping};
     const time_point deadline = request.deadline;
+    const time_point arrived = request.arrived;
+    const std::string route = request.route->name;
     auto forwarder = std::make_shared<request_forwarder>(context, exchange, std::move(request));
     auto ended = std::make_shared<bool>(false);
     const auto executor = co_await net::asio::this_coro::executor;
@@ -551,6 +578,10 @@
         m_open.emplace(forwarder, executor);
     }
     co_await forwarder->run(executor);
+    if (forwarder->answered()) {
+        const time_point now = clock::now();
+        m_answer_times.record(route, std::chrono::duration_cast<milliseconds>(now - arrived), now);
+    }
     {
         const std::lock_guard lock(m_open_mutex);
         m_open.erase(forwarder);
--- a/src/forward/forward_service.h
+++ b/src/forward/forward_service.h
@@ -5,6 +5,7 @@
 #include "forward/scheduler_service.h"
 #include "node/control_client.h"
 #include "node/process.h"
+#include "policy/answer_times.h"
 #include "route/document_codec.h"
 
 namespace verbena::forward {
@@ -60,6 +61,11 @@
     // Waits a short time for the configuration to be confirmed, for example after this process was suspended.
     net::task<void> await_confirmation();
     std::optional<early_refusal> admit(const net::http_request& request, routed_request& out);
+    // A request that arrives during a stop is refused if it is not expected to be answered before its end.
+    std::optional<early_refusal> check_stop(const routed_request& request) const;
+    // How long the answer to the request is expected to take, from what its endpoints need for it alone and
+    // the recent answers of its route.
+    milliseconds expected_time(const routed_request& request) const;
     std::optional<early_refusal> check_team(const route::table& table, routed_request& out) const;
     net::task<void> forward_request(net::http_exchange& exchange, routed_request request);
     net::task<void> refuse_early(net::http_exchange& exchange, early_refusal refusal, const std::string& id);
@@ -90,6 +96,7 @@
     // Guards m_open, the requests in work and the strands that they run on; held alone.
     mutable std::mutex m_open_mutex;
     std::map<std::shared_ptr<request_forwarder>, net::asio::any_io_executor> m_open;
+    policy::answer_times m_answer_times;
     std::size_t m_next_peer = 0;
 };
 
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -55,6 +55,9 @@
 
     net::task<void> run(net::asio::any_io_executor executor);
 
+    // Whether the caller has received the whole answer of an endpoint.
+    bool answered() const { return m_answered; }
+
     // Logs that the request is still in work when this process ends.
     void log_cut() const;
 
--- a/test/process_drain_test.cpp
+++ b/test/process_drain_test.cpp
@@ -98,4 +98,38 @@
     BOOST_TEST(system.wait_exit(0, grace).has_value());
 }
 
+// Guards against requests that are passed on late in the grace period and cut at its end.
+BOOST_FIXTURE_TEST_CASE(a_request_that_cannot_end_before_the_process_is_refused_at_once, drain_fixture)
+{
+    for (const auto& runner : system.runners()) {
+        runner->set_pause(2'200ms);
+    }
+    set_faults(runner_fault::pause_in_stream);
+    auto first_stream = request_later("/model/1", "first-stream");
+    BOOST_TEST_REQUIRE(first_stream.get().has_value());
+    for (const auto& runner : system.runners()) {
+        runner->set_faults({runner_fault::pause_before_head});
+    }
+    auto first_unsafe = request_later("/once/1", "first-unsafe");
+    BOOST_TEST_REQUIRE(first_unsafe.get().has_value());
+    for (const auto& runner : system.runners()) {
+        runner->set_faults({});
+    }
+    BOOST_TEST_REQUIRE(system.signal(0, SIGTERM));
+    std::this_thread::sleep_for(500ms);
+    for (const std::string path : {"/model/1", "/once/1"}) {
+        const std::string id = "late" + path;
+        const time_point sent = clock::now();
+        const result<net::http_response> seen = system.request(0, path, "late", id);
+        BOOST_TEST_REQUIRE(seen.has_value(), (seen ? "" : describe(seen.error())));
+        BOOST_TEST(seen.value().status == 503U);
+        BOOST_TEST((clock::now() - sent < 300ms));
+        BOOST_TEST(!run_of(id).has_value());
+    }
+    // No answer of this route has taken long.
+    const result<net::http_response> safe = system.request(0, "/safe/1", "late", "late-safe");
+    BOOST_TEST_REQUIRE(safe.has_value(), (safe ? "" : describe(safe.error())));
+    BOOST_TEST(safe.value().status == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
