--- a/test/platform_limit_test.cpp
+++ b/test/platform_limit_test.cpp
@@ -22,6 +22,7 @@
         std::this_thread::sleep_for(interval);
     }
     std::vector<platform_deployment::answer> answers;
+    answers.reserve(pending.size());
     for (auto& item : pending) {
         answers.push_back(item.get());
     }
