Compute the shares of endpoint limits in a function of their own

No change in behaviour: refresh() had grown long, and the doc comment of the predicted time did not say which reason it belongs to. platform_limit, forward_limit, forward_scheduler and process_drain pass.

--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -65,8 +65,8 @@
     };
 
     reason why = reason::no_endpoint;
-    milliseconds
-        predicted{}; // time to the first event, or until it could be sent; for the last reason and `too_late`
+    // Time to the first event with `too_late`, and until it could be sent with `rate_limited`.
+    milliseconds predicted{};
     policy::prompt_part part = 0; // set for `crashing_prompt`: endpoints have crashed under it
     milliseconds retry_after{};   // time until such a request may be tried again; 0 = not known
 };
--- a/src/forward/scheduler_client.cpp
+++ b/src/forward/scheduler_client.cpp
@@ -127,8 +127,6 @@
     return targets;
 }
 
-// Without any list the latest one counts for the shares: entries that are cut off from the control members
-// must not all take themselves for the only one.
 void scheduler_client::refresh(time_point now)
 {
     std::set<std::string> domains;
@@ -140,29 +138,38 @@
             unknown.insert(value.failure_domain);
         }
     }
-    const std::size_t entries = m_schedulers.entry_count(now);
-    std::size_t known_domains = 1;
-    policy::limit_shares shares;
     {
         const std::lock_guard lock(m_mutex);
-        m_known_domains = domains.empty() ? std::move(m_known_domains) : std::move(domains);
-        m_known_entries = entries == 0 ? m_known_entries : entries;
-        for (const std::string& domain : m_known_domains) {
-            const bool known = m_exchange && m_exchange->has_scheduler_of(domain);
-            known_domains += domain != m_own_domain && known ? 1 : 0;
+        if (!domains.empty()) {
+            m_known_domains = std::move(domains);
+            m_known_domains.insert(m_own_domain);
         }
-        const std::size_t all_domains =
-            m_known_domains.size() + (m_known_domains.contains(m_own_domain) ? 0 : 1);
-        shares.scheduled =
-            shared_limit_fraction * static_cast<double>(known_domains) / static_cast<double>(all_domains);
-        shares.alone =
-            (1 - shared_limit_fraction) / static_cast<double>(std::max<std::size_t>(m_known_entries, 1));
+        const std::size_t entries = m_schedulers.entry_count(now);
+        m_known_entries = entries == 0 ? m_known_entries : entries;
     }
     m_fleet.set_unknown_domains(std::move(unknown));
-    m_fleet.set_limit_shares(shares);
+    m_fleet.set_limit_shares(limit_shares());
     m_fleet.set_scheduling(!m_exchange || schedules(now) || m_exchange->has_reporters(m_own_domain), now);
 }
 
+// Without any list the latest one counts: entries that are cut off from the control members must not all take
+// themselves for the only one.
+policy::limit_shares scheduler_client::limit_shares() const
+{
+    const std::lock_guard lock(m_mutex);
+    double reporting = 1;
+    for (const std::string& domain : m_known_domains) {
+        const bool known = m_exchange && m_exchange->has_scheduler_of(domain);
+        reporting += domain != m_own_domain && known ? 1 : 0;
+    }
+    const auto domains = static_cast<double>(std::max<std::size_t>(m_known_domains.size(), 1));
+    const auto entries = static_cast<double>(std::max<std::size_t>(m_known_entries, 1));
+    policy::limit_shares shares;
+    shares.scheduled = shared_limit_fraction * reporting / domains;
+    shares.alone = (1 - shared_limit_fraction) / entries;
+    return shares;
+}
+
 std::size_t scheduler_client::known_entries(time_point now) const
 {
     const std::size_t entries = m_schedulers.entry_count(now);
--- a/src/forward/scheduler_client.h
+++ b/src/forward/scheduler_client.h
@@ -55,6 +55,8 @@
 
 private:
     std::string scheduler(time_point now) const;
+    // This entry's part of the limits of endpoints.
+    policy::limit_shares limit_shares() const;
     // The entries that control members list, or have listed last.
     std::size_t known_entries(time_point now) const;
     std::vector<node::scheduler_candidate> usable_candidates(const std::string& domain, time_point now) const;
@@ -70,7 +72,7 @@
     // Guards the members below. In the lock order it comes before the mutex of the scheduler list.
     mutable std::mutex m_mutex;
     std::map<std::string, time_point> m_suspected_until;
-    std::set<std::string> m_known_domains; // with entries, from the latest list
+    std::set<std::string> m_known_domains; // with entries, from the latest list, and the own one
     std::size_t m_known_entries = 0;       // from the latest list
 };
 
