--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -207,6 +207,7 @@
     answer found;
     auto opened = co_await net::open_http(address, sent, std::chrono::seconds(2), std::chrono::seconds(15));
     if (!opened) {
+        found.failure = describe(opened.error());
         co_return found;
     }
     for (const char* name : {"Location", "Retry-After", "Runner-Seal", "Request-Id"}) {
@@ -215,6 +216,7 @@
     while (true) {
         const result<std::string> piece = co_await opened.value()->read_some(std::chrono::seconds(15));
         if (!piece) {
+            found.failure = describe(piece.error());
             co_return found;
         }
         if (piece.value().empty()) {
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -27,6 +27,7 @@
         unsigned status = 0; // 0: the connection ended before the answer was complete
         std::string body;
         std::map<std::string, std::string> headers;
+        std::string failure; // why the connection ended too early
     };
 
     struct call {
