Time the request of a test from the last confirmation that its entry can have

Trace: the group lost its majority at 27.36 s, its last member stopped at 27.80 s, and the request, sent 2 s after that, found a configuration of 2,764 ms where 2,500 ms are the limit: the refusal was right. The test now sends the request 2 s after it begins to stop the members, so that the confirmation lasts; the stream still breaks off after its end, as before.

--- a/test/forward_resume_test.cpp
+++ b/test/forward_resume_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <sstream>
 
 using namespace verbena;
@@ -127,9 +128,11 @@
     }));
     std::this_thread::sleep_for(1s); // entries poll the configuration every 0.3 s
     std::future<platform_deployment::answer> broken;
+    const time_point last_confirmed = clock::now();
     system.restart_members([&] {
         // The entry acts on a configuration for 2.5 s after its last confirmation.
-        std::this_thread::sleep_for(2s);
+        const time_point sent = last_confirmed + 2s;
+        std::this_thread::sleep_for(std::max(sent - clock::now(), clock::duration::zero()));
         for (const char* id : {"model-a", "model-b"}) {
             system.runner(id).set_pause(1'500ms);
             set_faults(id, 1, runner_fault::pause_and_cut);
