--- a/review/harness.py
+++ b/review/harness.py
@@ -220,7 +220,7 @@
         self.folder = tempfile.mkdtemp(prefix="verbena-review-")
         self.machines = []
         self.runners = []
-        self.version = 0
+        self.machine_of = {}  # the machine that a request was sent to
         net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.net = net
         ips = [f"{net}.{i + 1}" for i in range(3)]
@@ -554,6 +554,7 @@
             if self.writer is None:
                 self.reader, self.writer = await asyncio.open_connection(*self.machine.front)
             seen["sent"] = self.record.now()
+            self.deployment.machine_of[request_id] = self.machine.index
             self.record.add("sent", id=request_id, path=path, machine=self.machine.index, kept=seen["kept"])
             self.writer.write(text.encode() + b"\r\n" + payload)
             await self.writer.drain()
