Add a case of streams that end too early and look complete

Cause: an answer that ends with its connection counts as complete unless its endpoint refuses a new connection, which an entry asks too late when its machine was frozen as the endpoint crashed.

--- a/review/harness.py
+++ b/review/harness.py
@@ -357,6 +357,9 @@
         self.channels = set()
         self.answer_trouble = None  # coroutine function(runner, kind, fields, writer): plays a trouble
         self.first_event_s = 0.0    # added to the time to the first event
+        self.event_gap_s = 0.05
+        self.framed = True          # otherwise answers have neither a length nor chunks and end with their channel
+        self.serving = {}           # requests in work: id -> task
         self.beat_task = None
 
     async def start(self):
@@ -388,6 +391,23 @@
             accepted = await self.check_in()
             await asyncio.sleep(random.uniform(1.1, 1.3) if accepted else 0.3)
 
+    async def crash(self, down_s):
+        """The process ends and with it all its channels; it is back after a while as a new boot with a new id."""
+        self.beat_task.cancel()
+        self.server.close()
+        self.record.add("runner_crashes", runner=self.id, requests=sorted(self.serving))
+        for task in list(self.serving.values()):
+            task.cancel()
+        for writer in list(self.channels):
+            writer.close()
+        self.tickets.clear()
+        await asyncio.sleep(down_s)
+        self.id += "-again"
+        self.born, self.seq = int(time.time() * 1000), 0
+        self.server = await asyncio.start_server(self.serve, self.ip, self.port)
+        self.beat_task = asyncio.ensure_future(self.beat())
+        self.record.add("runner_is_back", runner=self.id)
+
     def expire(self):
         now = time.monotonic()
         self.tickets = {k: v for k, v in self.tickets.items() if v[1] > now}
@@ -409,7 +429,8 @@
                         return
                 if not await self.answer(method, path, fields, body, reader, writer):
                     return
-        except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError, ValueError):
+        except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError, ConnectionError,
+                ValueError):
             pass
         finally:
             self.channels.discard(writer)
@@ -482,6 +503,7 @@
         self.running += 1
         for ticket in held:
             ticket[2] = True
+        self.serving[request_id] = asyncio.current_task()
         self.record.add("run", runner=self.id, id=request_id, path=path, tenant=fields.get("tenant"),
                         deadline=fields.get("request-deadline"), helpers=len(helpers),
                         last_event=fields.get("last-event-id"))
@@ -496,7 +518,10 @@
             work.result()
         finally:
             gone.cancel()
-            await asyncio.gather(gone, return_exceptions=True)
+            if not work.done():
+                work.cancel()
+            await asyncio.gather(gone, work, return_exceptions=True)
+            self.serving.pop(request_id, None)
             self.running -= 1
             for ticket in held:
                 ticket[2] = False
@@ -511,15 +536,20 @@
         read_ms = prompt / 206 + ENGINE["pairs_per_m"] * prompt * prompt / 2e6
         await asyncio.sleep(read_ms / 1000 / (len(helpers) + 1) + self.first_event_s)
         head = "HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in sealed.items())
-        writer.write((head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+        framing = "Transfer-Encoding: chunked" if self.framed else "Connection: close"
+        writer.write((head + f"Content-Type: text/event-stream\r\n{framing}\r\n\r\n").encode())
         first = int(fields["last-event-id"]) + 1 if "last-event-id" in fields else 1
         for number in range(first, max(1, output // 43) + 1):
             event = f"id: {number}\ndata: {base['Request-Id']} {number}\n\n".encode()
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n" if self.framed else event)
             await writer.drain()
-            await asyncio.sleep(0.05)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
+            await asyncio.sleep(self.event_gap_s)
+        self.record.add("run_complete", runner=self.id, id=base["Request-Id"])
+        if self.framed:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        else:
+            writer.close()
 
 
 # ---------------------------------------------------------------- consumers
