Deliver an answer that ended with its connection only if its process still runs

Their runners had crashed while the entry's machine stood still.

Cause: request_forwarder::has_broken_off() connected to the address of the endpoint and took the answer for complete unless that was refused. The next process of the endpoint accepts there by the time a late entry asks. A time-out or a reset counted as complete too.

Why it works: the entry asks the endpoint who it is (its report names the start of its process, its health call its name) and compares that with what was announced when the request was sent. Only the same process makes the answer complete.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -570,6 +570,13 @@
 milliseconds fleet::backlog(const std::string& endpoint, time_point now) const
 {
     const std::lock_guard lock(m_mutex);
+std::uint64_t fleet::born_ms(const std::string& endpoint) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_endpoints.find(endpoint);
+    return found == m_endpoints.end() ? 0 : found->second.info.born_ms;
+}
+
     const auto found = m_endpoints.find(endpoint);
     return found == m_endpoints.end() ? milliseconds::zero() : to_ms(found->second.load.backlog_ms(now));
 }
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -224,6 +224,9 @@
     std::string endpoint_at(const std::string& address) const;
 
     // Predicted time until the endpoint has finished its pending prefill.
+    // Start of the endpoint's process as it has announced it, in Unix milliseconds; 0 if it is not known.
+    std::uint64_t born_ms(const std::string& endpoint) const;
+
     milliseconds backlog(const std::string& endpoint, time_point now) const;
 
     // Whether the endpoint accepts new work: it is listed, not leaving, and its failure domain is in service.
--- a/src/forward/protocol_adapter.h
+++ b/src/forward/protocol_adapter.h
@@ -59,6 +59,12 @@
     net::http_header_list headers; // passed on to the caller
 };
 
+// What an endpoint says of the process that it is.
+struct endpoint_identity {
+    std::string name;          // empty if it does not say
+    std::uint64_t born_ms = 0; // start of the process, in Unix milliseconds; 0 if it does not say
+};
+
 // HTTP conventions for callers and endpoints. Implemented by the platform adapter.
 class protocol_adapter {
 public:
@@ -86,6 +92,12 @@
     virtual net::http_call report() const = 0;
     virtual bool is_reservation_used(std::string_view report_body, const std::string& reservation) const = 0;
 
+    // Asks an endpoint for its health at the path that the configuration names for its service.
+    virtual net::http_call health(const std::string& path) const = 0;
+
+    // Reads who the endpoint is from its answer to report() or health().
+    virtual endpoint_identity read_identity(const net::http_response& response) const = 0;
+
     // A refusal in the format that callers expect. With a `retry_after` of 0 it names no time for a retry.
     virtual net::http_response refusal(unsigned status, const std::string& type, const std::string& message,
                                        milliseconds retry_after) const = 0;
--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -1,4 +1,5 @@
 #include "base/event_log.h"
+#include "forward/answer_source.h"
 #include "forward/event_progress.h"
 #include "forward/fleet_detail.h"
 #include "forward/inactivity_limits.h"
@@ -56,6 +57,10 @@
 // Shortest interval at which another endpoint is looked for while one is silent.
 constexpr milliseconds min_check_interval{1'000};
 
+// How long the process of an answer that ended with its connection is asked whether it still runs. Callers of
+// streams wait at least 2 s for the next event, which another endpoint then has to send.
+constexpr milliseconds source_check_time{1'000};
+
 // How long an endpoint that seems silent is waited for until its backlog is known.
 constexpr milliseconds backlog_reply_time{80};
 
@@ -133,13 +138,35 @@
     co_return connected;
 }
 
-net::task<bool> request_forwarder::has_broken_off(attempt_ptr current)
+net::task<bool> request_forwarder::may_have_broken_off(attempt_ptr current)
 {
     if (!current->call->ends_with_connection()) {
         co_return false;
     }
-    const result<void> connected = co_await connect_again(current);
-    co_return !connected && connected.error().kind == error_kind::unavailable;
+    const time_point begin = clock::now();
+    const chosen_endpoint& endpoint = current->choice.endpoints.front();
+    const answer_source source{endpoint.name, endpoint.address, current->born_ms,
+                               m_request.service->health_path};
+    source_check found = co_await check_source(m_context.protocol, source,
+                                               std::min(m_request.deadline, begin + source_check_time));
+    const std::uint64_t listed_ms = m_context.endpoints.born_ms(endpoint.name);
+    if (found.state == source_state::running && listed_ms > current->born_ms && current->born_ms != 0) {
+        found.state = source_state::ended;
+        found.detail = "a later start is announced under its name";
+    }
+    event::answer_end_checkedT line;
+    line.request = m_request.terms.id;
+    line.attempt = current->number;
+    line.endpoint = endpoint.name;
+    line.state = to_string(found.state);
+    line.born_ms = current->born_ms;
+    line.stated_name = found.stated.name;
+    line.stated_born_ms = found.stated.born_ms;
+    line.detail = found.detail;
+    line.elapsed_ms = to_u32(clock::now() - begin);
+    event_log::write(line);
+    m_context.counters.add("verbena_forward_answer_ends_checked_total", {{"state", line.state}});
+    co_return found.state != source_state::running;
 }
 
 net::task<void> request_forwarder::examine_lost_answer(attempt_ptr current)
@@ -187,6 +214,7 @@
     ++m_possible_runs;
     call->send(m_context.protocol.endpoint_head(m_exchange.request(), terms), m_exchange.request().body);
     const inactivity_limits limits =
+    current->born_ms = m_context.endpoints.born_ms(first.name);
         is_stream() ? inactivity_limits_for(current->choice, m_request.route->max_pause, m_context.stall)
                     : plain_inactivity_limits();
     const time_point limit =
@@ -359,11 +387,12 @@
     const bool good = head.status >= 200 && head.status < 300;
     const bool cut_after_head = good && response.body.empty() && current->call->ends_with_connection() &&
                                 m_exchange.request().method != "HEAD";
-    if (cut_after_head || co_await has_broken_off(current)) {
+    if (cut_after_head || co_await may_have_broken_off(current)) {
         current->connection_lost = true;
         co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
-                                 cut_after_head ? "connection closed before the first byte of the body"
-                                                : "the endpoint ended before the end of the answer",
+                                 cut_after_head
+                                     ? "connection closed before the first byte of the body"
+                                     : "the endpoint ended, or was not reached, at the end of the answer",
                                  attempt_health::failed);
     }
     if (head.status >= 500) {
@@ -437,11 +466,11 @@
                                                                            const answer_metadata& head)
 {
     const bool empty = current->call->ends_with_connection() && !m_answer.started;
-    if (empty || co_await has_broken_off(current)) {
+    if (empty || co_await may_have_broken_off(current)) {
         current->connection_lost = true;
         co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
                                  empty ? "connection closed before the first event"
-                                       : "the endpoint ended before the end of the answer",
+                                       : "the endpoint ended, or was not reached, at the end of the answer",
                                  attempt_health::failed);
     }
     if (!claim(current)) {
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -98,6 +98,7 @@
         time_point sent_at;              // when its request was sent
         std::string named_limit;         // in the head of its answer; for the log
         double min_interval_ms = 0;
+        std::uint64_t born_ms = 0;       // start of the endpoint as announced by then; 0 = unknown
 
         const std::string& endpoint() const { return choice.endpoints.front().name; }
     };
@@ -153,9 +154,9 @@
     net::task<void> ask_another();
     void log_silence(const std::string& decision) const;
 
-    // Whether an answer that ended with its connection is incomplete. An endpoint that crashes ends its
-    // connections in the same way as one that has finished.
-    net::task<bool> has_broken_off(attempt_ptr current);
+    // Whether an answer that ended with its connection may be incomplete: it is complete only if the process
+    // that has sent it is known to run still.
+    net::task<bool> may_have_broken_off(attempt_ptr current);
     // The error is `unavailable` if the endpoint's address refuses connections.
     net::task<result<void>> connect_again(attempt_ptr current);
     // Finds out whether an endpoint that has ended the connection before it began to answer has ended itself.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -27,10 +27,15 @@
 
 error stream_error(const char* operation, const error_code& cause)
 {
-    return cause == beast::error::timeout
-               ? make_error(error_kind::timeout, std::string(operation) + ": no answer in time",
-                            "check that the peer runs and is reachable")
-               : io_error(operation, cause);
+    if (cause == beast::error::timeout) {
+        return make_error(error_kind::timeout, std::string(operation) + ": no answer in time",
+                          "check that the peer runs and is reachable");
+    }
+    error failure = io_error(operation, cause);
+    if (cause == asio::error::connection_refused) {
+        failure.kind = error_kind::unavailable;
+    }
+    return failure;
 }
 
 std::string request_text(const host_port& address, const http_call& call)
@@ -101,6 +106,15 @@
             m_parser.get().body().data = chunk.data();
             m_parser.get().body().size = chunk.size();
             m_stream.expires_after(inactivity_timeout);
+    http_header_list headers() const override
+    {
+        http_header_list found;
+        for (const auto& field : m_parser.get()) {
+            found.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        }
+        return found;
+    }
+
             auto [failure, size] = co_await http::async_read_some(m_stream, m_buffer, m_parser, no_throw);
             if (failure && failure != http::error::need_buffer) {
                 co_return stream_error("read response body", failure);
@@ -174,10 +188,7 @@
                                  "raise the limit");
         }
     }
-    const std::string location = stream.header("Location");
-    if (!location.empty()) {
-        response.headers.emplace_back("Location", location);
-    }
+    response.headers = stream.headers();
     co_return response;
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -27,6 +27,7 @@
     virtual unsigned status() const = 0;
     virtual std::string content_type() const = 0;
     virtual std::string header(const std::string& name) const = 0;
+    virtual http_header_list headers() const = 0;
 
     // Returns the next bytes of the body; an empty string means that the body is complete. A connection that
     // ends before the last chunk is an error, and so is a gap of more than `inactivity_timeout` without data.
@@ -36,7 +37,8 @@
     virtual void close() = 0;
 };
 
-// Connects, sends the request and reads the response head. `connect_timeout` bounds connection establishment;
+// Connects, sends the request and reads the response head. The error is `unavailable` if the address refuses
+// connections. `connect_timeout` bounds connection establishment;
 // `head_timeout` bounds sending the request and, separately, reading the head. `sent` is set once bytes of
 // the request may have reached the peer: before that, a failure proves that the peer has not seen the
 // request.
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds event_interval{5};
 constexpr milliseconds control_timeout{2'000};
 constexpr const char* mac_value = "s1.standin";
+constexpr std::string_view health_path = "/healthz";
 
 std::string header_text(const http::request<http::string_body>& request, std::string_view name)
 {
@@ -60,7 +61,8 @@
 bool is_unframed(runner_fault fault)
 {
     return fault == runner_fault::unframed || fault == runner_fault::unframed_cut ||
-           fault == runner_fault::unframed_reset || fault == runner_fault::unframed_crash;
+           fault == runner_fault::unframed_reset || fault == runner_fault::unframed_crash ||
+           fault == runner_fault::unframed_restart;
 }
 
 void reset(net::tcp::socket& socket)
@@ -144,15 +146,36 @@
 std::string platform_runner::report_body() const
 {
     const std::lock_guard lock(m_mutex);
-    if (!m_reports_tickets) {
-        return {};
-    }
     boost::json::array tickets;
     for (const runner_order& order : m_orders) {
         const boost::json::value parsed = boost::json::parse(order.body);
-        tickets.push_back({{"id", parsed.at("id")}, {"state", "used"}});
+        if (m_reports_tickets) {
+            tickets.push_back({{"id", parsed.at("id")}, {"state", "used"}});
+        }
     }
-    return boost::json::serialize(boost::json::value{{"tickets", std::move(tickets)}});
+    boost::json::object report{{"tickets", std::move(tickets)}};
+    if (m_identity_calls == identity_calls::report_and_health) {
+        report["born"] = m_start_ms;
+    }
+    return boost::json::serialize(report);
+}
+
+net::task<void> platform_runner::answer_probe(net::tcp::socket& socket, const runner_request& request)
+{
+    ++m_probes;
+    if (request.target == names::report) {
+        const std::string report = report_body();
+        co_await net::sleep_for(m_report_delay.exchange(milliseconds(0)));
+        co_await write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(report.size()) +
+                                   "\r\n\r\n" + report);
+        co_return;
+    }
+    std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+    if (m_identity_calls != identity_calls::none) {
+        answer += "Runner-Id: " + answering_id() + "\r\n";
+    }
+    answer += "\r\n";
+    co_await write(socket, std::move(answer));
 }
 
 void platform_runner::set_pause(milliseconds pause)
@@ -360,6 +383,17 @@
         net::asio::detached);
 }
 
+void platform_runner::take_over()
+{
+    const std::lock_guard lock(m_mutex);
+    m_crashes.push_back(clock::now());
+    if (!m_keeps_id) {
+        m_current_id = m_options.id + "-" + std::to_string(m_crashes.size());
+    }
+    m_start_ms = unix_ms();
+    m_last_sequence = 0;
+}
+
 net::task<void> platform_runner::serve(std::shared_ptr<net::tcp::socket> open)
 {
     net::tcp::socket& socket = *open;
@@ -382,7 +416,8 @@
     request.authorization = header_text(message, names::authorization);
     request.prompt_parts = header_text(message, names::prompt_parts);
     request.received = clock::now();
-    if (request.target != names::report) {
+    const bool is_probe = request.target == names::report || request.target == health_path;
+    if (!is_probe) {
         const std::lock_guard lock(m_mutex);
         m_arrivals.push_back(request.received);
     }
@@ -391,13 +426,17 @@
             const std::lock_guard lock(m_mutex);
             m_orders.push_back({request.body, clock::now()});
         }
+        if (m_endless_orders) {
+            constexpr milliseconds drip_interval{50};
+            co_await write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            co_await send_endless(socket, chunk(" "), drip_interval);
+            co_return;
+        }
         co_await write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
         co_return;
     }
-    if (const std::string report = report_body(); request.target == names::report && !report.empty()) {
-        co_await net::sleep_for(m_report_delay.exchange(milliseconds(0)));
-        co_await write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(report.size()) +
-                                   "\r\n\r\n" + report);
+    if (is_probe) {
+        co_await answer_probe(socket, request);
         co_return;
     }
     if (request.expected_runner != answering_id()) {
@@ -483,10 +522,21 @@
         co_return;
     }
     if (fault == runner_fault::endless_head) {
-        bool connected = co_await write(socket, "HTTP/1.1 200 OK\r\n");
-        while (connected) {
-            connected = co_await write(socket, "Filler: " + std::string(1'000, 'x') + "\r\n");
+        co_await write(socket, "HTTP/1.1 200 OK\r\n");
+        co_await send_endless(socket, "Filler: " + std::string(1'000, 'x') + "\r\n");
+        co_return;
+    }
+    if (fault == runner_fault::endless_chunk || fault == runner_fault::endless_trailer ||
+        fault == runner_fault::endless_body) {
+        co_await write(socket, response_head(200, request.id, true) + "Transfer-Encoding: chunked\r\n\r\n" +
+                                   (fault == runner_fault::endless_trailer ? "0\r\n" : ""));
+        std::string filler(8'192, 'x');
+        if (fault == runner_fault::endless_body) {
+            filler = chunk(filler);
+        } else if (fault == runner_fault::endless_trailer) {
+            filler = "Filler: " + filler + "\r\n";
         }
+        co_await send_endless(socket, std::move(filler));
         co_return;
     }
     const std::string id = fault == runner_fault::wrong_request_id ? "another-request" : request.id;
@@ -502,6 +552,10 @@
             co_await crash();
             co_return;
         }
+        if (fault == runner_fault::unframed_restart) {
+            take_over();
+            co_return;
+        }
         co_await write(socket, body.substr(body.size() / 2));
         co_return;
     }
@@ -565,6 +619,10 @@
             co_await crash();
             co_return;
         }
+        if (is_second && fault == runner_fault::unframed_restart) {
+            take_over();
+            co_return;
+        }
         if (is_second && (fault == runner_fault::drip || fault == runner_fault::endless_event)) {
             co_await send_unfinished_event(socket, fault);
             co_return;
@@ -580,6 +638,18 @@
     ++m_cancelled;
 }
 
+net::task<void> platform_runner::send_endless(net::tcp::socket& socket, std::string text,
+                                              milliseconds interval)
+{
+    while (co_await write(socket, text)) {
+        if (interval != milliseconds::zero()) {
+            co_await net::sleep_for(interval);
+        }
+    }
+    const std::lock_guard lock(m_mutex);
+    ++m_cancelled;
+}
+
 net::task<void> platform_runner::send_unfinished_event(net::tcp::socket& socket, runner_fault fault)
 {
     constexpr milliseconds drip_interval{50};
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -31,10 +31,14 @@
     drip,              // sends its second event a byte at a time, without an end
     endless_head,      // sends header fields without an end
     endless_event,     // sends an event without an end
+    endless_chunk,     // sends bytes without an end in place of a chunk header
+    endless_trailer,   // sends trailer fields without an end
+    endless_body,      // sends chunks without an end
     unframed,          // answers with neither a length nor chunks and ends with the connection
     unframed_cut,      // the same, and closes the connection in the middle of its second event
     unframed_reset,    // the same, and resets the connection before its second event
     unframed_crash,    // the same, and its process crashes before its second event
+    unframed_restart,  // the same, and its next process accepts connections before this one ends
     pause_before_head, // sends nothing for the pause, then answers
     pause_in_stream,   // sends nothing for the pause before its second event, then goes on
     pause_in_body,     // of a runner without streams: the same in the middle of its body
@@ -68,6 +72,9 @@
     std::optional<time_point> ended; // when the runner stopped working on it
 };
 
+// Which calls tell who the runner is: the report its start, the health call its id.
+enum class identity_calls : std::uint8_t { report_and_health, health, none };
+
 // A process that ends as it begins to answer a request with a certain prompt part, and its restart.
 struct runner_crash {
     std::string part;  // as in the request; the last part of a request is ignored
@@ -115,6 +122,17 @@
     void report_tickets_as_used();
     void set_report_delay(milliseconds delay) { m_report_delay = delay; }
 
+    // Answers orders with a body that comes a byte at a time, without an end.
+    void set_endless_orders(bool endless) { m_endless_orders = endless; }
+
+    void set_identity_calls(identity_calls calls) { m_identity_calls = calls; }
+
+    // The next process has the id of the one before in place of a new one.
+    void keep_id() { m_keeps_id = true; }
+
+    // Number of calls that asked who the runner is, or for its state.
+    std::size_t probes() const { return m_probes; }
+
     // Sets how long the faults with a pause last.
     void set_pause(std::chrono::milliseconds pause);
 
@@ -155,13 +173,15 @@
     bool crashes_under(const runner_request& request) const;
     // Closes all connections, refuses new ones, and checks in again some time later as a new process.
     net::task<void> crash();
+    // Goes on as a new process at the same address, which knows nothing of the connections of the old one.
+    void take_over();
     std::string registered_id() const;
     std::string answering_id() const;
     net::task<unsigned> post_json(host_port control, std::string path, std::string body);
     runner_fault take_fault(const runner_request& request);
     milliseconds pause() const;
-    // The report on its state, or empty if it makes none.
     std::string report_body() const;
+    net::task<void> answer_probe(net::tcp::socket& socket, const runner_request& request);
     std::string event_text(std::uint32_t number) const;
     std::string cut_head(const std::string& request_id) const;
     // The limit headers of an answer, each with its line end.
@@ -171,6 +191,8 @@
     net::task<void> send_answer(net::tcp::socket& socket, const runner_request& request, runner_fault fault);
     net::task<void> stream_events(net::tcp::socket& socket, const runner_request& request,
                                   runner_fault fault);
+    // Sends `text` again and again until the connection is closed.
+    net::task<void> send_endless(net::tcp::socket& socket, std::string text, milliseconds interval = {});
     // Sends bytes of an event that never ends, until the connection is closed.
     net::task<void> send_unfinished_event(net::tcp::socket& socket, runner_fault fault);
     std::string check_in_body(const std::string& state, std::uint64_t start_ms, std::uint64_t sequence) const;
@@ -185,6 +207,10 @@
     std::deque<runner_fault> m_faults;
     bool m_reports_tickets = false;
     std::atomic<milliseconds> m_report_delay{milliseconds{0}};
+    std::atomic<identity_calls> m_identity_calls{identity_calls::report_and_health};
+    std::atomic<bool> m_keeps_id{false};
+    std::atomic<bool> m_endless_orders{false};
+    std::atomic<std::size_t> m_probes{0};
     runner_fault m_resume_fault = runner_fault::none;
     milliseconds m_pause{};
     std::optional<std::string> m_request_limit;
