Tell an empty list of teams from an absent one

Cause: the decoder read a missing list and an empty one into the same empty list, and the entry checked no keys when it was empty.

Fix: the list is optional. Only an absent one opens the routes; null is rejected as no list.

--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -430,7 +430,7 @@
                                                                           routed_request& out) const
 {
     out.priority = out.route->priority;
-    if (table.rules().teams.empty()) {
+    if (!table.rules().teams) {
         return std::nullopt;
     }
     const route::team_rule* team = out.terms.key.empty() ? nullptr : table.find_team(out.terms.key);
--- a/src/forward/protocol_adapter.h
+++ b/src/forward/protocol_adapter.h
@@ -33,7 +33,7 @@
 // Metadata sent to an endpoint with a request.
 struct dispatch_metadata {
     std::string endpoint; // name; a different endpoint at this address must refuse
-    std::string team;     // empty when the configuration has no teams
+    std::string team;     // empty if the request has no valid key and needs none
     milliseconds time_left{};
     std::uint32_t priority_level = 5; // priority level, 0 to 9, 0 first
     std::optional<std::uint64_t> last_event;
--- a/src/route/document.h
+++ b/src/route/document.h
@@ -79,7 +79,9 @@
     std::uint64_t version = 0;
     std::vector<route_rule> routes;
     std::vector<service_rule> services;
-    std::vector<team_rule> teams; // empty: no request needs an API key
+    // Absent: no request needs an API key. Empty: no key is valid, so that only routes that allow anonymous
+    // requests serve any.
+    std::optional<std::vector<team_rule>> teams;
     caller_limits limits;
 };
 
--- a/src/route/table.cpp
+++ b/src/route/table.cpp
@@ -50,8 +50,10 @@
     for (const route_rule& route : m_document.routes) {
         BOOST_OUTCOME_TRYV2(auto&&, add_route(route));
     }
-    for (const team_rule& team : m_document.teams) {
-        BOOST_OUTCOME_TRYV2(auto&&, add_team(team));
+    if (m_document.teams) {
+        for (const team_rule& team : *m_document.teams) {
+            BOOST_OUTCOME_TRYV2(auto&&, add_team(team));
+        }
     }
     return success();
 }
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -85,10 +85,24 @@
     BOOST_TEST((value.routes[1].timeout == 1ms));
     BOOST_TEST(value.services[0].engine->prefill_tokens_per_ms == 206.0);
     BOOST_TEST(!value.services[1].engine.has_value());
-    BOOST_TEST(value.teams[0].priority.value() == 1U);
+    BOOST_TEST(value.teams->at(0).priority.value() == 1U);
     BOOST_TEST((value.limits.idle_timeout == 15s));
 }
 
+// Guards against a list of teams that has become empty and is taken for none: keys are asked for then too.
+BOOST_AUTO_TEST_CASE(an_empty_list_of_teams_is_not_an_absent_one)
+{
+    const std::string teams = R"("tenants":[{"name":"t1","api_keys":["k1"],"priority":1}])";
+    const auto empty = decode(replace_in_sample(teams, "\"tenants\":[]"));
+    BOOST_TEST_REQUIRE(empty.has_value());
+    BOOST_TEST_REQUIRE(empty.value().teams.has_value());
+    BOOST_TEST(empty.value().teams->empty());
+    const auto absent = decode(replace_in_sample(",\n  " + teams, ""));
+    BOOST_TEST_REQUIRE(absent.has_value());
+    BOOST_TEST(!absent.value().teams.has_value());
+    BOOST_TEST(error_of(replace_in_sample(teams, "\"tenants\":null")) == "tenants is not an array");
+}
+
 // Guards against invalid fields that are silently replaced by a default. Each error names the path of the
 // field.
 BOOST_AUTO_TEST_CASE(names_the_path_of_an_invalid_field)
--- a/test/route_table_test.cpp
+++ b/test/route_table_test.cpp
@@ -27,9 +27,9 @@
     value.services[1].name = "model";
     value.routes = {make_route("all", "/"), make_route("orders", "/orders/"),
                     make_route("urgent", "/orders/urgent/")};
-    value.teams.resize(1);
-    value.teams[0].name = "clerks";
-    value.teams[0].keys = {"k1", "k2"};
+    value.teams.emplace(1);
+    value.teams->at(0).name = "clerks";
+    value.teams->at(0).keys = {"k1", "k2"};
     return value;
 }
 
@@ -77,7 +77,7 @@
     zero_timeout.routes[0].timeout = 0ms;
     BOOST_TEST(error_message(zero_timeout) == "route 'all' has a timeout of 0");
     route::document shared_key = make_document();
-    shared_key.teams.push_back({"buyers", {"k2"}, {}});
+    shared_key.teams->push_back({"buyers", {"k2"}, {}});
     BOOST_TEST(error_message(shared_key) == "teams 'buyers' and 'clerks' share a key");
 }
 
