Bound what an endpoint can make an entry hold and wait for

With an endless body in the answer to a reservation, 10 of 12 long requests were unanswered half a second after the timeout of their route.

Cause: bytes that the parser could not use were kept without a maximum, the timer of an attempt was put off while bytes were waiting, and fetch_http() bounded each read instead of the call.

Fix: both HTTP clients hold 16 KiB without progress at most, whatever part of the answer it is; fetch_http() ends with its timeout; bytes that add nothing to a body extend no read; answers to the entry's own calls are 64 KiB at most; and the answers of all requests together are bounded by total_buffer, beyond which the largest is given up (forward_answer_memory).

--- /dev/null
+++ b/src/forward/answer_memory.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <mutex>
+#include <set>
+
+namespace verbena::forward {
+
+// Bounds the bytes of answers that an entry holds over all requests until it can pass them on: bodies that
+// are not complete yet, and unfinished events. Endpoints in trouble may send without end, many at a time, so
+// that a bound for each answer is not enough. Beyond the limit the largest answer is given up. Thread-safe;
+// its mutex is held alone.
+class answer_memory {
+public:
+    explicit answer_memory(std::size_t limit) : m_limit(limit) {}
+
+    // The bytes that one attempt holds.
+    class account {
+    public:
+        // `on_give_up` is called once at most, from any thread, and must not use the account.
+        account(answer_memory& memory, std::function<void()> on_give_up);
+        account(const account&) = delete;
+        account& operator=(const account&) = delete;
+        ~account();
+
+        // Gives up the largest answers if all together are larger than the limit.
+        void set(std::size_t bytes);
+
+        bool given_up() const;
+
+    private:
+        friend class answer_memory;
+
+        answer_memory& m_memory;
+        std::function<void()> m_on_give_up;
+        std::size_t m_bytes = 0;
+        bool m_given_up = false;
+    };
+
+    // Bytes of all answers that are not given up.
+    std::size_t held() const;
+
+private:
+    const std::size_t m_limit;
+    mutable std::mutex m_mutex;
+    std::set<account*> m_accounts; // of answers that are not given up
+    std::size_t m_held = 0;
+};
+
+} // namespace verbena::forward
--- a/src/forward/endpoint_call.cpp
+++ b/src/forward/endpoint_call.cpp
@@ -25,6 +25,7 @@
 
 // How long data that has arrived may stay unread before the inactivity timeout counts.
 constexpr milliseconds unread_data_time{10};
+constexpr int max_unread_waits = 10;
 
 } // namespace
 
@@ -35,31 +36,32 @@
 }
 
 // One timer serves all operations. On expiry it closes the socket, which ends the pending operation.
-void endpoint_call::arm(time_point deadline, deadline_extension extend)
+void endpoint_call::arm(time_point deadline, deadline_extension extend, int unread_waits)
 {
     m_expired = false;
     const std::uint64_t operation = ++m_operation;
     m_timer.expires_at(deadline);
-    m_timer.async_wait(
-        [self = shared_from_this(), operation, extend = std::move(extend)](const error_code& failure) {
-            if (failure || operation != self->m_operation) {
-                return;
-            }
-            const time_point now = clock::now();
-            error_code unknown;
-            if (extend && self->m_socket.available(unknown) > 0) {
-                // This process was held up, and the pending read takes what has arrived meanwhile.
-                self->arm(now + unread_data_time, extend);
-                return;
-            }
-            const time_point new_deadline = extend ? extend() : now;
-            if (new_deadline > now) {
-                self->arm(new_deadline, extend);
-                return;
-            }
-            self->m_expired = true;
-            self->close();
-        });
+    m_timer.async_wait([self = shared_from_this(), operation, extend = std::move(extend),
+                        unread_waits](const error_code& failure) {
+        if (failure || operation != self->m_operation) {
+            return;
+        }
+        const time_point now = clock::now();
+        error_code unknown;
+        if (extend && unread_waits < max_unread_waits && self->m_socket.available(unknown) > 0) {
+            // This process was held up, and the pending read takes what has arrived meanwhile. Bytes that
+            // never become a part of the answer may arrive without end.
+            self->arm(now + unread_data_time, extend, unread_waits + 1);
+            return;
+        }
+        const time_point new_deadline = extend ? extend() : now;
+        if (new_deadline > now) {
+            self->arm(new_deadline, extend);
+            return;
+        }
+        self->m_expired = true;
+        self->close();
+    });
 }
 
 void endpoint_call::disarm()
--- a/src/forward/endpoint_call.h
+++ b/src/forward/endpoint_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/protocol_adapter.h"
+#include "net/answer_limits.h"
 #include "net/asio.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -46,7 +47,8 @@
 private:
     static net::task<void> write(std::shared_ptr<endpoint_call> self, std::string head, std::string body);
     void disarm();
-    void arm(time_point deadline, deadline_extension extend = nullptr);
+    // `unread_waits`: how often the deadline was put off for data that had arrived.
+    void arm(time_point deadline, deadline_extension extend = nullptr, int unread_waits = 0);
 
     net::tcp::socket m_socket;
     net::steady_timer m_timer;
@@ -54,7 +56,7 @@
     // Number of the current operation; identifies a timer handler that was already queued when it was
     // cancelled.
     std::uint64_t m_operation = 0;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{net::max_unparsed_bytes};
     boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
 };
 
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -97,7 +97,7 @@
           }
           event_log::write(line);
       }),
-      m_budget(entry_retry_options(settings, assumed_entries))
+      m_budget(entry_retry_options(settings, assumed_entries)), m_answer_memory(settings.total_buffer)
 {
     m_fleet.set_complete_at(time_point::max());
     m_fleet.set_crashes_known(settings.peer_listen.empty());
@@ -549,7 +549,8 @@
                                     m_process.counters(),
                                     milliseconds(m_settings.stall),
                                     [this](time_point now) { return can_serve(now); },
-                                    m_stopping};
+                                    m_stopping,
+                                    m_answer_memory};
     const time_point deadline = request.deadline;
     const time_point arrived = request.arrived;
     const std::string route = request.route->name;
--- a/src/forward/forward_service.h
+++ b/src/forward/forward_service.h
@@ -84,6 +84,7 @@
     fleet m_fleet;
     node::directory_view m_directory;
     shared_retry_budget m_budget;
+    answer_memory m_answer_memory;
     std::shared_ptr<net::peer_pool> m_pool;
     std::shared_ptr<node::control_client> m_control;
     std::unique_ptr<scheduler_client> m_scheduler;
--- a/src/forward/memory_reservation.cpp
+++ b/src/forward/memory_reservation.cpp
@@ -10,6 +10,9 @@
 constexpr milliseconds renewal_interval{1'000};
 constexpr milliseconds call_timeout{400};
 
+// A report lists the reservations of an endpoint, 64 at most.
+constexpr std::size_t max_response = 64 * 1024;
+
 } // namespace
 
 memory_reservation::memory_reservation(const protocol_adapter& protocol, metrics& counters,
@@ -37,7 +40,7 @@
             continue;
         }
         const result<net::http_response> response =
-            co_await net::fetch_http(endpoint.address, reserve_call(i), call_timeout);
+            co_await net::fetch_http(endpoint.address, reserve_call(i), call_timeout, max_response);
         const bool reserved = response && response.value().status == 200;
         m_counters.add("verbena_forward_reservations_total", {{"outcome", reserved ? "held" : "refused"}});
         if (!reserved) {
@@ -55,7 +58,7 @@
             continue;
         }
         const result<net::http_response> response =
-            co_await net::fetch_http(endpoint.address, m_protocol.report(), call_timeout);
+            co_await net::fetch_http(endpoint.address, m_protocol.report(), call_timeout, max_response);
         if (response) {
             co_return response.value().status == 200 &&
                 m_protocol.is_reservation_used(response.value().body, reservation_id(i));
@@ -82,11 +85,11 @@
             if (endpoint.reserved_tokens == 0) {
                 continue;
             }
-            (void)co_await net::fetch_http(endpoint.address, reserve_call(i), call_timeout);
+            (void)co_await net::fetch_http(endpoint.address, reserve_call(i), call_timeout, max_response);
             if (m_released) {
                 // The renewal may have arrived after the release and have reserved the memory again.
                 (void)co_await net::fetch_http(endpoint.address, m_protocol.release(reservation_id(i)),
-                                               call_timeout);
+                                               call_timeout, max_response);
             }
         }
     }
@@ -103,7 +106,8 @@
         net::asio::co_spawn(
             executor,
             [](net::http_call call, host_port address) -> net::task<void> {
-                (void)co_await net::fetch_http(std::move(address), std::move(call), call_timeout);
+                (void)co_await net::fetch_http(std::move(address), std::move(call), call_timeout,
+                                               max_response);
             }(m_protocol.release(reservation_id(i)), endpoint.address),
             net::asio::detached);
     }
--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t max_answer_bytes = 16ULL * 1024 * 1024;
 constexpr std::size_t max_event_bytes = 1024 * 1024;
 
+const std::string memory_limit_cause =
+    "the answers of all requests exceed total_buffer, and this one is the largest";
+
 // Returned for an attempt that is not waited for any longer.
 constexpr time_point no_extension{};
 
@@ -54,13 +57,13 @@
     return text;
 }
 
-// Shortest interval at which another endpoint is looked for while one is silent.
-constexpr milliseconds min_check_interval{1'000};
-
 // How long the process of an answer that ended with its connection is asked whether it still runs. Callers of
 // streams wait at least 2 s for the next event, which another endpoint then has to send.
 constexpr milliseconds source_check_time{1'000};
 
+// Shortest interval at which another endpoint is looked for while one is silent.
+constexpr milliseconds min_check_interval{1'000};
+
 // How long an endpoint that seems silent is waited for until its backlog is known.
 constexpr milliseconds backlog_reply_time{80};
 
@@ -211,10 +214,10 @@
     }
     current->sent = true;
     current->sent_at = now;
+    current->born_ms = m_context.endpoints.born_ms(first.name);
     ++m_possible_runs;
     call->send(m_context.protocol.endpoint_head(m_exchange.request(), terms), m_exchange.request().body);
     const inactivity_limits limits =
-    current->born_ms = m_context.endpoints.born_ms(first.name);
         is_stream() ? inactivity_limits_for(current->choice, m_request.route->max_pause, m_context.stall)
                     : plain_inactivity_limits();
     const time_point limit =
@@ -353,6 +356,14 @@
     co_return co_await relay_body(current, head);
 }
 
+std::unique_ptr<answer_memory::account> request_forwarder::open_account(const attempt_ptr& current)
+{
+    return std::make_unique<answer_memory::account>(m_context.memory,
+                                                    [executor = m_executor, call = current->call] {
+                                                        net::asio::post(executor, [call] { call->close(); });
+                                                    });
+}
+
 net::task<request_forwarder::attempt_end> request_forwarder::relay_body(attempt_ptr current,
                                                                         const answer_metadata& head)
 {
@@ -364,23 +375,27 @@
     const auto extend = [self = shared_from_this(), current, inactivity] {
         return self->on_inactivity(current, inactivity.between_events);
     };
+    const auto held = open_account(current);
     while (true) {
         const time_point limit = is_idempotent()
                                      ? std::min(m_request.deadline, clock::now() + inactivity.between_events)
                                      : m_request.deadline;
         const result<std::string> chunk = co_await current->call->read_some(limit, extend);
         if (!chunk) {
-            current->connection_lost = chunk.error().kind != error_kind::timeout;
+            current->connection_lost = chunk.error().kind != error_kind::timeout && !held->given_up();
             co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
-                                     chunk.error().message, attempt_health::failed);
+                                     held->given_up() ? memory_limit_cause : chunk.error().message,
+                                     attempt_health::failed);
         }
         if (chunk.value().empty()) {
             break;
         }
         response.body += chunk.value();
-        if (response.body.size() > max_answer_bytes) {
+        held->set(response.body.capacity());
+        if (response.body.size() > max_answer_bytes || held->given_up()) {
             co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
-                                     "answer larger than 16 MiB", attempt_health::failed);
+                                     held->given_up() ? memory_limit_cause : "answer larger than 16 MiB",
+                                     attempt_health::failed);
         }
     }
     // Nothing tells a success whose body is empty from one that was cut after its head.
@@ -422,6 +437,7 @@
     const inactivity_limits inactivity =
         inactivity_limits_for(current->choice, m_request.route->max_pause, m_context.stall);
     event_progress progress(clock::now(), inactivity);
+    const auto held = open_account(current);
     const auto extend = [self = shared_from_this(), current, inactivity] {
         return self->on_inactivity(current, inactivity.between_events);
     };
@@ -434,9 +450,10 @@
         if (!chunk || (chunk.value().empty() && reader.pending_bytes() != 0)) {
             const bool silent =
                 current->reservation_unused || (!chunk && chunk.error().kind == error_kind::timeout);
-            current->connection_lost = !silent;
-            const std::string cause =
-                chunk ? "connection closed in the middle of an event" : chunk.error().message;
+            current->connection_lost = !silent && !held->given_up();
+            const std::string cause = held->given_up() ? memory_limit_cause
+                                      : chunk          ? "connection closed in the middle of an event"
+                                                       : chunk.error().message;
             co_return record_attempt(*current, attempt_end::may_have_run, silent ? "silent" : "broken",
                                      head.status, cause,
                                      silent ? attempt_health::unreachable : attempt_health::failed);
@@ -452,6 +469,7 @@
                                      attempt_health::neutral);
         }
         progress.on_bytes(clock::now(), reader.pending_bytes() < pending);
+        held->set(reader.pending_bytes());
         const bool endless = is_idempotent() && progress.is_endless();
         if (endless || reader.pending_bytes() > max_event_bytes) {
             co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/random.h"
+#include "forward/answer_memory.h"
 #include "forward/endpoint_call.h"
 #include "forward/event_reader.h"
 #include "forward/fleet.h"
@@ -40,6 +41,7 @@
     milliseconds stall{1'500}; // how long an endpoint waits for another endpoint that it depends on
     std::function<bool(time_point)> may_send; // whether the configuration is recent enough to act on
     const std::atomic<bool>& stopping;        // whether this process is stopping
+    answer_memory& memory;
 };
 
 // Forwards one request to endpoints until it is answered, refused or given up. An attempt that may have run
@@ -96,9 +98,9 @@
         bool reservation_unused = false; // so the endpoint no longer runs the request
         time_point next_check;           // of a silent endpoint
         time_point sent_at;              // when its request was sent
+        std::uint64_t born_ms = 0;       // start of the endpoint as announced by then; 0 = unknown
         std::string named_limit;         // in the head of its answer; for the log
         double min_interval_ms = 0;
-        std::uint64_t born_ms = 0;       // start of the endpoint as announced by then; 0 = unknown
 
         const std::string& endpoint() const { return choice.endpoints.front().name; }
     };
@@ -134,6 +136,8 @@
     // Whether this process may still act on the choice. Gives the endpoints up if not.
     bool confirm(const dispatch_choice& choice);
     void start_attempt(dispatch_choice choice);
+    // The bytes of an answer that this process holds. It closes the call if they are too many.
+    std::unique_ptr<answer_memory::account> open_account(const attempt_ptr& current);
     // Returns when an attempt has answered, when none is open any more, or when the caller has left.
     net::task<attempt_end> await_attempts();
     net::task<void> run_attempt(attempt_ptr current);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 
 #include "net/address.h"
+#include "net/answer_limits.h"
 #include "net/keep_alive.h"
 
 #include <boost/asio/buffer.hpp>
@@ -11,6 +12,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
+
 namespace verbena::net {
 
 namespace beast = boost::beast;
@@ -51,11 +54,12 @@
 
 class client_stream : public http_stream {
 public:
-    explicit client_stream(const asio::any_io_executor& executor) : m_stream(executor) {}
+    // All operations fail after `end`.
+    client_stream(const asio::any_io_executor& executor, time_point end) : m_stream(executor), m_end(end) {}
 
     task<result<void>> connect(tcp::endpoint endpoint, milliseconds timeout)
     {
-        m_stream.expires_after(timeout);
+        expires_after(timeout);
         auto [failure] = co_await m_stream.async_connect(endpoint, no_throw);
         if (failure) {
             co_return stream_error("connect", failure);
@@ -79,7 +83,7 @@
     task<result<void>> read_head(milliseconds timeout)
     {
         m_parser.body_limit(boost::none);
-        m_stream.expires_after(timeout);
+        expires_after(timeout);
         auto [failure, size] = co_await http::async_read_header(m_stream, m_buffer, m_parser, no_throw);
         if (failure) {
             co_return stream_error("read response head", failure);
@@ -87,7 +91,11 @@
         co_return success();
     }
 
-    void expires_after(milliseconds timeout) { m_stream.expires_after(timeout); }
+    void expires_after(milliseconds timeout)
+    {
+        const auto left = std::chrono::duration_cast<milliseconds>(m_end - clock::now());
+        m_stream.expires_after(std::clamp(left, milliseconds::zero(), timeout));
+    }
 
     unsigned status() const override { return m_parser.get().result_int(); }
 
@@ -98,14 +106,6 @@
 
     std::string header(const std::string& name) const override { return std::string(m_parser.get()[name]); }
 
-    task<result<std::string>> read_some(milliseconds inactivity_timeout) override
-    {
-        std::string chunk;
-        while (chunk.empty() && !m_parser.is_done()) {
-            chunk.resize(read_size);
-            m_parser.get().body().data = chunk.data();
-            m_parser.get().body().size = chunk.size();
-            m_stream.expires_after(inactivity_timeout);
     http_header_list headers() const override
     {
         http_header_list found;
@@ -115,6 +115,15 @@
         return found;
     }
 
+    task<result<std::string>> read_some(milliseconds inactivity_timeout) override
+    {
+        std::string chunk;
+        // Bytes that add nothing to the body, such as a chunk header, do not extend the time.
+        expires_after(inactivity_timeout);
+        while (chunk.empty() && !m_parser.is_done()) {
+            chunk.resize(read_size);
+            m_parser.get().body().data = chunk.data();
+            m_parser.get().body().size = chunk.size();
             auto [failure, size] = co_await http::async_read_some(m_stream, m_buffer, m_parser, no_throw);
             if (failure && failure != http::error::need_buffer) {
                 co_return stream_error("read response body", failure);
@@ -132,41 +141,61 @@
 
 private:
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    const time_point m_end;
+    beast::flat_buffer m_buffer{max_unparsed_bytes};
     http::response_parser<http::buffer_body> m_parser;
 };
 
 } // namespace
 
-task<result<std::unique_ptr<http_stream>>> open_http(host_port address, http_call call,
-                                                     milliseconds connect_timeout, milliseconds head_timeout,
-                                                     std::shared_ptr<bool> sent)
+namespace {
+
+// The arguments of open_http(); nothing goes on after `end`.
+struct open_limits {
+    milliseconds connect;
+    milliseconds head;
+    time_point end = time_point::max();
+};
+
+task<result<std::unique_ptr<http_stream>>> open_until(host_port address, http_call call, open_limits limits,
+                                                      std::shared_ptr<bool> sent)
 {
     BOOST_OUTCOME_CO_TRY(const tcp::endpoint endpoint, to_tcp_endpoint(address));
-    auto stream = std::make_unique<client_stream>(co_await asio::this_coro::executor);
-    const result<void> connected = co_await stream->connect(endpoint, connect_timeout);
+    auto stream = std::make_unique<client_stream>(co_await asio::this_coro::executor, limits.end);
+    const result<void> connected = co_await stream->connect(endpoint, limits.connect);
     if (!connected) {
         co_return connected.error();
     }
     if (sent) {
         *sent = true;
     }
-    stream->expires_after(head_timeout);
+    stream->expires_after(limits.head);
     const result<void> written = co_await stream->send(request_text(address, call), std::move(call.body));
     if (!written) {
         co_return written.error();
     }
-    const result<void> head = co_await stream->read_head(head_timeout);
+    const result<void> head = co_await stream->read_head(limits.head);
     if (!head) {
         co_return head.error();
     }
     co_return std::unique_ptr<http_stream>(std::move(stream));
 }
 
+} // namespace
+
+task<result<std::unique_ptr<http_stream>>> open_http(host_port address, http_call call,
+                                                     milliseconds connect_timeout, milliseconds head_timeout,
+                                                     std::shared_ptr<bool> sent)
+{
+    co_return co_await open_until(std::move(address), std::move(call), {connect_timeout, head_timeout},
+                                  std::move(sent));
+}
+
 task<result<http_response>> fetch_http(host_port address, http_call call, milliseconds timeout,
                                        std::size_t max_body)
 {
-    auto opened = co_await open_http(std::move(address), std::move(call), timeout, timeout);
+    auto opened = co_await open_until(std::move(address), std::move(call),
+                                      {timeout, timeout, clock::now() + timeout}, nullptr);
     if (!opened) {
         co_return opened.error();
     }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -30,7 +30,8 @@
     virtual http_header_list headers() const = 0;
 
     // Returns the next bytes of the body; an empty string means that the body is complete. A connection that
-    // ends before the last chunk is an error, and so is a gap of more than `inactivity_timeout` without data.
+    // ends before the last chunk is an error, and so is a gap of more than `inactivity_timeout` without bytes
+    // of the body.
     virtual task<result<std::string>> read_some(milliseconds inactivity_timeout) = 0;
 
     // Closes the connection; a pending read fails.
@@ -46,7 +47,8 @@
                                                      milliseconds connect_timeout, milliseconds head_timeout,
                                                      std::shared_ptr<bool> sent = nullptr);
 
-// Sends a request and reads the complete response. Fails when its body exceeds `max_body` bytes.
+// Sends a request and reads the complete response within `timeout`. Fails when its body exceeds `max_body`
+// bytes.
 task<result<http_response>> fetch_http(host_port address, http_call call, milliseconds timeout,
                                        std::size_t max_body = 8 * 1024 * 1024);
 
--- a/test/forward_exception_test.cpp
+++ b/test/forward_exception_test.cpp
@@ -78,8 +78,8 @@
         request.terms = adapter.read_request(exchange.request()).value();
         request.arrived = clock::now();
         request.deadline = request.arrived + request.route->timeout;
-        const forward::forwarder_context context{m_fleet,    m_scheduler, adapter, m_budget,
-                                                 m_counters, 1'500ms,     {},      m_stopping};
+        const forward::forwarder_context context{m_fleet, m_scheduler, adapter,    m_budget, m_counters,
+                                                 1'500ms, {},          m_stopping, m_memory};
         const auto forwarder =
             std::make_shared<forward::request_forwarder>(context, exchange, std::move(request));
         co_await forwarder->run(co_await net::asio::this_coro::executor);
@@ -155,6 +155,7 @@
     forward::scheduler_client m_scheduler{m_schedulers, "", "a", m_fleet};
     forward::shared_retry_budget m_budget{policy::retry_budget_options{}};
     std::atomic<bool> m_stopping{false};
+    forward::answer_memory m_memory{1024 * 1024};
     std::shared_ptr<const route::table> m_rules;
     net_threads m_threads;
     std::vector<std::shared_ptr<standin::platform_runner>> m_runners;
