Hold signals until a starting process can handle them

What the users saw: FAULT, processes that ended by themselves; which cause they met is not known, since no logs were kept.

The platform sends SIGHUP whenever the settings change, also in a series of restarts.

Cause: the signals had their default action until the settings were read and node::process existed.

The time before main() remains: the dynamic linker loads the libraries then.

--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -1,3 +1,4 @@
+#include "base/held_signals.h"
 #include "base/version.h"
 #include "main/help.h"
 #include "main/roles.h"
@@ -16,6 +17,11 @@
 
 namespace {
 
+bool is_server_role(const std::string& role)
+{
+    return role == "entry" || role == "agent" || role == "control";
+}
+
 constexpr const char* usage =
     "proxies language-model requests from callers to engines\n"
     "  verbenaproxy entry   --config FILE [--check]\n"
@@ -52,7 +58,7 @@
     if (role == "demo") {
         return verbena::print_demo(FLAGS_folder, FLAGS_binaries);
     }
-    if (role != "entry" && role != "agent" && role != "control") {
+    if (!is_server_role(role)) {
         return report_usage();
     }
     if (FLAGS_config.empty()) {
@@ -66,9 +72,12 @@
 
 int main(int argc, char** argv)
 {
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (!arguments.empty() && is_server_role(arguments.front())) {
+        verbena::hold_signals();
+    }
     gflags::SetUsageMessage(usage);
     gflags::SetVersionString(verbena::version());
-    const std::vector<std::string> arguments(argv + 1, argv + argc);
     const bool wants_role_help =
         arguments.size() == 2 && (arguments[1] == "--help" || arguments[0] == "help");
     const std::string help = wants_role_help
--- a/src/main/roles.cpp
+++ b/src/main/roles.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/agent_service.h"
 #include "base/event_log.h"
+#include "base/held_signals.h"
 #include "base/log.h"
 #include "base/version.h"
 #include "control/control_service.h"
@@ -23,8 +24,13 @@
 constexpr int exit_failure = 1;
 constexpr int exit_invalid_settings = 2;
 
+// A process that is asked to stop while it starts ends like one that is asked later.
 int report_error(const error& cause, int code)
 {
+    if (stop_requested()) {
+        log::info("asked to stop while starting: " + describe(cause));
+        return 0;
+    }
     std::cerr << "verbenaproxy: " << describe(cause) << '\n';
     return code;
 }
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -1,6 +1,7 @@
 #include "node/process.h"
 
 #include "base/event_log.h"
+#include "base/held_signals.h"
 #include "base/log.h"
 #include "base/random.h"
 
@@ -142,6 +143,7 @@
     m_on_stop = std::move(on_stop);
     net::asio::co_spawn(
         net::asio::make_strand(m_io), [this] { return wait_for_signals(); }, net::asio::detached);
+    release_signals();
     std::vector<std::thread> workers;
     for (std::uint32_t i = 1; i < m_settings.workers; ++i) {
         workers.emplace_back([this] { m_io.run(); });
