Wait for an address that is still in use at the start

Reproduced on: with one of its addresses in use for 2 s, an entry or a control process ends with 1 and does not listen when it is free again. A predecessor in its grace period is enough, or a connection of a client that was given the port.

Cause: one attempt to listen.

Evidence: process_start/an_address_in_use_is_waited_for; by hand both roles listen after the address is free.

Other errors end the start at once as before.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -79,7 +79,7 @@
                                                          const http_limits& limits, http_handler& handler,
                                                          metrics& counters, std::string name)
 {
-    BOOST_OUTCOME_TRY(tcp::acceptor acceptor, open_acceptor(io, address));
+    BOOST_OUTCOME_TRY(tcp::acceptor acceptor, await_acceptor(io, address));
     return std::make_shared<http_server>(io, std::move(acceptor), limits, handler, counters, std::move(name));
 }
 
--- a/src/net/peer_pool.cpp
+++ b/src/net/peer_pool.cpp
@@ -8,7 +8,7 @@
                                                            const connection_options& options,
                                                            connection_handler& handler)
 {
-    BOOST_OUTCOME_TRY(tcp::acceptor acceptor, open_acceptor(io, address));
+    BOOST_OUTCOME_TRY(tcp::acceptor acceptor, await_acceptor(io, address));
     return std::make_shared<frame_server>(io, std::move(acceptor), options, handler);
 }
 
--- a/test/process_start_test.cpp
+++ b/test/process_start_test.cpp
@@ -106,4 +106,34 @@
     }
 }
 
+// Guards against a process that does not start because its predecessor, or a client's connection, still uses
+// one of its addresses.
+BOOST_AUTO_TEST_CASE(an_address_in_use_is_waited_for)
+{
+    net::asio::io_context io;
+    for (const char* role : {"entry", "control"}) {
+        starting_process started(role);
+        net::tcp::acceptor held(io, {net::asio::ip::address_v4::loopback(), started.port});
+        started.write_settings([] {});
+        std::this_thread::sleep_for(2s);
+        BOOST_TEST(started.process->running());
+        held.close();
+        BOOST_TEST(eventually([&] { return started.listens(); }));
+    }
+}
+
+// The wait for an address does not keep a process from stopping.
+BOOST_AUTO_TEST_CASE(a_stop_ends_the_wait_for_an_address)
+{
+    net::asio::io_context io;
+    starting_process started("entry");
+    net::tcp::acceptor held(io, {net::asio::ip::address_v4::loopback(), started.port});
+    started.write_settings([] {});
+    std::this_thread::sleep_for(500ms);
+    BOOST_TEST(started.process->signal(SIGTERM));
+    const auto exit = started.process->wait_exit(2s);
+    BOOST_TEST_REQUIRE(exit.has_value());
+    BOOST_TEST(exit->code == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
