End a connection that its client has closed

Cause: http_server::linger() read again after the end of the input, and that read never returns.

Fix: after the end of the input it only waits until the client's machine has acknowledged all bytes.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -258,10 +258,8 @@
         connection.deadline.set(unsent == 0 ? end : std::min(end, clock::now() + unsent_poll_interval));
         auto [failure, size] = co_await connection.stream.async_read_some(asio::buffer(discarded), no_throw);
         total += size;
-        const bool half_closed = failure == asio::error::eof && unsent != 0;
-        if (half_closed) {
-            co_await sleep_for(unsent_poll_interval);
-        } else if (failure && !connection.deadline.expired()) {
+        client_closed = failure == asio::error::eof;
+        if (failure && !client_closed && !connection.deadline.expired()) {
             co_return;
         }
     }
@@ -269,6 +267,7 @@
 
 task<bool> http_server::wait_request(connection_state& connection)
 {
+    bool client_closed = false; // a read after the end of the input would not return
     // The timeout of an earlier write must not close the connection while it is idle.
     connection.stream.expires_never();
     if (connection.buffer.size() > 0) {
@@ -278,6 +277,13 @@
     if (!has_received_bytes(connection.stream.socket())) {
         {
             const std::lock_guard lock(m_idle_mutex);
+        if (client_closed && unsent == 0) {
+            co_return;
+        }
+        if (client_closed) {
+            co_await sleep_for(unsent_poll_interval);
+            continue;
+        }
             m_idle.emplace(&connection, connection.stream.get_executor());
         }
         // close_idle() has not seen a connection that is added after stop_accepting() was called.
--- a/test/http_limits_test.cpp
+++ b/test/http_limits_test.cpp
@@ -252,6 +252,25 @@
     BOOST_TEST(!client.text.ends_with("0\r\n\r\n"));
 }
 
+// Guards against connections that are held after their clients have closed them, up to the limit: a client
+// may close before the server's machine has heard that its end has arrived.
+BOOST_AUTO_TEST_CASE(a_connection_ends_when_its_client_has_closed_it)
+{
+    const std::uint16_t port = listen();
+    run([&]() -> net::task<void> {
+        constexpr int clients = 100;
+        for (int i = 0; i < clients; ++i) {
+            raw_client client(io);
+            co_await client.connect(port);
+            co_await client.send(post + "Connection: close\r\nContent-Length: 0\r\n\r\n");
+            co_await client.read_until("size 0");
+            co_await net::sleep_for(1ms);
+        }
+        co_await net::sleep_for(300ms);
+        BOOST_TEST(server->connections() == 0U);
+    });
+}
+
 // Guards against an unbounded number of connections, and against a count that does not fall when they close.
 BOOST_AUTO_TEST_CASE(connections_beyond_the_limit_are_closed)
 {
