Let a begun stream wait while endpoints may be missing from the list

Cause, by reading and now by a test: the list counted as complete 2.5 s after the first one, which is empty in a new deployment, and has_endpoint_left() did not ask whether the list is complete.

Evidence: platform_new_deployment, with the former decisions put back (trial on a scratch copy) the stream breaks off and the second endpoint gets no request; with this change it is whole.

Fix: the time starts again with the first endpoint, and a begun stream waits until the list is complete.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -326,6 +326,9 @@
                               time_point now) const
 {
     const std::lock_guard lock(m_mutex);
+    if (now < m_complete_at) {
+        return true; // others may still be missing from the list
+    }
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
         return item.second.info.service == service && !excluded.contains(item.first) &&
                accepts_work(item.second, now);
@@ -567,9 +570,6 @@
     return newest == nullptr ? std::string() : newest->info.endpoint;
 }
 
-milliseconds fleet::backlog(const std::string& endpoint, time_point now) const
-{
-    const std::lock_guard lock(m_mutex);
 std::uint64_t fleet::born_ms(const std::string& endpoint) const
 {
     const std::lock_guard lock(m_mutex);
@@ -577,6 +577,9 @@
     return found == m_endpoints.end() ? 0 : found->second.info.born_ms;
 }
 
+milliseconds fleet::backlog(const std::string& endpoint, time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
     const auto found = m_endpoints.find(endpoint);
     return found == m_endpoints.end() ? milliseconds::zero() : to_ms(found->second.load.backlog_ms(now));
 }
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -161,7 +161,8 @@
     // The notes of a dispatch, one for each endpoint, the answering one first; empty for an unknown dispatch.
     std::vector<wire::dispatch_noteT> notes_of(const policy::work_key& key) const;
 
-    // Whether another endpoint of the service may take a request later, if none can now.
+    // Whether another endpoint of the service may take a request later, if none can now. While the list may
+    // lack endpoints, one may.
     bool has_endpoint_left(const std::string& service, const std::set<std::string>& excluded,
                            time_point now) const;
 
@@ -223,10 +224,10 @@
     // Name of the most recently started endpoint with this address; empty when there is none.
     std::string endpoint_at(const std::string& address) const;
 
-    // Predicted time until the endpoint has finished its pending prefill.
     // Start of the endpoint's process as it has announced it, in Unix milliseconds; 0 if it is not known.
     std::uint64_t born_ms(const std::string& endpoint) const;
 
+    // Predicted time until the endpoint has finished its pending prefill.
     milliseconds backlog(const std::string& endpoint, time_point now) const;
 
     // Whether the endpoint accepts new work: it is listed, not leaving, and its failure domain is in service.
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -280,9 +280,14 @@
     bool ready = false;
     bool listed = false;
     time_point first_listed{};
+    bool has_endpoints = false;
     while (!m_stopping) {
-        if (m_directory.loaded() != listed) {
-            listed = !listed;
+        // In a new deployment the first lists are empty, and the endpoints check in one after the other
+        // later.
+        const bool first_endpoints = !has_endpoints && m_fleet.size() != 0;
+        if (m_directory.loaded() != listed || first_endpoints) {
+            listed = m_directory.loaded();
+            has_endpoints = has_endpoints || first_endpoints;
             m_fleet.set_complete_at(listed ? clock::now() + list_settle_time : time_point::max());
         }
         const bool serving = can_serve(clock::now()) && update_rules() != nullptr;
