Leave descriptors for endpoints, and close idle connections for new ones

Cause: max_connections is 20,000 by default, whatever the process may open.

Fix: callers get three quarters of the descriptors (new key descriptors, else the limit of the process), and at the limit the connection that has been idle for longest is closed for the next one.

--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -1,5 +1,6 @@
 #include "forward/forward_service.h"
 
+#include "base/descriptors.h"
 #include "base/event_log.h"
 #include "base/log.h"
 #include "base/version.h"
@@ -157,7 +158,7 @@
     limits.body_timeout = milliseconds(m_settings.body_timeout);
     limits.min_body_rate = m_settings.min_body_rate;
     limits.write_timeout = milliseconds(m_settings.reader_timeout);
-    limits.max_connections = m_settings.max_connections;
+    limits.max_connections = caller_connections(m_settings.max_connections, m_process.settings().descriptors);
     limits.max_total_body = m_settings.total_buffer;
     BOOST_OUTCOME_TRY(m_server, net::http_server::create(m_process.io(), address, limits, *this, counters,
                                                          std::string("callers")));
@@ -279,8 +280,8 @@
 {
     bool ready = false;
     bool listed = false;
-    time_point first_listed{};
     bool has_endpoints = false;
+    time_point first_listed{};
     while (!m_stopping) {
         // In a new deployment the first lists are empty, and the endpoints check in one after the other
         // later.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <netinet/tcp.h>
 #include <optional>
 #include <sys/ioctl.h>
@@ -151,19 +152,23 @@
 void http_server::close_idle()
 {
     const std::lock_guard lock(m_idle_mutex);
-    for (const auto& [idle, executor] : m_idle) {
-        asio::post(executor,
-                   [self = shared_from_this(), connection = idle, entered = m_gate.enter()]() mutable {
-                       const std::lock_guard recheck_lock(self->m_idle_mutex);
-                       if (self->m_idle.contains(connection)) {
-                           connection->pass = std::move(entered);
-                           error_code ignored;
-                           connection->stream.socket().cancel(ignored);
-                       }
-                   });
+    for (const auto& [connection, idle] : m_idle) {
+        close_idle(connection, idle.executor);
     }
 }
 
+void http_server::close_idle(connection_state* idle, const asio::any_io_executor& executor)
+{
+    asio::post(executor, [self = shared_from_this(), connection = idle, entered = m_gate.enter()]() mutable {
+        const std::lock_guard recheck_lock(self->m_idle_mutex);
+        if (self->m_idle.contains(connection)) {
+            connection->pass = std::move(entered);
+            error_code ignored;
+            connection->stream.socket().cancel(ignored);
+        }
+    });
+}
+
 void http_server::count(const char* event)
 {
     m_metrics.add("verbena_http_events_total", {{"server", m_name}, {"event", event}});
@@ -201,9 +206,27 @@
     }
 }
 
+void http_server::close_longest_idle()
+{
+    const std::lock_guard lock(m_idle_mutex);
+    const auto longest = std::min_element(m_idle.begin(), m_idle.end(), [](const auto& a, const auto& b) {
+        return a.second.closing != b.second.closing ? b.second.closing : a.second.since < b.second.since;
+    });
+    if (longest != m_idle.end() && !longest->second.closing) {
+        longest->second.closing = true;
+        count("idle_closed_for_another");
+        close_idle(longest->first, longest->second.executor);
+    }
+}
+
 void http_server::admit(tcp::socket socket)
 {
-    if (m_connections >= limits().max_connections) {
+    const std::size_t limit = limits().max_connections;
+    // The next connection takes the place of the one that is closed, which may take a moment.
+    if (m_connections + 1 >= limit) {
+        close_longest_idle();
+    }
+    if (m_connections >= limit) {
         count("connection_limit");
         return;
     }
@@ -246,6 +269,7 @@
     std::size_t total = 0;
     std::size_t unsent = unsent_bytes(socket);
     time_point end = clock::now() + (unsent == 0 ? linger_time : write_timeout);
+    bool client_closed = false; // a read after the end of the input would not return
     while (total < linger_bytes && clock::now() < end) {
         const std::size_t now_unsent = unsent_bytes(socket);
         if (now_unsent != unsent) {
@@ -255,6 +279,13 @@
         if (unsent == 0) {
             connection.pass.reset();
         }
+        if (client_closed && unsent == 0) {
+            co_return;
+        }
+        if (client_closed) {
+            co_await sleep_for(unsent_poll_interval);
+            continue;
+        }
         connection.deadline.set(unsent == 0 ? end : std::min(end, clock::now() + unsent_poll_interval));
         auto [failure, size] = co_await connection.stream.async_read_some(asio::buffer(discarded), no_throw);
         total += size;
@@ -267,7 +298,6 @@
 
 task<bool> http_server::wait_request(connection_state& connection)
 {
-    bool client_closed = false; // a read after the end of the input would not return
     // The timeout of an earlier write must not close the connection while it is idle.
     connection.stream.expires_never();
     if (connection.buffer.size() > 0) {
@@ -277,14 +307,7 @@
     if (!has_received_bytes(connection.stream.socket())) {
         {
             const std::lock_guard lock(m_idle_mutex);
-        if (client_closed && unsent == 0) {
-            co_return;
-        }
-        if (client_closed) {
-            co_await sleep_for(unsent_poll_interval);
-            continue;
-        }
-            m_idle.emplace(&connection, connection.stream.get_executor());
+            m_idle.emplace(&connection, idle_connection{connection.stream.get_executor(), clock::now()});
         }
         // close_idle() has not seen a connection that is added after stop_accepting() was called.
         if (m_stopping) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -186,11 +186,22 @@
     task<void> linger(connection_state& connection);
     void count(const char* event);
 
+    // A connection that waits for a request.
+    struct idle_connection {
+        asio::any_io_executor executor;
+        time_point since;
+        bool closing = false; // to make room for another one
+    };
+
+    void close_idle(connection_state* idle, const asio::any_io_executor& executor);
+    // Makes room for a connection that has been accepted at the limit.
+    void close_longest_idle();
+
     asio::io_context& m_io;
     tcp::acceptor m_acceptor;
     // Guards m_idle, the connections that wait for a request. Last in the lock order.
     std::mutex m_idle_mutex;
-    std::unordered_map<connection_state*, asio::any_io_executor> m_idle;
+    std::unordered_map<connection_state*, idle_connection> m_idle;
     mutable std::mutex m_limits_mutex;
     http_limits m_limits;
     http_handler& m_handler;
--- a/test/http_limits_test.cpp
+++ b/test/http_limits_test.cpp
@@ -252,6 +252,28 @@
     BOOST_TEST(!client.text.ends_with("0\r\n\r\n"));
 }
 
+// Guards against silent connections that keep callers out: the one that has been idle for longest makes room.
+BOOST_AUTO_TEST_CASE(an_idle_connection_makes_room_for_another)
+{
+    limits.max_connections = 2;
+    const std::uint16_t port = listen();
+    run([&]() -> net::task<void> {
+        raw_client silent(io);
+        co_await silent.connect(port);
+        co_await net::sleep_for(20ms);
+        for (int i = 0; i < 8; ++i) {
+            raw_client next(io);
+            co_await next.connect(port);
+            co_await next.send(post + "Connection: close\r\nContent-Length: 0\r\n\r\n");
+            co_await next.read_to_end();
+            BOOST_TEST(next.text.ends_with("size 0"));
+        }
+        BOOST_TEST(co_await silent.read_to_end());
+    });
+    BOOST_TEST(events("connection_limit") == 0U);
+    BOOST_TEST(events("idle_closed_for_another") >= 1U);
+}
+
 // Guards against connections that are held after their clients have closed them, up to the limit: a client
 // may close before the server's machine has heard that its end has arrived.
 BOOST_AUTO_TEST_CASE(a_connection_ends_when_its_client_has_closed_it)
