Ask a full endpoint again whether it still runs

A health call waits for a slot or is refused like any other request, so a sound answer without a length or chunks of an endpoint that is full counted as broken off: a refusal (status 500 or more) ended the questions. They go on until the deadline of the check now.

Test: platform_unframed/a_full_runner_is_asked_again; not run before the change.

--- a/src/forward/answer_source.cpp
+++ b/src/forward/answer_source.cpp
@@ -15,10 +15,13 @@
 // An endpoint resets connections beyond its limit, and may take one a little later.
 constexpr milliseconds retry_interval{50};
 
+constexpr unsigned first_failure_status = 500;
+
 // The report lists the reservations of an endpoint, 64 at most.
 constexpr std::size_t max_response = 64 * 1024;
 
-// One call to the endpoint. Its outcome is added to `found`. Returns whether the endpoint has answered.
+// One call to the endpoint. Its outcome is added to `found`. Returns whether a further call would not tell
+// more: an endpoint that is full refuses calls, and may take one a little later.
 net::task<bool> ask(const protocol_adapter& protocol, const answer_source& source, net::http_call call,
                     time_point deadline, source_check& found)
 {
@@ -40,7 +43,7 @@
     found.detail = found.state == source_state::unknown
                        ? "status " + std::to_string(response.value().status) + " names no process"
                        : "";
-    co_return true;
+    co_return response.value().status < first_failure_status;
 }
 
 } // namespace
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -170,6 +170,11 @@
                                    "\r\n\r\n" + report);
         co_return;
     }
+    if (m_refused_health_calls > 0) {
+        --m_refused_health_calls;
+        co_await write(socket, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        co_return;
+    }
     std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
     if (m_identity_calls != identity_calls::none) {
         answer += "Runner-Id: " + answering_id() + "\r\n";
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -130,6 +130,9 @@
     // The next process has the id of the one before in place of a new one.
     void keep_id() { m_keeps_id = true; }
 
+    // Refuses this many of the next health calls, as a runner does that is full.
+    void refuse_health_calls(int count) { m_refused_health_calls = count; }
+
     // Number of calls that asked who the runner is, or for its state.
     std::size_t probes() const { return m_probes; }
 
@@ -210,6 +213,7 @@
     std::atomic<identity_calls> m_identity_calls{identity_calls::report_and_health};
     std::atomic<bool> m_keeps_id{false};
     std::atomic<bool> m_endless_orders{false};
+    std::atomic<int> m_refused_health_calls{0};
     std::atomic<std::size_t> m_probes{0};
     runner_fault m_resume_fault = runner_fault::none;
     milliseconds m_pause{};
--- a/test/platform_unframed_test.cpp
+++ b/test/platform_unframed_test.cpp
@@ -122,4 +122,18 @@
     }
 }
 
+// Guards against a sound answer that is taken for a broken one because its runner is full: it refuses health
+// calls, and takes one a little later.
+BOOST_FIXTURE_TEST_CASE(a_full_runner_is_asked_again, unframed_fixture)
+{
+    set_identity_calls(identity_calls::health);
+    for (const char* id : {"desk-a", "desk-b"}) {
+        system.runner(id).refuse_health_calls(2);
+    }
+    set_faults({"desk-a", "desk-b"}, runner_fault::unframed);
+    platform_deployment::call order;
+    order.path = "/once/1";
+    BOOST_TEST(system.request(order).status == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
