--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -146,11 +146,7 @@
     http::response_parser<http::buffer_body> m_parser;
 };
 
-} // namespace
-
-namespace {
-
-// The arguments of open_http(); nothing goes on after `end`.
+// Bounds of the steps of one call, and of the whole call.
 struct open_limits {
     milliseconds connect;
     milliseconds head;
