End an answer whose bytes keep coming at its request's deadline

Cause: each read of a body arms the timer anew and returns at once while bytes are there, so that the timer never expires.

Fix: the deadline is compared after each read.

--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -392,6 +392,12 @@
         }
         response.body += chunk.value();
         held->set(response.body.capacity());
+        // The timer of a read does not expire while bytes keep coming.
+        if (clock::now() >= m_request.deadline) {
+            co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
+                                     "the answer was not complete before the deadline",
+                                     attempt_health::failed);
+        }
         if (response.body.size() > max_answer_bytes || held->given_up()) {
             co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
                                      held->given_up() ? memory_limit_cause : "answer larger than 16 MiB",
--- /dev/null
+++ b/test/platform_endless_body_test.cpp
@@ -0,0 +1,28 @@
+#include "platform_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace verbena;
+using standin::runner_fault;
+
+BOOST_AUTO_TEST_SUITE(platform_endless_body)
+
+// Answers of many endpoints without an end are given up before they take the memory of the entry.
+BOOST_AUTO_TEST_CASE(sound_answers_arrive_beside_endless_ones)
+{
+    platform_deployment system;
+    system.start_serving();
+    constexpr std::size_t endless = 8;
+    system.runner("desk-a").set_faults(std::vector<runner_fault>(endless, runner_fault::endless_body));
+    std::vector<std::future<platform_deployment::answer>> answers;
+    platform_deployment::call call;
+    call.path = "/safe/1";
+    for (std::size_t i = 0; i < endless * 2; ++i) {
+        answers.push_back(system.request_later(call));
+    }
+    for (auto& answer : answers) {
+        BOOST_TEST(answer.get().status == 200U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
