Ask another endpoint beside a body that does not end

Cause: the inactivity timeout of a plain answer began again with every read, so bytes that kept coming put it off until 16 MiB or the deadline.

Change: the timeout counts from the head of the answer. When it has expired another endpoint is asked beside the first, as beside a silent one: only for requests that may be repeated, within the attempts of the route and the retry budget, and the first whole answer goes to the caller.

Evidence: a new case sends the body a byte at a time.

--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -376,10 +376,11 @@
         return self->on_inactivity(current, inactivity.between_events);
     };
     const auto held = open_account(current);
+    const time_point first_check = clock::now() + inactivity.between_events;
     while (true) {
-        const time_point limit = is_idempotent()
-                                     ? std::min(m_request.deadline, clock::now() + inactivity.between_events)
-                                     : m_request.deadline;
+        const time_point limit =
+            is_idempotent() ? std::min(m_request.deadline, std::max(first_check, current->next_check))
+                            : m_request.deadline;
         const result<std::string> chunk = co_await current->call->read_some(limit, extend);
         if (!chunk) {
             current->connection_lost = chunk.error().kind != error_kind::timeout && !held->given_up();
@@ -393,11 +394,16 @@
         response.body += chunk.value();
         held->set(response.body.capacity());
         // The timer of a read does not expire while bytes keep coming.
-        if (clock::now() >= m_request.deadline) {
+        const time_point now = clock::now();
+        if (now >= m_request.deadline) {
             co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
                                      "the answer was not complete before the deadline",
                                      attempt_health::failed);
         }
+        // Nor do bytes that keep coming show that the answer ever ends.
+        if (is_idempotent() && now >= std::max(first_check, current->next_check)) {
+            on_inactivity(current, inactivity.between_events);
+        }
         if (response.body.size() > max_answer_bytes || held->given_up()) {
             co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
                                      held->given_up() ? memory_limit_cause : "answer larger than 16 MiB",
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -24,6 +24,7 @@
 namespace {
 
 constexpr milliseconds event_interval{5};
+constexpr milliseconds drip_interval{50}; // of bytes without an end
 constexpr milliseconds control_timeout{2'000};
 constexpr const char* mac_value = "s1.standin";
 constexpr std::string_view health_path = "/healthz";
@@ -432,7 +433,6 @@
             m_orders.push_back({request.body, clock::now()});
         }
         if (m_endless_orders) {
-            constexpr milliseconds drip_interval{50};
             co_await write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             co_await send_endless(socket, chunk(" "), drip_interval);
             co_return;
@@ -532,9 +532,13 @@
         co_return;
     }
     if (fault == runner_fault::endless_chunk || fault == runner_fault::endless_trailer ||
-        fault == runner_fault::endless_body) {
+        fault == runner_fault::endless_body || fault == runner_fault::dripping_body) {
         co_await write(socket, response_head(200, request.id, true) + "Transfer-Encoding: chunked\r\n\r\n" +
                                    (fault == runner_fault::endless_trailer ? "0\r\n" : ""));
+        if (fault == runner_fault::dripping_body) {
+            co_await send_endless(socket, chunk("x"), drip_interval);
+            co_return;
+        }
         std::string filler(8'192, 'x');
         if (fault == runner_fault::endless_body) {
             filler = chunk(filler);
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -34,6 +34,7 @@
     endless_chunk,     // sends bytes without an end in place of a chunk header
     endless_trailer,   // sends trailer fields without an end
     endless_body,      // sends chunks without an end
+    dripping_body,     // the same, a byte at a time
     unframed,          // answers with neither a length nor chunks and ends with the connection
     unframed_cut,      // the same, and closes the connection in the middle of its second event
     unframed_reset,    // the same, and resets the connection before its second event
--- a/test/platform_endless_body_test.cpp
+++ b/test/platform_endless_body_test.cpp
@@ -25,4 +25,18 @@
     }
 }
 
+// Guards against a safe request that waits for its timeout because the bytes of one endpoint keep coming.
+BOOST_AUTO_TEST_CASE(another_endpoint_is_asked_beside_a_dripping_body)
+{
+    platform_deployment system;
+    system.start_serving();
+    system.runner("desk-a").set_faults(std::vector<runner_fault>(4, runner_fault::dripping_body));
+    platform_deployment::call call;
+    call.path = "/safe/1";
+    for (int i = 0; i < 4; ++i) {
+        const auto answer = system.request(call);
+        BOOST_TEST(answer.status == 200U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
