Count only cancellations of running requests in chat_stream

Cause: a race of the test. Its engine listed requests that had ended, and counted each DELETE. The agent reads the list once a second and cancels what it does not know; a request that ended in between, also one of an earlier script, was cancelled in vain and counted.

Change: the engine lists only requests that have not ended, as engines do, and counts the DELETE of a request of the script that has not ended. As strict for the fault it guards against: a DELETE while the answer is being generated counts as before, and a request ends for the engine only when its last event is generated.

--- a/test/chat_fixture.cpp
+++ b/test/chat_fixture.cpp
@@ -131,18 +131,35 @@
     } else if (request.target == "/v1/requests") {
         boost::json::array list;
         for (const auto& [id, running] : m_runs) {
-            list.push_back(boost::json::object{{"id", id}, {"kv_tokens", 1}});
+            if (!running.ended) {
+                list.push_back(boost::json::object{{"id", id}, {"kv_tokens", 1}});
+            }
         }
         response.body = boost::json::serialize(list);
     } else if (request.method == "DELETE") {
-        ++m_cancels;
+        // The agent may cancel what it has read in a list of requests and what has ended meanwhile, also a
+        // request of an earlier script.
+        const auto found = m_runs.find(request.target.substr(request.target.rfind('/') + 1));
+        if (found != m_runs.end() && !found->second.ended) {
+            ++m_cancels;
+        }
     }
     return response;
 }
 
+void scripted_engine::end_run(const std::string& id)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_runs.find(id);
+    if (found != m_runs.end()) {
+        found->second.ended = true;
+    }
+}
+
 net::task<void> scripted_engine::complete(net::http_exchange& exchange, std::string id)
 {
     run running;
+    running.id = id;
     running.start = clock::now();
     {
         const std::lock_guard lock(m_mutex);
@@ -166,6 +183,7 @@
         co_await write_events(exchange, running, 0, true);
     } else {
         co_await sleep_until(running.time_of(script.tokens));
+        end_run(id);
         net::http_response response;
         response.body = R"({"whole":true})";
         (void)co_await exchange.reply(std::move(response));
@@ -227,6 +245,9 @@
             co_return;
         }
         co_await sleep_until(running.time_of(i));
+        if (i == script.tokens) {
+            end_run(running.id);
+        }
         const result<void> written = co_await exchange.write(event_text(i, script.tokens));
         if (!written) {
             co_return;
--- a/test/chat_fixture.h
+++ b/test/chat_fixture.h
@@ -55,12 +55,15 @@
     void set(engine_script script);
     std::size_t runs() const;
     std::size_t resumes() const;
+    // Cancellations of requests of the script that had not ended.
     std::size_t cancels() const;
 
 private:
     struct run {
+        std::string id;
         verbena::time_point start;
         engine_script script;
+        bool ended = false; // all of its answer is generated
 
         verbena::time_point time_of(std::uint32_t event) const;
         // End of the pause at this time; the time itself when there is none.
@@ -72,6 +75,7 @@
     verbena::net::task<void> write_events(verbena::net::http_exchange& exchange, run running,
                                           std::uint32_t from, bool first);
     verbena::net::http_response reply_to(const verbena::net::http_request& request);
+    void end_run(const std::string& id);
     verbena::time_point silent_until() const;
 
     mutable std::mutex m_mutex;
