--- a/test/process_fixture.cpp
+++ b/test/process_fixture.cpp
@@ -131,6 +131,20 @@
               clock::now()};
 }
 
+std::optional<std::uint64_t> server_process::peak_memory()
+{
+    const std::lock_guard lock(m_mutex);
+    collect_exit();
+    // Linux: "VmHWM:  NUMBER kB", as described in proc(5).
+    const std::string status = m_pid == 0 ? "" : read_text("/proc/" + std::to_string(m_pid) + "/status");
+    const std::string field = "VmHWM:";
+    const std::size_t at = status.find(field);
+    if (at == std::string::npos) {
+        return std::nullopt;
+    }
+    return std::stoull(status.substr(at + field.size())) * 1024;
+}
+
 std::string server_process::output() const
 {
     return read_text(m_output_file);
@@ -204,13 +218,15 @@
     const std::string name = "entry-" + std::to_string(index);
     const std::string domain = m_options.entry_domains[index];
     entry_ports value{nullptr, free_port(), free_port(), free_port()};
+    const std::string descriptors =
+        m_options.descriptors == 0 ? "" : "descriptors = " + std::to_string(m_options.descriptors) + "\n";
     // The fields of deploy/entry.ini with the bounds of the users' data sheets.
     write_file(name + ".ini",
                "[node]\nname = " + name + "\ncluster = platform\nfailure_domain = " + domain +
-                   "\nprocessor_share = " + (index == 0 ? "1.0" : "0.9") + "\nworkers = 1\ncontrol = " +
-                   seed_addresses() + "\nmetrics_listen = " + local(value.metrics_port) + "\nstop_delay = " +
-                   ms_text(m_options.stop_delay) + "\n[entry]\nlisten = " + local(value.front_port) +
-                   "\npeer_listen = " + local(value.peer_port) +
+                   "\nprocessor_share = " + (index == 0 ? "1.0" : "0.9") + "\nworkers = 1\n" + descriptors +
+                   "control = " + seed_addresses() + "\nmetrics_listen = " + local(value.metrics_port) +
+                   "\nstop_delay = " + ms_text(m_options.stop_delay) + "\n[entry]\nlisten = " +
+                   local(value.front_port) + "\npeer_listen = " + local(value.peer_port) +
                    "\nfront = routed\nfreshness = 4200ms\nretry_slack = 112\nretry_window = 10s\n" +
                    "stall = 1500ms\ngrace = " + ms_text(m_options.grace) + "\ntotal_buffer = 64MiB\n");
     value.process = std::make_unique<server_process>("entry", m_folder + "/" + name + ".ini",
--- a/test/process_fixture.h
+++ b/test/process_fixture.h
@@ -41,6 +41,9 @@
 
     bool running() { return !wait_exit(std::chrono::milliseconds::zero()); }
 
+    // The largest resident memory of the running process so far, in bytes; nothing once it has exited.
+    std::optional<std::uint64_t> peak_memory();
+
     // The contents of the output file: the output of all starts.
     std::string output() const;
 
@@ -65,6 +68,8 @@
     std::chrono::milliseconds prefill{};
     std::chrono::milliseconds stop_delay{2'500};
     std::chrono::milliseconds grace{8'000};
+    // File descriptors that an entry may use; 0: the limit of its process.
+    std::size_t descriptors = 0;
 };
 
 // A deployment like that of the users' platform on loopback: three control processes and entries as
