--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -661,7 +661,6 @@
 
 net::task<void> platform_runner::send_unfinished_event(net::tcp::socket& socket, runner_fault fault)
 {
-    constexpr milliseconds drip_interval{50};
     bool connected = co_await write(socket, chunk("data: "));
     while (connected) {
         if (fault == runner_fault::drip) {
