--- a/test/process_trouble_test.cpp
+++ b/test/process_trouble_test.cpp
@@ -47,8 +47,8 @@
            std::to_string(value.requests) + " requests, " + std::to_string(value.duration.count()) + " ms)\n";
 }
 
-// Draws troubles of which any may happen beside any other. Each entry restarts at most once, so that the
-// others serve; there is one change of teams, whose effect the requests of its time show.
+// Draws troubles of which any may happen beside any other. One entry restarts, so that the others serve, and
+// the teams change at most once, so that each request can be judged by the time at which it was sent.
 class trouble_maker {
 public:
     trouble_maker(std::uint64_t seed, std::size_t entries, std::size_t runners)
