Count an endpoint whose answers begin and do not get on as failed

Cause: a head, or a part of one, and then bytes that become no event counted as unreachable: 300 ms without work, forgotten with the endpoint's next good answer. The failure rate that placement weighs did not change, so the endpoint looked idle beside sound ones, and both attempts of a request often met one in trouble. Schedulers of other entries were told nothing, since a replaced attempt ends as neutral.

Change: such an attempt counts as stalled, that is failed and unreachable, when its silence is noticed; the note that ends its dispatch tells all schedulers. Entries of earlier versions ignore the new value. attempt_silent says whether bytes of an answer had come. Applies to streams without an event and to plain answers; reservations keep their account until the attempt ends.

--- a/src/forward/endpoint_call.h
+++ b/src/forward/endpoint_call.h
@@ -38,6 +38,9 @@
     // endpoint closes the connection cleanly.
     net::task<result<std::string>> read_some(time_point deadline, deadline_extension extend = nullptr);
 
+    // Whether bytes of an answer have arrived.
+    bool has_begun() const { return m_parser.is_header_done() || m_buffer.size() != 0; }
+
     // Whether the answer has neither a length nor chunks, so that only the end of the connection ends it.
     bool ends_with_connection() const { return m_parser.need_eof(); }
 
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -81,8 +81,16 @@
     std::string chosen_by; // address of the scheduler, `self` or `alone`
 };
 
-// Result of an attempt as far as it affects the selection of the endpoint for later requests.
-enum class attempt_health : std::uint8_t { neutral, good, failed, unreachable, misdirected };
+// Result of an attempt as far as it affects the selection of the endpoint for later requests. The values are
+// sent to other entries.
+enum class attempt_health : std::uint8_t {
+    neutral,
+    good,
+    failed,
+    unreachable,
+    misdirected,
+    stalled // it has begun to answer and does not get on; counts as failed and as unreachable
+};
 
 // What an attempt has shown about its endpoints.
 struct attempt_report {
@@ -344,6 +352,8 @@
     void advance_phase(const policy::work_key& key, const wire::dispatch_noteT& note, time_point now);
     void apply_report(const dispatch_record& record, const wire::dispatch_noteT& note, time_point now);
     void apply_health(endpoint_state& state, attempt_health health, time_point now);
+    // Adds the outcome of an answer to the endpoint's failure rate.
+    void record_failure(endpoint_state& state, bool failed, time_point now) const;
     void apply_interval(endpoint_state& state, std::chrono::microseconds interval, time_point now);
     void update_own_phase(std::uint64_t number, wire::dispatch_noteT note, time_point now);
     note_list remove_reporter(incarnation reporter, time_point now);
--- a/src/forward/fleet_health.cpp
+++ b/src/forward/fleet_health.cpp
@@ -63,7 +63,10 @@
         update_superseded(state.info.address);
         return;
     }
-    if (health == attempt_health::unreachable) {
+    if (health == attempt_health::stalled) {
+        record_failure(state, true, now);
+    }
+    if (health == attempt_health::unreachable || health == attempt_health::stalled) {
         const auto backoff = initial_backoff * (1U << std::min(state.unreachable_count, 6U));
         state.backoff_until = now + std::min<milliseconds>(backoff, max_backoff);
         ++state.unreachable_count;
@@ -71,9 +74,13 @@
     }
     state.unreachable_count = 0;
     state.backoff_until = {};
-    const double failed = health == attempt_health::failed ? 1 : 0;
+    record_failure(state, health == attempt_health::failed, now);
+}
+
+void fleet::record_failure(endpoint_state& state, bool failed, time_point now) const
+{
     const double previous = failure_rate_of(state, now);
-    state.failure_rate = previous + (failed - previous) * failure_weight;
+    state.failure_rate = previous + ((failed ? 1 : 0) - previous) * failure_weight;
     state.failure_rate_updated = now;
 }
 
--- a/src/forward/fleet_notes.cpp
+++ b/src/forward/fleet_notes.cpp
@@ -216,7 +216,7 @@
     if (found == m_endpoints.end()) {
         return;
     }
-    if (note.health <= static_cast<std::uint8_t>(attempt_health::misdirected)) {
+    if (note.health <= static_cast<std::uint8_t>(attempt_health::stalled)) {
         apply_health(found->second, static_cast<attempt_health>(note.health), now);
     }
     found->second.announced_leaving = found->second.announced_leaving || note.leaving;
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -375,7 +375,7 @@
     m_excluded.insert(current->endpoint());
     if (!current->silence_recorded) {
         current->silence_recorded = true;
-        m_context.endpoints.record_health(current->endpoint(), attempt_health::unreachable, clock::now());
+        record_silence(*current);
     }
     if (m_answering == current) {
         m_answering = nullptr;
@@ -384,6 +384,21 @@
     m_change->cancel();
 }
 
+void request_forwarder::record_silence(const attempt& current)
+{
+    const time_point now = clock::now();
+    const bool stalled = current.call && current.call->has_begun() && current.last_event_at == time_point{};
+    if (stalled && !current.choice.has_reservation()) {
+        // The attempt may stay open until the deadline, and the other entries must know before.
+        attempt_report report;
+        report.health = attempt_health::stalled;
+        m_context.endpoints.record_end(current.choice.number, now, report);
+        return;
+    }
+    m_context.endpoints.record_health(current.endpoint(),
+                                      stalled ? attempt_health::stalled : attempt_health::unreachable, now);
+}
+
 net::task<void> request_forwarder::ask_another()
 {
     const auto is_silent = [](const attempt_ptr& current) { return current->silent; };
@@ -435,6 +450,7 @@
         line.last_event = m_answer.last_event.value_or(0);
         line.decision = decision;
         line.time_left_ms = to_u32(time_left(now));
+        line.begun = current->call && current->call->has_begun();
         event_log::write(line);
     }
     m_context.counters.add("verbena_forward_silences_total",
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -152,6 +152,9 @@
     // ends the attempt.
     time_point on_inactivity(const attempt_ptr& current, milliseconds interval);
     void on_silence(const attempt_ptr& current);
+    // Records the silence with the health of the endpoint, once for each attempt. An endpoint that has begun
+    // to answer and sends no event is worse than one that is late: it takes each request and answers few.
+    void record_silence(const attempt& current);
     // Ends an attempt with a silent endpoint if no request uses the memory that it has reserved.
     net::task<void> examine_reservation(attempt_ptr current);
     // Asks another endpoint beside silent ones.
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -531,6 +531,16 @@
         co_await send_endless(socket, "Filler: " + std::string(1'000, 'x') + "\r\n");
         co_return;
     }
+    if (fault == runner_fault::dripping_head) {
+        co_await write(socket, "HTTP/1.1 200 OK\r\nFiller: ");
+        co_await send_endless(socket, "x", drip_interval);
+        co_return;
+    }
+    if (fault == runner_fault::dripping_chunk) {
+        co_await write(socket, response_head(200, request.id, true) + "Transfer-Encoding: chunked\r\n\r\n");
+        co_await send_endless(socket, "x", drip_interval);
+        co_return;
+    }
     if (fault == runner_fault::endless_chunk || fault == runner_fault::endless_trailer ||
         fault == runner_fault::endless_body || fault == runner_fault::dripping_body) {
         co_await write(socket, response_head(200, request.id, true) + "Transfer-Encoding: chunked\r\n\r\n" +
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -32,6 +32,8 @@
     endless_head,      // sends header fields without an end
     endless_event,     // sends an event without an end
     endless_chunk,     // sends bytes without an end in place of a chunk header
+    dripping_head,     // sends a header field without an end, a byte at a time
+    dripping_chunk,    // sends bytes in place of a chunk header without an end, a byte at a time
     endless_trailer,   // sends trailer fields without an end
     endless_body,      // sends chunks without an end
     dripping_body,     // the same, a byte at a time
