End a request without an answer shortly before its deadline

Callers saw: with both attempts at endpoints that do not answer, nothing at their deadline.

Cause: attempts were given up at the caller's deadline itself.

Change: an answer that has not begun is given up 50 ms before the deadline, or a twentieth of the time before it if that is less. Answers that have begun keep the whole time, and endpoints are told the same deadline as before.

Evidence: with the former decision put back (trial), a_request_without_an_answer_ends_before_its_deadline fails for streams, safe and unsafe requests and each fault; with the change it passes.

--- a/src/forward/request_answer.cpp
+++ b/src/forward/request_answer.cpp
@@ -40,8 +40,8 @@
     const time_point first_check = clock::now() + inactivity.between_events;
     while (true) {
         const time_point limit =
-            is_idempotent() ? std::min(m_request.deadline, std::max(first_check, current->next_check))
-                            : m_request.deadline;
+            is_idempotent() ? std::min(answer_limit(), std::max(first_check, current->next_check))
+                            : answer_limit();
         const result<std::string> chunk = co_await current->call->read_some(limit, extend);
         if (!chunk) {
             current->connection_lost = chunk.error().kind != error_kind::timeout && !held->given_up();
@@ -56,7 +56,7 @@
         held->set(response.body.capacity());
         // The timer of a read does not expire while bytes keep coming.
         const time_point now = clock::now();
-        if (now >= m_request.deadline) {
+        if (now >= answer_limit()) {
             co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
                                      "the answer was not complete before the deadline",
                                      attempt_health::failed);
@@ -116,9 +116,8 @@
     };
     while (true) {
         const time_point limit =
-            is_idempotent()
-                ? std::min(m_request.deadline, std::max(progress.silent_at(), current->next_check))
-                : m_request.deadline;
+            is_idempotent() ? std::min(answer_limit(), std::max(progress.silent_at(), current->next_check))
+                            : answer_limit();
         const result<std::string> chunk = co_await current->call->read_some(limit, extend);
         if (!chunk || (chunk.value().empty() && reader.pending_bytes() != 0)) {
             const bool silent =
--- a/src/forward/request_attempt.cpp
+++ b/src/forward/request_attempt.cpp
@@ -214,7 +214,7 @@
         is_stream() ? inactivity_limits_for(current->choice, m_request.route->max_pause, m_context.stall)
                     : plain_inactivity_limits();
     const time_point limit =
-        is_idempotent() ? std::min(m_request.deadline, now + limits.first_event) : m_request.deadline;
+        is_idempotent() ? std::min(answer_limit(), now + limits.first_event) : answer_limit();
     const auto extend = [self = shared_from_this(), current, limits] {
         return self->on_inactivity(current, limits.between_events);
     };
@@ -251,7 +251,7 @@
 time_point request_forwarder::on_inactivity(const attempt_ptr& current, milliseconds interval)
 {
     const time_point now = clock::now();
-    if (now >= m_request.deadline || current->superseded) {
+    if (now >= answer_limit() || current->superseded) {
         return no_extension;
     }
     // An endpoint that is known to be prefilling other prompts is not silent.
@@ -261,11 +261,11 @@
             net::asio::co_spawn(
                 m_executor, [self = shared_from_this(), current] { return self->query_backlog(current); },
                 net::asio::detached);
-            return std::min(m_request.deadline, now + backlog_reply_time);
+            return std::min(answer_limit(), now + backlog_reply_time);
         }
         current->backlog_queried = false;
         if (current->backlog_end > now) {
-            return std::min(m_request.deadline, current->backlog_end + interval / 2);
+            return std::min(answer_limit(), current->backlog_end + interval / 2);
         }
     }
     on_silence(current);
@@ -274,7 +274,7 @@
             m_executor, [self = shared_from_this(), current] { return self->examine_reservation(current); },
             net::asio::detached);
     }
-    current->next_check = std::min(m_request.deadline, now + interval);
+    current->next_check = std::min(answer_limit(), now + interval);
     return current->next_check;
 }
 
--- a/src/forward/request_ending.cpp
+++ b/src/forward/request_ending.cpp
@@ -50,7 +50,7 @@
         co_await refuse(502, "stopping", milliseconds::zero());
         co_return;
     }
-    const bool late = clock::now() >= m_request.deadline;
+    const bool late = clock::now() >= answer_limit();
     co_await refuse(late ? 504 : 502, late ? "deadline" : "may_have_run", milliseconds::zero());
 }
 
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -21,6 +21,10 @@
 constexpr int disconnect_in_objectives = 4;
 constexpr int disconnect_in_pauses = 8;
 
+// A caller leaves at its deadline. What ends a request without an answer has to reach it before, also from a
+// machine that is short of processor time.
+constexpr milliseconds max_refusal_time{50};
+
 // How often an answer that waits for the retry budget, or for the configuration to be confirmed, tries again.
 constexpr milliseconds retry_poll_interval{20};
 
@@ -47,6 +51,15 @@
     return std::max(std::chrono::duration_cast<milliseconds>(m_request.deadline - now), milliseconds::zero());
 }
 
+time_point request_forwarder::answer_limit() const
+{
+    if (m_answer.started) {
+        return m_request.deadline;
+    }
+    return m_request.deadline -
+           std::min<clock::duration>(max_refusal_time, (m_request.deadline - m_request.arrived) / 20);
+}
+
 milliseconds request_forwarder::disconnect_time() const
 {
     const route::route_rule& route = *m_request.route;
@@ -137,7 +150,7 @@
     m_context.budget.record_request(m_request.service->name, clock::now());
     while (!m_caller_left) {
         const time_point now = clock::now();
-        if (now >= m_request.deadline) {
+        if (now >= answer_limit()) {
             co_await refuse(m_may_have_run ? 504 : 503, "deadline", milliseconds::zero());
             co_return;
         }
@@ -229,7 +242,7 @@
     if (m_stopped) {
         return "stopping";
     }
-    if (now >= m_request.deadline) {
+    if (now >= answer_limit()) {
         return "deadline";
     }
     if (end != attempt_end::not_run && !is_idempotent()) {
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -117,6 +117,8 @@
     bool is_stream() const { return m_request.route->kind == route::request_kind::stream; }
     bool is_idempotent() const;
     milliseconds time_left(time_point now) const;
+    // When the request ends unless its answer has begun: shortly before its deadline.
+    time_point answer_limit() const;
     // Time without an event after which the caller of a stream disconnects, as documented by the platform.
     milliseconds disconnect_time() const;
     // Whether an answer has begun that another endpoint has to go on with.
--- a/test/platform_dripping_test.cpp
+++ b/test/platform_dripping_test.cpp
@@ -37,4 +37,32 @@
     }
 }
 
+// Guards against callers who have left when the end of their request is told.
+BOOST_AUTO_TEST_CASE(a_request_without_an_answer_ends_before_its_deadline)
+{
+    platform_deployment system;
+    system.start_serving();
+    for (const runner_fault fault : {runner_fault::no_answer, runner_fault::dripping_chunk,
+                                     runner_fault::dripping_head, runner_fault::dripping_body}) {
+        for (const char* path : {"/model/1", "/safe/1", "/once/1"}) {
+            BOOST_TEST_CONTEXT("fault " << static_cast<int>(fault) << " " << path)
+            {
+                for (const char* id : {"model-a", "model-b", "desk-a", "desk-b"}) {
+                    system.runner(id).set_faults({fault});
+                }
+                platform_deployment::call call;
+                call.path = path;
+                call.deadline = 1s;
+                const time_point begin = clock::now();
+                const auto answer = system.request(call);
+                BOOST_TEST((answer.status == 504U || answer.status == 502U));
+                BOOST_TEST((clock::now() - begin < call.deadline));
+                for (const char* id : {"model-a", "model-b", "desk-a", "desk-b"}) {
+                    system.runner(id).set_faults({});
+                }
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
