Bound the receive buffers of all connections

Unread bytes of a connection count for the memory that a process may use (DEPLOY.md), and the kernel sized the buffer itself, up to several MB a connection once the reader had been fast. No test measured it.

Change: SO_RCVBUF of 32 KiB for callers and for endpoints, 128 KiB for peers; the kernel reserves twice that.

Evidence: without the bound (trial), a caller that sends on while its request is in work got 327,680 bytes rid of; the test allows 262,144 and passes with the bound. The case for answers of endpoints passes without the bound too on this machine, and guards the same property.

--- a/src/forward/endpoint_call.cpp
+++ b/src/forward/endpoint_call.cpp
@@ -2,6 +2,7 @@
 
 #include "net/address.h"
 #include "net/keep_alive.h"
+#include "net/receive_buffer.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -80,6 +81,9 @@
 net::task<result<void>> endpoint_call::connect(host_port address, milliseconds timeout)
 {
     BOOST_OUTCOME_CO_TRY(const net::tcp::endpoint target, net::to_tcp_endpoint(address));
+    error_code ignored;
+    m_socket.open(target.protocol(), ignored); // otherwise async_connect() opens it and reports the error
+    net::set_receive_buffer(m_socket, net::http_receive_buffer);
     arm(clock::now() + timeout);
     auto [failure] = co_await m_socket.async_connect(target, no_throw);
     disarm();
@@ -90,7 +94,6 @@
         }
         co_return cause;
     }
-    error_code ignored;
     m_socket.set_option(net::tcp::no_delay(true), ignored);
     net::set_keep_alive(m_socket, keep_alive_interval, keep_alive_probes);
     co_return success();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,6 +3,7 @@
 #include "net/address.h"
 #include "net/answer_limits.h"
 #include "net/keep_alive.h"
+#include "net/receive_buffer.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -59,12 +60,14 @@
 
     task<result<void>> connect(tcp::endpoint endpoint, milliseconds timeout)
     {
+        error_code ignored;
+        m_stream.socket().open(endpoint.protocol(), ignored); // otherwise async_connect() reports the error
+        set_receive_buffer(m_stream.socket(), http_receive_buffer);
         expires_after(timeout);
         auto [failure] = co_await m_stream.async_connect(endpoint, no_throw);
         if (failure) {
             co_return stream_error("connect", failure);
         }
-        error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
         set_keep_alive(m_stream.socket(), keep_alive_interval, keep_alive_probes);
         co_return success();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "net/address.h"
 #include "net/http_connection.h"
+#include "net/receive_buffer.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -89,6 +90,7 @@
     : m_io(io), m_acceptor(std::move(acceptor)), m_limits(limits), m_handler(handler), m_metrics(counters),
       m_name(std::move(name)), m_port(m_acceptor.local_endpoint().port())
 {
+    set_receive_buffer(m_acceptor, http_receive_buffer);
 }
 
 http_limits http_server::limits() const
--- a/src/net/peer_pool.cpp
+++ b/src/net/peer_pool.cpp
@@ -1,5 +1,7 @@
 #include "net/peer_pool.h"
 
+#include "net/receive_buffer.h"
+
 #include <boost/beast/core/tcp_stream.hpp>
 
 namespace verbena::net {
@@ -17,6 +19,7 @@
     : m_io(io), m_acceptor(std::move(acceptor)), m_options(options), m_handler(handler),
       m_port(m_acceptor.local_endpoint().port())
 {
+    set_receive_buffer(m_acceptor, peer_receive_buffer);
 }
 
 void frame_server::start()
@@ -80,6 +83,9 @@
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     connect_outcome outcome;
     boost::beast::tcp_stream stream(executor);
+    error_code ignored;
+    stream.socket().open(endpoint.protocol(), ignored); // otherwise async_connect() reports the error
+    set_receive_buffer(stream.socket(), peer_receive_buffer);
     stream.expires_after(timeout);
     auto [failure] = co_await stream.async_connect(endpoint, no_throw);
     if (failure) {
