Bound held answers by the memory of the process, as they are allocated

Cause: total_buffer was fixed in the template. A growing body was counted after it had grown, when its former bytes existed beside the new ones, and it was copied once more to be sent. Answers of failed attempts were kept without being counted. Beyond the bound the largest answer was given up, also a sound one beside many smaller ones without an end.

Change: a sixth of the process's memory bounds answers, and a sixth request bodies (setting memory, from limits.memory_mb). Allocations are counted before they are made, kept answers too. A large body is sent without a copy. Beyond the bound the endpoint that holds most loses its largest answer.

--- a/src/forward/event_reader.h
+++ b/src/forward/event_reader.h
@@ -26,6 +26,8 @@
     // Number of buffered bytes of an incomplete event.
     std::size_t pending_bytes() const { return m_buffer.size(); }
 
+    std::size_t allocated_bytes() const { return m_buffer.capacity(); }
+
 private:
     std::string m_buffer;
     std::size_t m_search_from = 0;
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -3,6 +3,7 @@
 #include "base/descriptors.h"
 #include "base/event_log.h"
 #include "base/log.h"
+#include "base/memory_bound.h"
 #include "base/version.h"
 #include "forward/crash_calls.h"
 #include "node/freshness.h"
@@ -98,7 +99,8 @@
           }
           event_log::write(line);
       }),
-      m_budget(entry_retry_options(settings, assumed_entries)), m_answer_memory(settings.total_buffer)
+      m_budget(entry_retry_options(settings, assumed_entries)),
+      m_answer_memory(held_bytes_bound(settings.total_buffer, process.settings().memory))
 {
     m_fleet.set_complete_at(time_point::max());
     m_fleet.set_crashes_known(settings.peer_listen.empty());
@@ -159,7 +161,7 @@
     limits.min_body_rate = m_settings.min_body_rate;
     limits.write_timeout = milliseconds(m_settings.reader_timeout);
     limits.max_connections = caller_connections(m_settings.max_connections, m_process.settings().descriptors);
-    limits.max_total_body = m_settings.total_buffer;
+    limits.max_total_body = held_bytes_bound(m_settings.total_buffer, m_process.settings().memory);
     BOOST_OUTCOME_TRY(m_server, net::http_server::create(m_process.io(), address, limits, *this, counters,
                                                          std::string("callers")));
     return success();
--- a/src/forward/request_answer.cpp
+++ b/src/forward/request_answer.cpp
@@ -13,16 +13,29 @@
 constexpr std::size_t max_event_bytes = 1024 * 1024;
 
 const std::string memory_limit_cause =
-    "the answers of all requests exceed total_buffer, and this one is the largest";
+    "the answers of all requests exceed their memory, and this one is the largest of its endpoint";
 
 } // namespace
 
 std::unique_ptr<answer_memory::account> request_forwarder::open_account(const attempt_ptr& current)
 {
-    return std::make_unique<answer_memory::account>(m_context.memory,
-                                                    [executor = m_executor, call = current->call] {
-                                                        net::asio::post(executor, [call] { call->close(); });
-                                                    });
+    return std::make_unique<answer_memory::account>(
+        m_context.memory, current->endpoint(),
+        [executor = m_executor, call = current->call, weak = weak_from_this()] {
+            net::asio::post(executor, [call, weak] {
+                call->close();
+                if (const auto self = weak.lock()) {
+                    self->drop_failed_answer();
+                }
+            });
+        });
+}
+
+void request_forwarder::drop_failed_answer()
+{
+    if (m_failed_answer_memory && m_failed_answer_memory->given_up()) {
+        m_failed_answer.reset();
+    }
 }
 
 net::task<request_forwarder::attempt_end> request_forwarder::relay_body(attempt_ptr current,
@@ -36,12 +49,12 @@
     const auto extend = [self = shared_from_this(), current, inactivity] {
         return self->on_inactivity(current, inactivity.between_events);
     };
-    const auto held = open_account(current);
+    auto held = open_account(current);
     const time_point first_check = clock::now() + inactivity.between_events;
     while (true) {
-        const time_point limit =
-            is_idempotent() ? std::min(answer_limit(), std::max(first_check, current->next_check))
-                            : answer_limit();
+        const time_point limit = is_idempotent()
+                                     ? std::min(answer_limit(), std::max(first_check, current->next_check))
+                                     : answer_limit();
         const result<std::string> chunk = co_await current->call->read_some(limit, extend);
         if (!chunk) {
             current->connection_lost = chunk.error().kind != error_kind::timeout && !held->given_up();
@@ -52,8 +65,7 @@
         if (chunk.value().empty()) {
             break;
         }
-        response.body += chunk.value();
-        held->set(response.body.capacity());
+        append(response.body, chunk.value(), *held);
         // The timer of a read does not expire while bytes keep coming.
         const time_point now = clock::now();
         if (now >= answer_limit()) {
@@ -85,6 +97,7 @@
     }
     if (head.status >= 500) {
         m_failed_answer = std::move(response);
+        m_failed_answer_memory = std::move(held);
         co_return record_attempt(*current, attempt_end::failed_answer, "refused_by_endpoint", head.status, "",
                                  attempt_health::failed);
     }
@@ -141,7 +154,7 @@
                                      attempt_health::neutral);
         }
         progress.on_bytes(clock::now(), reader.pending_bytes() < pending);
-        held->set(reader.pending_bytes());
+        held->set(reader.allocated_bytes());
         const bool endless = is_idempotent() && progress.is_endless();
         if (endless || reader.pending_bytes() > max_event_bytes) {
             co_return record_attempt(*current, attempt_end::may_have_run, "broken", head.status,
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -140,6 +140,8 @@
     void start_attempt(dispatch_choice choice);
     // The bytes of an answer that this process holds. It closes the call if they are too many.
     std::unique_ptr<answer_memory::account> open_account(const attempt_ptr& current);
+    // Drops the answer kept for the case that no other attempt succeeds, if its memory was given up.
+    void drop_failed_answer();
     // Returns when an attempt has answered, when none is open any more, or when the caller has left.
     net::task<attempt_end> await_attempts();
     net::task<void> run_attempt(attempt_ptr current);
@@ -232,6 +234,7 @@
     std::set<std::string> m_refused_by; // those that only have refused the request
     answer_state m_answer;
     std::optional<net::http_response> m_failed_answer;
+    std::unique_ptr<answer_memory::account> m_failed_answer_memory; // counts its body
     time_point m_last_event_at;
     random_engine m_random;
 };
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -11,6 +11,13 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace {
+
+// A body of up to this size, in bytes, is copied behind its head to be written with one system call.
+constexpr std::size_t max_joined_body = 64 * 1024;
+
+} // namespace
+
 http_exchange::http_exchange(http_server& server, beast::tcp_stream& stream, http_request request,
                              bool keep_alive)
     : m_server(server), m_stream(stream), m_request(std::move(request)), m_keep_alive(keep_alive)
@@ -61,8 +68,14 @@
     m_started = true;
     std::string text = head_text(response.status, response.content_type, response.headers);
     text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n";
-    text += response.body;
-    const result<void> written = co_await write_all(text);
+    const bool small = response.body.size() <= max_joined_body;
+    if (small) {
+        text += response.body;
+    }
+    result<void> written = co_await write_all(text);
+    if (written && !small) {
+        written = co_await write_all(response.body);
+    }
     m_finished = written.has_value();
     co_return written;
 }
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -101,7 +101,7 @@
     const std::map<std::string, std::string> values{
         {"retry_slack", "42.42"}, {"retry_window_s", "1e1"}, {"stall_ms", "1500.0"}, {"grace_s", "8.0"},
         {"cpu_share", "0.09"},    {"bootstrap", "true"},     {"machines", "2"},      {"max_fds", "4100"},
-        {"port_range.0", "7340"}, {"port_range.1", "7355"}};
+        {"port_range.0", "7340"}, {"port_range.1", "7355"},  {"memory_mb", "159.5"}};
     for (const char* role : {"entry", "control"}) {
         std::ifstream file(std::string(VERBENA_SOURCE_DIR) + "/deploy/" + role + ".ini");
         std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
