Draw dripping heads and chunk headers in process_trouble

The soak also judges plain answers more strictly: faults in events leave them whole, so a lost request there is no longer excused by such a fault.

--- a/test/process_trouble_test.cpp
+++ b/test/process_trouble_test.cpp
@@ -58,10 +58,10 @@
 
     std::vector<trouble> make()
     {
-        const std::vector<runner_fault> endless{runner_fault::endless_head,  runner_fault::endless_event,
-                                                runner_fault::endless_chunk, runner_fault::endless_trailer,
-                                                runner_fault::endless_body,  runner_fault::dripping_body,
-                                                runner_fault::drip};
+        const std::vector<runner_fault> endless{
+            runner_fault::endless_head,    runner_fault::endless_event,  runner_fault::endless_chunk,
+            runner_fault::endless_trailer, runner_fault::endless_body,   runner_fault::dripping_body,
+            runner_fault::dripping_head,   runner_fault::dripping_chunk, runner_fault::drip};
         const std::vector<runner_fault> unframed{runner_fault::unframed, runner_fault::unframed_cut,
                                                  runner_fault::unframed_reset};
         for (std::uint64_t i = 1 + below(3); i > 0; --i) {
--- a/test/soak_judge.h
+++ b/test/soak_judge.h
@@ -10,21 +10,24 @@
 
 namespace verbena::soak {
 
-// Whether a runner with the fault gives no whole answer.
-inline bool breaks_off(runner_fault fault)
+// Whether the runner gave no whole answer in the run. Faults in events leave plain answers whole.
+inline bool breaks_off(const seen_run& run)
 {
-    switch (fault) {
+    switch (run.request.fault) {
     case runner_fault::cut_in_event:
+    case runner_fault::drip:
+    case runner_fault::endless_event:
+    case runner_fault::unframed_cut:
+        return run.runner.starts_with("model-");
     case runner_fault::reset:
     case runner_fault::wrong_request_id:
-    case runner_fault::drip:
     case runner_fault::endless_head:
-    case runner_fault::endless_event:
     case runner_fault::endless_chunk:
     case runner_fault::endless_trailer:
     case runner_fault::endless_body:
+    case runner_fault::dripping_head:
+    case runner_fault::dripping_chunk:
     case runner_fault::dripping_body:
-    case runner_fault::unframed_cut:
     case runner_fault::unframed_reset:
         return true;
     default:
@@ -105,8 +108,7 @@
         if (seen.ended >= seen.sent + request_deadline || is_at_end_of_grace(seen, runs)) {
             return "";
         }
-        const auto broken = std::count_if(runs.begin(), runs.end(),
-                                          [](const seen_run& run) { return breaks_off(run.request.fault); });
+        const auto broken = std::count_if(runs.begin(), runs.end(), breaks_off);
         if (broken == 0) {
             return ends_with_process(seen) ? "connection closed as the entry exited" : "connection closed";
         }
@@ -123,8 +125,7 @@
     {
         const std::size_t at = seen.body.rfind("data: ");
         return at != std::string::npos && std::any_of(runs.begin(), runs.end(), [&](const seen_run& run) {
-                   return breaks_off(run.request.fault) &&
-                          seen.body.substr(at).starts_with("data: " + run.runner + "\n");
+                   return breaks_off(run) && seen.body.substr(at).starts_with("data: " + run.runner + "\n");
                });
     }
 
