--- a/src/base/memory_bound.cpp
+++ b/src/base/memory_bound.cpp
@@ -6,13 +6,14 @@
 
 namespace {
 
-constexpr std::uint64_t held_share = 6;
+// The part of the memory, as its divisor, for answers; as much again is for request bodies.
+constexpr std::uint64_t held_share_divisor = 6;
 
 } // namespace
 
 std::uint64_t held_bytes_bound(std::uint64_t wanted, std::uint64_t memory)
 {
-    return memory == 0 ? wanted : std::min(wanted, std::max<std::uint64_t>(memory / held_share, 1));
+    return memory == 0 ? wanted : std::min(wanted, std::max<std::uint64_t>(memory / held_share_divisor, 1));
 }
 
 } // namespace verbena
--- a/src/forward/event_reader.h
+++ b/src/forward/event_reader.h
@@ -26,6 +26,7 @@
     // Number of buffered bytes of an incomplete event.
     std::size_t pending_bytes() const { return m_buffer.size(); }
 
+    // Number of bytes that are allocated for the buffer, whether in use or not.
     std::size_t allocated_bytes() const { return m_buffer.capacity(); }
 
 private:
