Take no head without a final status for an answer; share one build between setup and tests

An endpoint that answered with the status 000, 099, 101, 600 or the like had its answer passed on to the caller, and an interim head (100 to 199) was taken for the answer itself. Heads whose status does not end a request are no answers now: the attempt counts as one that may have run. Interim heads are skipped, eight at most. Both HTTP clients read heads with the same function, so calls to engines and reservations behave alike.

--- a/setup.sh
+++ b/setup.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Installs the packages required by the build and the tests, then builds both programs. Run as root on Debian 12.
+# test.sh goes on with the same build.
 set -euo pipefail
 cd "$(dirname "$0")"
 export DEBIAN_FRONTEND=noninteractive
@@ -13,4 +14,4 @@
     apt-get install -y -qq --no-install-recommends $missing >/dev/null
 fi
 cmake -S . -B build -G Ninja >/dev/null
-cmake --build build | tail -1
+cmake --build build --target verbenaproxy verbenaproxy-standin | tail -1
--- a/src/forward/endpoint_call.cpp
+++ b/src/forward/endpoint_call.cpp
@@ -5,7 +5,6 @@
 #include "net/receive_buffer.h"
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <array>
 
@@ -33,7 +32,6 @@
 endpoint_call::endpoint_call(const net::asio::any_io_executor& executor)
     : m_socket(executor), m_timer(executor)
 {
-    m_parser.body_limit(boost::none);
 }
 
 // One timer serves all operations. On expiry it closes the socket, which ends the pending operation.
@@ -117,30 +115,30 @@
                                                             time_point deadline, deadline_extension extend)
 {
     arm(deadline, std::move(extend));
-    auto [failure, size] = co_await http::async_read_header(m_socket, m_buffer, m_parser, no_throw);
+    const error_code failure = co_await net::read_answer_head(m_socket, m_buffer, m_parser);
     disarm();
     if (failure) {
         co_return m_expired ? make_error(error_kind::timeout, "no response header before the deadline")
                             : net::io_error("read response header", failure);
     }
-    co_return protocol.read_answer(m_parser.get().result_int(), m_parser.get().base());
+    co_return protocol.read_answer(m_parser->get().result_int(), m_parser->get().base());
 }
 
 net::task<result<std::string>> endpoint_call::read_some(time_point deadline, deadline_extension extend)
 {
     std::string chunk;
     arm(deadline, std::move(extend));
-    while (chunk.empty() && !m_parser.is_done()) {
+    while (chunk.empty() && !m_parser->is_done()) {
         chunk.resize(read_size);
-        m_parser.get().body().data = chunk.data();
-        m_parser.get().body().size = chunk.size();
-        auto [failure, size] = co_await http::async_read_some(m_socket, m_buffer, m_parser, no_throw);
+        m_parser->get().body().data = chunk.data();
+        m_parser->get().body().size = chunk.size();
+        auto [failure, size] = co_await http::async_read_some(m_socket, m_buffer, *m_parser, no_throw);
         if (failure && failure != http::error::need_buffer) {
             disarm();
             co_return m_expired ? make_error(error_kind::timeout, "no response data before the deadline")
                                 : net::io_error("read response body", failure);
         }
-        chunk.resize(chunk.size() - m_parser.get().body().size);
+        chunk.resize(chunk.size() - m_parser->get().body().size);
     }
     disarm();
     co_return chunk;
--- a/src/forward/endpoint_call.h
+++ b/src/forward/endpoint_call.h
@@ -1,12 +1,8 @@
 #pragma once
 
 #include "forward/protocol_adapter.h"
+#include "net/answer_head.h"
 #include "net/answer_limits.h"
-#include "net/asio.h"
-
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <functional>
 #include <memory>
@@ -39,10 +35,10 @@
     net::task<result<std::string>> read_some(time_point deadline, deadline_extension extend = nullptr);
 
     // Whether bytes of an answer have arrived.
-    bool has_begun() const { return m_parser.is_header_done() || m_buffer.size() != 0; }
+    bool has_begun() const { return (m_parser && m_parser->is_header_done()) || m_buffer.size() != 0; }
 
     // Whether the answer has neither a length nor chunks, so that only the end of the connection ends it.
-    bool ends_with_connection() const { return m_parser.need_eof(); }
+    bool ends_with_connection() const { return m_parser && m_parser->need_eof(); }
 
     // Closes the connection; pending operations fail.
     void close();
@@ -60,7 +56,7 @@
     // cancelled.
     std::uint64_t m_operation = 0;
     boost::beast::flat_buffer m_buffer{net::max_unparsed_bytes};
-    boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
+    std::optional<net::answer_parser> m_parser; // set while a head is read, and after it
 };
 
 } // namespace verbena::forward
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 
 #include "net/address.h"
+#include "net/answer_head.h"
 #include "net/answer_limits.h"
 #include "net/keep_alive.h"
 #include "net/receive_buffer.h"
@@ -9,9 +10,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <algorithm>
 
@@ -85,9 +83,8 @@
 
     task<result<void>> read_head(milliseconds timeout)
     {
-        m_parser.body_limit(boost::none);
         expires_after(timeout);
-        auto [failure, size] = co_await http::async_read_header(m_stream, m_buffer, m_parser, no_throw);
+        const error_code failure = co_await read_answer_head(m_stream, m_buffer, m_parser);
         if (failure) {
             co_return stream_error("read response head", failure);
         }
@@ -100,19 +97,19 @@
         m_stream.expires_after(std::clamp(left, milliseconds::zero(), timeout));
     }
 
-    unsigned status() const override { return m_parser.get().result_int(); }
+    unsigned status() const override { return m_parser->get().result_int(); }
 
     std::string content_type() const override
     {
-        return std::string(m_parser.get()[http::field::content_type]);
+        return std::string(m_parser->get()[http::field::content_type]);
     }
 
-    std::string header(const std::string& name) const override { return std::string(m_parser.get()[name]); }
+    std::string header(const std::string& name) const override { return std::string(m_parser->get()[name]); }
 
     http_header_list headers() const override
     {
         http_header_list found;
-        for (const auto& field : m_parser.get()) {
+        for (const auto& field : m_parser->get()) {
             found.emplace_back(std::string(field.name_string()), std::string(field.value()));
         }
         return found;
@@ -123,15 +120,15 @@
         std::string chunk;
         // Bytes that add nothing to the body, such as a chunk header, do not extend the time.
         expires_after(inactivity_timeout);
-        while (chunk.empty() && !m_parser.is_done()) {
+        while (chunk.empty() && !m_parser->is_done()) {
             chunk.resize(read_size);
-            m_parser.get().body().data = chunk.data();
-            m_parser.get().body().size = chunk.size();
-            auto [failure, size] = co_await http::async_read_some(m_stream, m_buffer, m_parser, no_throw);
+            m_parser->get().body().data = chunk.data();
+            m_parser->get().body().size = chunk.size();
+            auto [failure, size] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, no_throw);
             if (failure && failure != http::error::need_buffer) {
                 co_return stream_error("read response body", failure);
             }
-            chunk.resize(chunk.size() - m_parser.get().body().size);
+            chunk.resize(chunk.size() - m_parser->get().body().size);
         }
         co_return chunk;
     }
@@ -146,7 +143,7 @@
     beast::tcp_stream m_stream;
     const time_point m_end;
     beast::flat_buffer m_buffer{max_unparsed_bytes};
-    http::response_parser<http::buffer_body> m_parser;
+    std::optional<answer_parser> m_parser; // set while a head is read, and after it
 };
 
 // Bounds of the steps of one call, and of the whole call.
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -1,6 +1,9 @@
 #include "net/http_client.h"
 #include "net_fixture.h"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -32,10 +35,68 @@
     return false;
 }
 
+// What a call gets from a peer that reads `request_bytes` of its request, answers with `text` and closes the
+// connection, or resets it. 0 stands for an error.
+unsigned status_from(const std::string& text, std::size_t upload, std::size_t request_bytes, bool reset)
+{
+    net_threads threads;
+    net::tcp::acceptor acceptor(threads.io, {net::asio::ip::address_v4::loopback(), 0});
+    const host_port address{"127.0.0.1", acceptor.local_endpoint().port()};
+    net::asio::co_spawn(
+        threads.io,
+        [&]() -> net::task<void> {
+            auto [failure, peer] = co_await acceptor.async_accept(net::no_throw);
+            std::string bytes(request_bytes, ' ');
+            co_await net::asio::async_read(peer, net::asio::buffer(bytes), net::no_throw);
+            co_await net::asio::async_write(peer, net::asio::buffer(text), net::no_throw);
+            co_await net::sleep_for(50ms); // a reset discards what has not arrived
+            if (reset) {
+                peer.set_option(net::asio::socket_base::linger(true, 0));
+            }
+        },
+        net::asio::detached);
+    const unsigned status = threads.run<unsigned>([&]() -> net::task<unsigned> {
+        net::http_call call;
+        call.body = std::string(upload, 'x');
+        const auto answer = co_await net::fetch_http(address, std::move(call), 5s);
+        co_return answer ? answer.value().status : 0;
+    });
+    threads.stop();
+    return status;
+}
+
+constexpr std::size_t whole_request = 50; // of a call without a body, at least
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(http_client)
 
+// Guards against an engine in trouble whose status is none, and that passes for an answer.
+BOOST_AUTO_TEST_CASE(head_without_a_final_status_is_no_answer)
+{
+    for (const char* status : {"000", "001", "099", "100", "101", "199", "600", "999"}) {
+        const std::string text = "HTTP/1.1 " + std::string(status) + " Odd\r\nContent-Length: 2\r\n\r\nno";
+        BOOST_TEST(status_from(text, 0, whole_request, false) == 0U, status);
+    }
+}
+
+// Guards against an interim head that is taken for the answer.
+BOOST_AUTO_TEST_CASE(interim_head_is_skipped)
+{
+    const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    BOOST_TEST(status_from(text, 0, whole_request, false) == 200U);
+}
+
+// Guards against an early answer without a length that is reset while the request is still being written, and
+// whose part passes for the whole.
+BOOST_AUTO_TEST_CASE(early_answer_that_is_reset_is_no_answer)
+{
+    const std::string text = "HTTP/1.1 200 OK\r\n\r\na part of the answer";
+    for (const std::size_t upload : {std::size_t{6'000}, std::size_t{4'000'000}}) {
+        BOOST_TEST(status_from(text, upload, whole_request, true) == 0U, upload << " bytes");
+    }
+}
+
 // Guards against a call that waits for its deadline because its peer has lost power without a reset.
 BOOST_AUTO_TEST_CASE(idle_connection_is_probed)
 {
--- a/test/platform_heads_test.cpp
+++ b/test/platform_heads_test.cpp
@@ -85,4 +85,35 @@
     }
 }
 
+// Guards against an endpoint in trouble whose status is none, and that reaches callers as an answer.
+BOOST_FIXTURE_TEST_CASE(head_without_a_final_status_is_no_answer, heads_fixture)
+{
+    for (const char* status : {"000", "001", "099", "100", "101", "199", "600", "999"}) {
+        const std::string head =
+            "HTTP/1.1 " + std::string(status) +
+            " Odd\r\nRequest-Id: ID\r\nRunner-Seal: s1.standin\r\nContent-Length: 2\r\n\r\nno";
+        for (const std::string path : {"/once/1", "/safe/1", "/model/1"}) {
+            BOOST_TEST(status_of(path, head, std::string::npos, runner_fault::cut_head) == 502U,
+                       path << ", status " << status);
+        }
+    }
+}
+
+// Guards against an interim head that is taken for the answer, and against interim heads without end.
+BOOST_FIXTURE_TEST_CASE(interim_heads_are_skipped_up_to_a_bound, heads_fixture)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nRunner-Seal: s1.standin\r\n"
+                               "Content-Length: 2\r\n\r\nok";
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    std::string many;
+    for (int i = 0; i < 20; ++i) {
+        many += hints;
+    }
+    for (const std::string path : {"/once/1", "/safe/1", "/model/1"}) {
+        const std::string few = "HTTP/1.1 100 Continue\r\n\r\n" + hints + answer;
+        BOOST_TEST(status_of(path, few, std::string::npos, runner_fault::cut_head) == 200U, path);
+        BOOST_TEST(status_of(path, many + answer, std::string::npos, runner_fault::cut_head) == 502U, path);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
