--- a/src/control/state_machine.cpp
+++ b/src/control/state_machine.cpp
@@ -65,6 +65,11 @@
     return parse_reply<wire::key_reply>(bytes);
 }
 
+result<log_entry::duty_replyT> parse_duty_reply(std::span<const std::uint8_t> bytes)
+{
+    return parse_reply<log_entry::duty_reply>(bytes);
+}
+
 state_machine::state_machine(const state_limits& limits)
     : m_configuration(limits.configuration), m_keys(limits.keys)
 {
@@ -101,6 +106,17 @@
         const std::unique_ptr<wire::key_finishT> request(finish->request()->UnPack());
         return pack(m_keys.finish(*request));
     }
+    return apply_duty(command);
+}
+
+std::vector<std::uint8_t> state_machine::apply_duty(const log_entry::command& command)
+{
+    if (const auto* take = command.body_as_take_duty()) {
+        return pack(m_duties.take(*take));
+    }
+    if (const auto* bar = command.body_as_bar_duty()) {
+        return pack(m_duties.bar(*bar));
+    }
     return {};
 }
 
@@ -109,8 +125,10 @@
     flatbuffers::FlatBufferBuilder builder(m_keys.bytes() + (std::size_t{64} << 10U));
     const configuration_offsets config = m_configuration.save(builder);
     const auto keys = m_keys.save(builder);
+    const auto duties = m_duties.save(builder);
     builder.Finish(log_entry::Createsnapshot(builder, m_applied_index, to_ms(m_keys.now()), config.config,
-                                             config.answers, config.revisions, keys));
+                                             config.answers, config.revisions, keys, duties,
+                                             m_duties.last_token()));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
@@ -124,6 +142,7 @@
     m_applied_index = saved->applied_index();
     m_configuration.restore(*saved);
     m_keys.restore(*saved);
+    m_duties.restore(*saved);
     return success();
 }
 
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "control/configuration.h"
+#include "control/duty_table.h"
 #include "control/key_table.h"
+#include "control/packed.h"
 
 #include <cstdint>
 #include <span>
@@ -19,9 +21,19 @@
 std::vector<std::uint8_t> make_command(const wire::key_bindT& request, wall_time now);
 std::vector<std::uint8_t> make_command(const wire::key_finishT& request, wall_time now);
 
+// Packs a command of duties; its table holds the wall clock of the proposing leader.
+template <typename Body>
+std::vector<std::uint8_t> make_duty_command(Body body)
+{
+    log_entry::commandT command;
+    command.body.Set(std::move(body));
+    return pack(command);
+}
+
 // Unpacks a reply of `state_machine::apply`. Error `corrupt` when the bytes are not a reply of this type.
 result<op::change_replyT> parse_change_reply(std::span<const std::uint8_t> bytes);
 result<wire::key_replyT> parse_key_reply(std::span<const std::uint8_t> bytes);
+result<log_entry::duty_replyT> parse_duty_reply(std::span<const std::uint8_t> bytes);
 
 // The replicated state of a control group. Deterministic: replicas that applied the same log have
 // byte-identical snapshots. Not thread-safe.
@@ -29,9 +41,9 @@
 public:
     explicit state_machine(const state_limits& limits = {});
 
-    // Applies the committed entry at `index`. The reply is a packed op::change_reply or wire::key_reply,
-    // depending on the command. It is empty when the entry was applied before or is not a valid command,
-    // which is counted.
+    // Applies the committed entry at `index`. The reply is a packed op::change_reply, wire::key_reply or
+    // log_entry::duty_reply, depending on the command. It is empty when the entry was applied before or is
+    // not a valid command, which is counted.
     std::vector<std::uint8_t> apply(std::uint64_t index, std::span<const std::uint8_t> command);
 
     // The whole state as a packed log_entry::snapshot.
@@ -44,14 +56,17 @@
     std::uint64_t invalid_commands() const { return m_invalid_commands; }
     const configuration& config() const { return m_configuration; }
     const key_table& keys() const { return m_keys; }
+    const duty_table& duties() const { return m_duties; }
 
 private:
     std::vector<std::uint8_t> apply(const log_entry::command& command);
+    std::vector<std::uint8_t> apply_duty(const log_entry::command& command);
 
     std::uint64_t m_applied_index = 0;
     std::uint64_t m_invalid_commands = 0;
     configuration m_configuration;
     key_table m_keys;
+    duty_table m_duties;
 };
 
 } // namespace verbena::control
