Hold duties on the leader and call the infrastructure

The leader claims each duty in the log, waits a lease, and calls only while a quorum confirms its leadership, no suspension was just seen and its token is in force, asked again directly before the first byte. Syntax checked, not yet built as a whole.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -3,6 +3,7 @@
 #include "base/event_log.h"
 #include "base/log.h"
 #include "base/version.h"
+#include "control/duty_tasks.h"
 #include "control/wall_clock.h"
 #include "node/control_client.h"
 
@@ -30,6 +31,10 @@
 // Longest wait for the refusals of calls that arrive after that.
 constexpr milliseconds last_answers_time{150};
 
+// Longest wait for calls of duties during shutdown. A call that ends later cannot do harm: the next holder
+// has a higher token.
+constexpr milliseconds open_duty_calls_timeout{300};
+
 constexpr milliseconds expiry_interval{250};
 
 // Longest wait for a leadership transfer before shutdown.
@@ -41,21 +46,24 @@
 
 result<std::shared_ptr<control_service>>
 control_service::create(node::process& process, const settings::control_settingsT& settings, bool initialise,
-                        std::shared_ptr<external_call_handler> external_handler)
+                        std::shared_ptr<external_call_handler> external_handler,
+                        std::shared_ptr<infrastructure> duty_target)
 {
     if (settings.member_id == 0 && initialise) {
         return make_error(error_kind::invalid_settings, "--init needs [control] member_id",
                           "set it to a number from 1, or set bootstrap in place of --init");
     }
-    auto service = std::make_shared<control_service>(process, settings, std::move(external_handler));
+    auto service = std::make_shared<control_service>(process, settings, std::move(external_handler),
+                                                     std::move(duty_target));
     BOOST_OUTCOME_TRY(service->open(initialise));
     return service;
 }
 
 control_service::control_service(node::process& process, const settings::control_settingsT& settings,
-                                 std::shared_ptr<external_call_handler> external_handler)
+                                 std::shared_ptr<external_call_handler> external_handler,
+                                 std::shared_ptr<infrastructure> duty_target)
     : m_process(process), m_settings(settings), m_directory(process.self_incarnation()),
-      m_external_handler(std::move(external_handler))
+      m_external_handler(std::move(external_handler)), m_duty_target(std::move(duty_target))
 {
 }
 
@@ -88,6 +96,7 @@
             log::failure("stopping after a Raft member fault: " + describe(cause));
             m_process.stop(1);
         }));
+    open_duties();
     m_operator = std::make_unique<operator_service>(*m_raft, m_machine, m_directory, m_polls);
     BOOST_OUTCOME_TRY(m_frames, net::frame_server::create(m_process.io(), frames, connections, *this));
     net::http_limits limits;
@@ -98,6 +107,22 @@
     return success();
 }
 
+void control_service::open_duties()
+{
+    if (!m_duty_target || m_settings.duties.empty()) {
+        return;
+    }
+    duty_service::options options;
+    options.tasks = make_duty_tasks(m_settings);
+    options.limits = {milliseconds(m_settings.duty_lease), milliseconds(m_settings.duty_thaw)};
+    options.holder = m_process.settings().name;
+    options.incarnation = m_process.self_incarnation();
+    constexpr double thousandths = 1'000;
+    options.calls_per_s = m_settings.duty_rate / thousandths;
+    options.target = m_duty_target;
+    m_duties = std::make_shared<duty_service>(m_raft, m_machine, m_process.counters(), std::move(options));
+}
+
 void control_service::start()
 {
     auto self = shared_from_this();
@@ -110,6 +135,10 @@
         m_raft->strand(), [self] { return self->announce_leadership(); }, net::asio::detached);
     net::asio::co_spawn(
         m_raft->strand(), [self] { return self->expire_directory(); }, net::asio::detached);
+    if (m_duties) {
+        net::asio::co_spawn(
+            m_raft->strand(), [duties = m_duties] { return duties->run(); }, net::asio::detached);
+    }
     m_process.set_ready(true);
 }
 
@@ -123,6 +152,9 @@
 {
     const time_point begin = clock::now();
     log_shutdown("begun", begin);
+    if (m_duties) {
+        co_await m_duties->stop(open_duty_calls_timeout);
+    }
     if (m_raft->is_leader()) {
         m_raft->transfer_leadership();
         const time_point deadline = clock::now() + leadership_transfer_timeout;
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/duty_service.h"
 #include "control/public_calls.h"
 #include "control/raft_host.h"
 #include "node/config_view.h"
@@ -16,10 +17,12 @@
 public:
     static result<std::shared_ptr<control_service>>
     create(node::process& process, const settings::control_settingsT& settings, bool initialise,
-           std::shared_ptr<external_call_handler> external_handler = nullptr);
+           std::shared_ptr<external_call_handler> external_handler = nullptr,
+           std::shared_ptr<infrastructure> duty_target = nullptr);
 
     control_service(node::process& process, const settings::control_settingsT& settings,
-                    std::shared_ptr<external_call_handler> external_handler);
+                    std::shared_ptr<external_call_handler> external_handler,
+                    std::shared_ptr<infrastructure> duty_target);
 
     void start();
 
@@ -39,6 +42,8 @@
 
 private:
     result<void> open(bool initialise);
+    // Creates the service of the duties if the settings name duties and the infrastructure.
+    void open_duties();
     net::task<void> serve_stream(std::shared_ptr<net::frame_stream> stream, net::received_frame first);
     void dispatch_message(const std::shared_ptr<net::frame_stream>& stream, const wire::frame& frame);
     void handle_poll(const std::shared_ptr<net::frame_stream>& stream, const wire::poll& poll);
@@ -73,6 +78,8 @@
     std::shared_ptr<net::peer_pool> m_pool;
     std::shared_ptr<raft_host> m_raft;
     std::shared_ptr<external_call_handler> m_external_handler;
+    std::shared_ptr<infrastructure> m_duty_target;
+    std::shared_ptr<duty_service> m_duties; // null without duties
     std::unique_ptr<operator_service> m_operator;
     std::shared_ptr<net::frame_server> m_frames;
     std::shared_ptr<net::http_server> m_http;
--- a/src/main/roles.cpp
+++ b/src/main/roles.cpp
@@ -6,11 +6,13 @@
 #include "base/log.h"
 #include "base/version.h"
 #include "control/control_service.h"
+#include "control/duty_settings.h"
 #include "entry/entry_service.h"
 #include "forward/forward_service.h"
 #include "node/process.h"
 #include "platform/configuration.h"
 #include "platform/http_protocol_adapter.h"
+#include "platform/infrastructure_client.h"
 #include "platform/platform_call_handler.h"
 
 #include <csignal>
@@ -108,6 +110,7 @@
         }
         BOOST_OUTCOME_TRY(parse_host_port(root.control->listen));
         BOOST_OUTCOME_TRY(parse_host_port(root.control->operator_listen));
+        BOOST_OUTCOME_TRY(control::check_duty_settings(*root.control, file));
     }
     return success();
 }
@@ -158,10 +161,16 @@
         return run_service(role_process, role, settings_file,
                            agent::agent_service::create(role_process, *root.agent));
     }
+    std::shared_ptr<control::infrastructure> infrastructure;
+    if (!root.control->infrastructure.empty()) {
+        infrastructure = std::make_shared<platform::infrastructure_client>(
+            parse_host_port(root.control->infrastructure).value());
+    }
     return run_service(
         role_process, role, settings_file,
         control::control_service::create(role_process, *root.control, initialise,
-                                         std::make_shared<platform::platform_call_handler>(codec)));
+                                         std::make_shared<platform::platform_call_handler>(codec),
+                                         std::move(infrastructure)));
 }
 
 } // namespace verbena
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "net/address.h"
 #include "net/answer_limits.h"
+#include "net/checked_call.h"
 #include "net/keep_alive.h"
 #include "net/receive_buffer.h"
 
@@ -157,7 +158,8 @@
 };
 
 task<result<std::unique_ptr<http_stream>>> open_until(host_port address, http_call call, open_limits limits,
-                                                      std::shared_ptr<bool> sent)
+                                                      std::shared_ptr<bool> sent,
+                                                      std::function<bool()> may_send = nullptr)
 {
     BOOST_OUTCOME_CO_TRY(const tcp::endpoint endpoint, to_tcp_endpoint(address));
     auto stream = std::make_unique<client_stream>(co_await asio::this_coro::executor, limits.end);
@@ -165,6 +167,9 @@
     if (!connected) {
         co_return connected.error();
     }
+    if (may_send && !may_send()) {
+        co_return make_error(error_kind::conflict, "the call may not be sent any more", "");
+    }
     if (sent) {
         *sent = true;
     }
@@ -180,21 +185,9 @@
     co_return std::unique_ptr<http_stream>(std::move(stream));
 }
 
-} // namespace
-
-task<result<std::unique_ptr<http_stream>>> open_http(host_port address, http_call call,
-                                                     milliseconds connect_timeout, milliseconds head_timeout,
-                                                     std::shared_ptr<bool> sent)
-{
-    co_return co_await open_until(std::move(address), std::move(call), {connect_timeout, head_timeout},
-                                  std::move(sent));
-}
-
-task<result<http_response>> fetch_http(host_port address, http_call call, milliseconds timeout,
-                                       std::size_t max_body)
+task<result<http_response>> read_response(result<std::unique_ptr<http_stream>> opened, milliseconds timeout,
+                                          std::size_t max_body)
 {
-    auto opened = co_await open_until(std::move(address), std::move(call),
-                                      {timeout, timeout, clock::now() + timeout}, nullptr);
     if (!opened) {
         co_return opened.error();
     }
@@ -220,4 +213,33 @@
     co_return response;
 }
 
+} // namespace
+
+task<result<std::unique_ptr<http_stream>>> open_http(host_port address, http_call call,
+                                                     milliseconds connect_timeout, milliseconds head_timeout,
+                                                     std::shared_ptr<bool> sent)
+{
+    co_return co_await open_until(std::move(address), std::move(call), {connect_timeout, head_timeout},
+                                  std::move(sent));
+}
+
+task<result<http_response>> fetch_http(host_port address, http_call call, milliseconds timeout,
+                                       std::size_t max_body)
+{
+    auto opened = co_await open_until(std::move(address), std::move(call),
+                                      {timeout, timeout, clock::now() + timeout}, nullptr);
+    co_return co_await read_response(std::move(opened), timeout, max_body);
+}
+
+task<result<http_response>> fetch_checked(host_port address, http_call call, milliseconds timeout,
+                                          std::function<bool()> may_send, std::shared_ptr<bool> sent)
+{
+    // Answers to such calls have no content that is used.
+    constexpr std::size_t max_body = std::size_t{64} << 10U;
+    auto opened =
+        co_await open_until(std::move(address), std::move(call), {timeout, timeout, clock::now() + timeout},
+                            std::move(sent), std::move(may_send));
+    co_return co_await read_response(std::move(opened), timeout, max_body);
+}
+
 } // namespace verbena::net
