--- a/standin/infrastructure.h
+++ b/standin/infrastructure.h
@@ -39,6 +39,8 @@
 
     net::task<void> handle(net::http_exchange& exchange) override;
 
+    host_port address() const { return {m_options.listen.host, m_server->port()}; }
+
     void set_faults(const infrastructure_faults& faults);
 
     // Accepted reports: counts of each team, by window.
