Count usage at entries and gather it in windows on the leader

The leader gathers them into windows; a window is recorded in the replicated log before it is reported. Not built whole and not run yet.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/experimental/concurrent_channel.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace verbena::control {
@@ -42,6 +43,18 @@
 
 constexpr std::string_view call_prefix = "/operator/v1/";
 
+// A pair of readings of both clocks further apart is not used: the process was preempted between them.
+constexpr milliseconds max_reading_time{1};
+
+void observe_clock(usage_collector& collector)
+{
+    const time_point before = clock::now();
+    const wall_time wall = wall_now();
+    if (clock::now() - before < max_reading_time) {
+        collector.observe_clock(wall, before);
+    }
+}
+
 } // namespace
 
 result<std::shared_ptr<control_service>>
@@ -65,6 +78,11 @@
     : m_process(process), m_settings(settings), m_directory(process.self_incarnation()),
       m_external_handler(std::move(external_handler)), m_duty_target(std::move(duty_target))
 {
+    const std::vector<std::string> duties = split_list(settings.duties);
+    if (std::find(duties.begin(), duties.end(), "metering") != duties.end()) {
+        m_usage.emplace(
+            usage_options{milliseconds(settings.usage_window), milliseconds(settings.usage_late)});
+    }
 }
 
 result<void> control_service::open(bool initialise)
@@ -356,7 +374,12 @@
     wire::pollT request;
     poll.UnPackTo(&request);
     const time_point now = clock::now();
-    wire::poll_replyT reply = m_polls.handle(request, make_view(now), m_machine.config(), m_directory, now);
+    const member_view self = make_view(now);
+    wire::poll_replyT reply = m_polls.handle(request, self, m_machine.config(), m_directory, now);
+    if (m_usage) {
+        observe_clock(*m_usage);
+        m_usage->answer(request, self.is_leader, now, reply);
+    }
     stream->send(net::make_frame(std::move(reply)));
     m_process.counters().add("verbena_control_polls_total", {});
 }
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -3,6 +3,7 @@
 #include "control/duty_service.h"
 #include "control/public_calls.h"
 #include "control/raft_host.h"
+#include "control/usage_collector.h"
 #include "node/config_view.h"
 #include "node/process.h"
 
@@ -75,6 +76,7 @@
     control::state_machine m_machine;
     directory m_directory;
     poll_service m_polls;
+    std::optional<usage_collector> m_usage; // while the settings name the duty
     std::shared_ptr<net::peer_pool> m_pool;
     std::shared_ptr<raft_host> m_raft;
     std::shared_ptr<external_call_handler> m_external_handler;
--- a/src/control/state_machine.cpp
+++ b/src/control/state_machine.cpp
@@ -117,6 +117,12 @@
     if (const auto* bar = command.body_as_bar_duty()) {
         return pack(m_duties.bar(*bar));
     }
+    if (const auto* record = command.body_as_record_usage()) {
+        return pack(m_usage.record(*record));
+    }
+    if (const auto* finish = command.body_as_finish_usage()) {
+        return pack(m_usage.finish(*finish));
+    }
     return {};
 }
 
@@ -126,9 +132,10 @@
     const configuration_offsets config = m_configuration.save(builder);
     const auto keys = m_keys.save(builder);
     const auto duties = m_duties.save(builder);
+    const auto usage = m_usage.save(builder);
     builder.Finish(log_entry::Createsnapshot(builder, m_applied_index, to_ms(m_keys.now()), config.config,
                                              config.answers, config.revisions, keys, duties,
-                                             m_duties.last_token()));
+                                             m_duties.last_token(), usage, m_usage.last_finished()));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
@@ -143,6 +150,7 @@
     m_configuration.restore(*saved);
     m_keys.restore(*saved);
     m_duties.restore(*saved);
+    m_usage.restore(*saved);
     return success();
 }
 
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -4,6 +4,7 @@
 #include "control/duty_table.h"
 #include "control/key_table.h"
 #include "control/packed.h"
+#include "control/usage_table.h"
 
 #include <cstdint>
 #include <span>
@@ -57,6 +58,7 @@
     const configuration& config() const { return m_configuration; }
     const key_table& keys() const { return m_keys; }
     const duty_table& duties() const { return m_duties; }
+    const usage_table& usage() const { return m_usage; }
 
 private:
     std::vector<std::uint8_t> apply(const log_entry::command& command);
@@ -67,6 +69,7 @@
     configuration m_configuration;
     key_table m_keys;
     duty_table m_duties;
+    usage_table m_usage;
 };
 
 } // namespace verbena::control
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -25,6 +25,11 @@
 // Part of that reserve in which the last answers are written.
 constexpr milliseconds last_answers_time{150};
 
+// Longest wait for the member that collects usage to acknowledge the last counts, and the part of it that is
+// taken even when the grace period is over; one poll fits into that.
+constexpr milliseconds usage_flush_time{500};
+constexpr milliseconds min_usage_flush_time{100};
+
 // Numbers of entries among which the fixed part of the retry budget is divided: assumed until the first
 // refresh, and the minimum after that.
 constexpr std::size_t assumed_entries = 10;
@@ -138,6 +143,7 @@
     options.frame_address = m_settings.peer_listen;
     options.failure_domain = m_process.settings().failure_domain;
     options.processor_share = m_process.settings().processor_share;
+    options.usage = &m_usage;
     m_control = std::make_shared<node::control_client>(m_process.io(), std::move(options), m_pool, m_config,
                                                        &m_directory, nullptr, counters);
     m_scheduler = std::make_unique<scheduler_client>(m_control->schedulers(), m_settings.peer_listen,
@@ -373,6 +379,7 @@
     end_open_requests();
     // Refusals of requests that arrived meanwhile, and answers that are about to end.
     co_await m_server->wait_idle(clock::now() + last_answers_time);
+    co_await flush_usage();
     m_control->stop();
     if (m_load_exchange) {
         m_load_exchange->stop();
@@ -389,6 +396,18 @@
     m_process.stop();
 }
 
+net::task<void> forward_service::flush_usage()
+{
+    const time_point now = clock::now();
+    const time_point end =
+        std::max(now + min_usage_flush_time, std::min(now + usage_flush_time, m_stop_end.load()));
+    const std::uint64_t last = m_usage.flush(now);
+    while (m_control->usage_acknowledged() < last && clock::now() < end) {
+        m_control->poll_now();
+        co_await net::sleep_for(drain_interval);
+    }
+}
+
 void forward_service::log_shutdown(const char* step, time_point begin) const
 {
     const auto since_begin = std::chrono::duration_cast<milliseconds>(clock::now() - begin);
@@ -558,7 +577,8 @@
                                     milliseconds(m_settings.stall),
                                     [this](time_point now) { return can_serve(now); },
                                     m_stopping,
-                                    m_answer_memory};
+                                    m_answer_memory,
+                                    &m_usage};
     const time_point deadline = request.deadline;
     const time_point arrived = request.arrived;
     const std::string route = request.route->name;
--- a/src/forward/forward_service.h
+++ b/src/forward/forward_service.h
@@ -72,6 +72,8 @@
     net::task<void> refresh();
     net::task<void> query_peers();
     net::task<void> drain();
+    // Sends the last usage counts to the member that collects them; waits a short time for its reply.
+    net::task<void> flush_usage();
     void log_shutdown(const char* step, time_point begin) const;
     // Answers the requests whose answer has not begun, in the background, each on its strand.
     void end_open_requests();
@@ -83,6 +85,7 @@
     node::config_view m_config;
     fleet m_fleet;
     node::directory_view m_directory;
+    node::usage_counter m_usage;
     shared_retry_budget m_budget;
     answer_memory m_answer_memory;
     std::shared_ptr<net::peer_pool> m_pool;
--- a/src/forward/request_answer.cpp
+++ b/src/forward/request_answer.cpp
@@ -212,6 +212,9 @@
 
 void request_forwarder::record_begun_answer()
 {
+    if (m_context.usage != nullptr) {
+        m_context.usage->record(m_request.team, clock::now(), node::usage_counter::wall_now());
+    }
     if (!m_request.terms.shared_parts.empty()) {
         m_context.endpoints.record_answer(m_request.terms.shared_parts, m_request.terms.id, clock::now());
     }
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -9,6 +9,7 @@
 #include "forward/memory_reservation.h"
 #include "forward/scheduler_client.h"
 #include "forward/shared_retry_budget.h"
+#include "node/usage_counter.h"
 #include "route/table.h"
 
 #include <atomic>
@@ -42,6 +43,7 @@
     std::function<bool(time_point)> may_send; // whether the configuration is recent enough to act on
     const std::atomic<bool>& stopping;        // whether this process is stopping
     answer_memory& memory;
+    node::usage_counter* usage = nullptr; // counts the answers that begin
 };
 
 // Forwards one request to endpoints until it is answered, refused or given up. An attempt that may have run
--- a/src/node/control_client.cpp
+++ b/src/node/control_client.cpp
@@ -155,13 +155,14 @@
     }
     const std::lock_guard lock(m_mutex);
     m_active_polls.erase(name);
+    m_usage_kept.erase(name);
 }
 
 net::task<void> control_client::poll_while_target(host_port member, std::string name)
 {
     std::shared_ptr<net::frame_stream> stream;
     time_point last_reply = clock::now();
-    sent_announcement last_sent;
+    member_exchange exchange;
     std::optional<bool> was_reachable;
     while (!m_stopping && is_poll_target(name)) {
         const time_point begin = clock::now();
@@ -174,7 +175,7 @@
             }
         }
         if (stream) {
-            const result<void> polled = co_await poll_once(member, stream, last_sent);
+            const result<void> polled = co_await poll_once(member, stream, exchange);
             if (polled) {
                 last_reply = clock::now();
                 log_reachability(name, was_reachable, true, "");
@@ -183,6 +184,9 @@
                 m_metrics.add("verbena_poll_failures_total", {{"member", name}});
                 stream->close(polled.error());
                 stream = nullptr;
+                // The member may have restarted and hold nothing.
+                exchange.usage_wanted = false;
+                exchange.usage_acknowledged = 0;
             }
         }
         if (m_directory != nullptr && clock::now() - last_reply > std::chrono::seconds(10)) {
@@ -225,7 +229,7 @@
 
 net::task<result<void>> control_client::poll_once(const host_port& member,
                                                   const std::shared_ptr<net::frame_stream>& stream,
-                                                  sent_announcement& last_sent)
+                                                  member_exchange& exchange)
 {
     const std::string name = address_text(member);
     wire::pollT poll;
@@ -245,10 +249,12 @@
     }
     if (m_announce) {
         poll.announce = m_announce();
-        const bool unchanged = poll.announce && last_sent.last && *poll.announce == *last_sent.last;
-        last_sent.skip_next = unchanged && !last_sent.skip_next;
-        last_sent.last = poll.announce ? std::make_unique<wire::announcementT>(*poll.announce) : nullptr;
-        if (last_sent.skip_next) {
+        const bool unchanged =
+            poll.announce && exchange.last_announced && *poll.announce == *exchange.last_announced;
+        exchange.skip_next = unchanged && !exchange.skip_next;
+        exchange.last_announced =
+            poll.announce ? std::make_unique<wire::announcementT>(*poll.announce) : nullptr;
+        if (exchange.skip_next) {
             poll.announce = nullptr;
         }
     }
@@ -257,6 +263,10 @@
     const time_point sent_at = clock::now();
     poll.nonce = static_cast<std::uint64_t>(sent_at.time_since_epoch().count());
     const std::uint64_t nonce = poll.nonce;
+    if (exchange.usage_wanted) {
+        poll.usage_slices =
+            m_options.usage->slices_after(exchange.usage_acknowledged, sent_at, usage_counter::wall_now());
+    }
     stream->send(net::make_frame(std::move(poll)));
     net::steady_timer timer(co_await net::asio::this_coro::executor);
     close_after(timer, stream, m_options.reply_timeout);
@@ -270,6 +280,7 @@
         co_return make_error(error_kind::invalid_frame, "unexpected reply to a poll",
                              "check that both processes run the same version");
     }
+    apply_usage_reply(name, *reply, exchange);
     apply_reply(name, *reply, sent_at);
     if (reply->load_permit() && requested_bytes != 0 && requested_bytes == m_requested_load_bytes) {
         m_load_permit = true;
@@ -277,6 +288,29 @@
     co_return success();
 }
 
+void control_client::apply_usage_reply(const std::string& member, const wire::poll_reply& reply,
+                                       member_exchange& exchange)
+{
+    if (m_options.usage == nullptr) {
+        return;
+    }
+    exchange.usage_wanted = reply.usage_wanted();
+    exchange.usage_acknowledged = reply.usage_acknowledged();
+    if (reply.usage_wanted()) {
+        m_usage_acknowledged = reply.usage_acknowledged();
+    }
+    milliseconds kept{};
+    {
+        // A member whose settings do not name the duty yet must not end the count for the others.
+        const std::lock_guard lock(m_mutex);
+        m_usage_kept[member] = milliseconds(reply.usage_kept_ms());
+        for (const auto& [name, value] : m_usage_kept) {
+            kept = std::max(kept, value);
+        }
+    }
+    m_options.usage->set_kept(kept, clock::now(), usage_counter::wall_now());
+}
+
 void control_client::apply_reply(const std::string& member, const wire::poll_reply& reply, time_point sent_at)
 {
     if (reply.config() != nullptr && reply.confirmed()) {
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -5,6 +5,7 @@
 #include "node/config_view.h"
 #include "node/directory_view.h"
 #include "node/scheduler_list.h"
+#include "node/usage_counter.h"
 
 #include <functional>
 #include <memory>
@@ -35,6 +36,9 @@
         // set for entries only.
         std::string failure_domain;
         std::uint32_t processor_share = 0;
+        // Counts that are sent to the member that collects them; null for processes without. Outlives the
+        // client.
+        usage_counter* usage = nullptr;
     };
 
     // Builds the announcement of an agent; null for entries.
@@ -55,6 +59,9 @@
     // Entries that may schedule requests, as the control members list them.
     const scheduler_list& schedulers() const { return m_schedulers; }
 
+    // Number of the last usage slice that the collecting member has acknowledged; 0 = none.
+    std::uint64_t usage_acknowledged() const { return m_usage_acknowledged; }
+
     // Requests a permit to load this many bytes from the weight store; 0 withdraws the request or returns the
     // permit.
     void request_load_permit(std::uint64_t bytes);
@@ -73,18 +80,23 @@
     net::task<void> wait_for_next_poll(time_point begin, std::string member);
     bool is_remote(const std::string& member, time_point now) const;
     net::task<void> poll_while_target(host_port member, std::string name);
-    // Last announcement sent to one member. An unchanged announcement is sent in every second poll only.
-    struct sent_announcement {
-        std::unique_ptr<wire::announcementT> last;
+    // What one member has been sent and has asked for. An unchanged announcement is sent in every second poll
+    // only.
+    struct member_exchange {
+        std::unique_ptr<wire::announcementT> last_announced;
         bool skip_next = false;
+        bool usage_wanted = false;
+        std::uint64_t usage_acknowledged = 0;
     };
 
     net::task<result<void>> poll_once(const host_port& member,
                                       const std::shared_ptr<net::frame_stream>& stream,
-                                      sent_announcement& last_sent);
+                                      member_exchange& exchange);
     net::task<result<wire::key_replyT>> call_member(host_port member, wire::frameT call,
                                                     milliseconds timeout);
     void record_group(const std::string& member, const wire::poll_reply& reply);
+    void apply_usage_reply(const std::string& member, const wire::poll_reply& reply,
+                           member_exchange& exchange);
     void apply_reply(const std::string& member, const wire::poll_reply& reply, time_point sent_at);
     host_port next_target(const wire::key_replyT* last, std::size_t attempt) const;
 
@@ -99,6 +111,7 @@
     std::atomic<bool> m_poll_now{false};
     std::atomic<std::uint64_t> m_requested_load_bytes{0};
     std::atomic<bool> m_load_permit{false};
+    std::atomic<std::uint64_t> m_usage_acknowledged{0};
     mutable std::mutex m_mutex;
     std::string m_leader; // frame address of the last known leader
     std::vector<host_port> m_seeds;
@@ -110,6 +123,7 @@
     time_point m_last_confirmed_reply;
     std::map<std::string, std::string> m_member_domains; // by frame address
     time_point m_last_local_confirmation;                // by a member of this failure domain
+    std::map<std::string, milliseconds> m_usage_kept;    // as asked for, by frame address of the member
     scheduler_list m_schedulers;
 };
 
