--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -78,11 +78,6 @@
     : m_process(process), m_settings(settings), m_directory(process.self_incarnation()),
       m_external_handler(std::move(external_handler)), m_duty_target(std::move(duty_target))
 {
-    const std::vector<std::string> duties = split_list(settings.duties);
-    if (std::find(duties.begin(), duties.end(), "metering") != duties.end()) {
-        m_usage.emplace(
-            usage_options{milliseconds(settings.usage_window), milliseconds(settings.usage_late)});
-    }
 }
 
 result<void> control_service::open(bool initialise)
@@ -130,8 +125,21 @@
     if (!m_duty_target || m_settings.duties.empty()) {
         return;
     }
+    const std::vector<std::string> duties = split_list(m_settings.duties);
+    duty_inputs inputs;
+    if (std::find(duties.begin(), duties.end(), "metering") != duties.end()) {
+        m_usage.emplace(
+            usage_options{milliseconds(m_settings.usage_window), milliseconds(m_settings.usage_late)});
+        m_process.counters().gauge("verbena_usage_unreported_seconds", {}, [this] {
+            const std::uint64_t end = m_usage_unreported_ms;
+            const auto now = static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
+            return end == 0 || end > now ? 0 : static_cast<double>(now - end) / 1'000;
+        });
+        inputs.usage = &*m_usage;
+        inputs.on_usage_step = [this](const event::usage_windowT& line) { report_usage_step(line); };
+    }
     duty_service::options options;
-    options.tasks = make_duty_tasks(m_settings);
+    options.tasks = make_duty_tasks(m_settings, inputs);
     options.limits = {milliseconds(m_settings.duty_lease), milliseconds(m_settings.duty_thaw)};
     options.holder = m_process.settings().name;
     options.incarnation = m_process.self_incarnation();
@@ -377,13 +385,27 @@
     const member_view self = make_view(now);
     wire::poll_replyT reply = m_polls.handle(request, self, m_machine.config(), m_directory, now);
     if (m_usage) {
-        observe_clock(*m_usage);
-        m_usage->answer(request, self.is_leader, now, reply);
+        handle_usage(request, self.is_leader, now, reply);
     }
     stream->send(net::make_frame(std::move(reply)));
     m_process.counters().add("verbena_control_polls_total", {});
 }
 
+void control_service::handle_usage(const wire::pollT& poll, bool leads, time_point now,
+                                   wire::poll_replyT& reply)
+{
+    observe_clock(*m_usage);
+    m_usage->answer(poll, leads, now, reply);
+    const std::uint64_t finished = m_machine.usage().last_finished();
+    m_usage_unreported_ms = leads && finished != 0 ? (finished + 2) * m_settings.usage_window : 0;
+}
+
+void control_service::report_usage_step(const event::usage_windowT& line)
+{
+    event_log::write(line);
+    m_process.counters().add("verbena_usage_windows_total", {{"outcome", line.outcome}});
+}
+
 void control_service::handle_freshness_query(const std::shared_ptr<net::frame_stream>& stream,
                                              const wire::freshness_query& query)
 {
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -4,6 +4,7 @@
 #include "control/public_calls.h"
 #include "control/raft_host.h"
 #include "control/usage_collector.h"
+#include "events_generated.h"
 #include "node/config_view.h"
 #include "node/process.h"
 
@@ -48,6 +49,9 @@
     net::task<void> serve_stream(std::shared_ptr<net::frame_stream> stream, net::received_frame first);
     void dispatch_message(const std::shared_ptr<net::frame_stream>& stream, const wire::frame& frame);
     void handle_poll(const std::shared_ptr<net::frame_stream>& stream, const wire::poll& poll);
+    // Takes the usage counts of an entry and fills in the usage fields of the reply to its poll.
+    void handle_usage(const wire::pollT& poll, bool leads, time_point now, wire::poll_replyT& reply);
+    void report_usage_step(const event::usage_windowT& line);
     void handle_freshness_query(const std::shared_ptr<net::frame_stream>& stream,
                                 const wire::freshness_query& query);
     void propose_key(const std::shared_ptr<net::frame_stream>& stream, std::vector<std::uint8_t> command);
@@ -76,7 +80,10 @@
     control::state_machine m_machine;
     directory m_directory;
     poll_service m_polls;
-    std::optional<usage_collector> m_usage; // while the settings name the duty
+    std::optional<usage_collector> m_usage; // if the settings name the duty
+    // End of the oldest window that is not reported, in ms of the wall clock, while this member leads; else
+    // 0.
+    std::atomic<std::uint64_t> m_usage_unreported_ms{0};
     std::shared_ptr<net::peer_pool> m_pool;
     std::shared_ptr<raft_host> m_raft;
     std::shared_ptr<external_call_handler> m_external_handler;
--- a/src/control/duty_tasks.cpp
+++ b/src/control/duty_tasks.cpp
@@ -2,11 +2,14 @@
 
 namespace verbena::control {
 
-std::vector<std::unique_ptr<duty_task>> make_duty_tasks(const settings::control_settingsT& settings)
+std::vector<std::unique_ptr<duty_task>> make_duty_tasks(const settings::control_settingsT& settings,
+                                                        const duty_inputs& inputs)
 {
     std::vector<std::unique_ptr<duty_task>> tasks;
     for (const std::string& duty : split_list(settings.duties)) {
-        static_cast<void>(duty);
+        if (duty == "metering" && inputs.usage != nullptr) {
+            tasks.push_back(std::make_unique<usage_duty>(*inputs.usage, inputs.on_usage_step));
+        }
     }
     return tasks;
 }
