--- a/standin/infrastructure.h
+++ b/standin/infrastructure.h
@@ -22,10 +22,10 @@
 
 // Faults of the infrastructure; applied to each call while they are set.
 struct infrastructure_faults {
-    milliseconds delay{};             // before a call is carried out and answered
-    bool silent = false;              // calls are neither carried out nor answered
-    bool answers_lost = false;        // calls are carried out and not answered
-    std::optional<milliseconds> late; // calls are not answered, and carried out after this time
+    milliseconds delay{};               // before a call is carried out and answered
+    bool silent = false;                // calls are neither carried out nor answered
+    bool answers_lost = false;          // calls are carried out and not answered
+    std::optional<milliseconds> late{}; // calls are not answered, and carried out after this time
 };
 
 // Stand-in for the infrastructure that takes calls of duties. Checks the token of each duty and subject,
--- a/test/process_fixture.cpp
+++ b/test/process_fixture.cpp
@@ -205,9 +205,9 @@
     write_file(name + ".ini", "[node]\nname = " + name +
                                   "\ncluster = platform\nfailure_domain = domain-a\nworkers = 1\ncontrol = " +
                                   seed_addresses() + "\n[control]\nlisten = " + local(value.frame_port) +
-                                  "\noperator_listen = " + local(value.operator_port) +
-                                  "\ndata = " + m_folder + "/" + name +
-                                  "\nmember_id = 0\nbootstrap = true\n" + "tolerated_losses = 1\n");
+                                  "\noperator_listen = " + local(value.operator_port) + "\ndata = " +
+                                  m_folder + "/" + name + "\nmember_id = 0\nbootstrap = true\n" +
+                                  "tolerated_losses = 1\n" + m_options.control_settings);
     std::filesystem::create_directory(m_folder + "/" + name);
     value.process = std::make_unique<server_process>("control", m_folder + "/" + name + ".ini",
                                                      m_folder + "/" + name + ".log");
--- a/test/process_fixture.h
+++ b/test/process_fixture.h
@@ -70,6 +70,8 @@
     std::chrono::milliseconds grace{8'000};
     // File descriptors that an entry may use; 0: the limit of its process.
     std::size_t descriptors = 0;
+    // Further lines of [control].
+    std::string control_settings;
 };
 
 // A deployment like that of the users' platform on loopback: three control processes and entries as
