--- a/test/process_duty_test.cpp
+++ b/test/process_duty_test.cpp
@@ -33,7 +33,8 @@
         processes->start_serving();
         m_caller = std::thread([this] {
             for (std::size_t i = 0; !m_stopping; ++i) {
-                processes->request(i % processes->entry_count(), "/safe/1", "x", "duty-" + std::to_string(i));
+                (void)processes->request(i % processes->entry_count(), "/safe/1", "x",
+                                         "duty-" + std::to_string(i));
                 std::this_thread::sleep_for(20ms);
             }
         });
