Let a silent later start yield to the start that checks in

Cause: the directory took any check-in with a later start time for a restart and rejected all further ones of the endpoint, for the lease of 8 s of the odd entry. An endpoint announces itself for as long as it runs, so of two starts the one that goes on is the one that runs.

Change: a start that has announced itself once yields after 3 s to an earlier one that has announced itself three times with rising sequence numbers over at least 1.5 s since. Delayed check-ins of an endpoint that has crashed arrive together and bring nothing back; a start that has announced itself twice never yields; one that has yielded is listed again at its next check-in. A restart under an old id takes effect at its first check-in as before.

Where the two starts check in at different members the 8 s remain: entries take the latest start that any member lists.

--- a/src/control/directory.cpp
+++ b/src/control/directory.cpp
@@ -13,6 +13,14 @@
 // every 500 ms, other endpoints every 1 to 2 s.
 constexpr milliseconds first_renewal_timeout{2'000};
 
+// A start that has announced itself once yields to an earlier one after this time, in which a running
+// endpoint announces itself at least once more.
+constexpr milliseconds unconfirmed_start_timeout{3'000};
+// The earlier start must have announced itself this often, and for this long, since then. Announcements that
+// a partition has delayed arrive together, so they do not bring back an endpoint that has crashed.
+constexpr std::uint32_t min_earlier_announcements = 3;
+constexpr milliseconds min_earlier_time{1'500};
+
 std::size_t size_of(const wire::announcementT& announcement)
 {
     constexpr std::size_t overhead = 96;
@@ -72,12 +80,11 @@
         return true;
     }
     entry& known = position->second;
-    // Without a start time the incarnation is 0 too and replaces none.
-    const bool replaced =
-        announcement.incarnation != 0 && announcement.incarnation == known.replaced_incarnation;
-    if (replaced || is_older(announcement, known.announcement)) {
+    const bool yields = is_outdated(known, announcement) && yields_to(known, announcement, now);
+    if (!yields && is_outdated(known, announcement)) {
         return false;
     }
+    record_start(known, announcement, yields, now);
     set_renewed(known, now);
     if (is_renewal(announcement, known.announcement)) {
         known.announcement.sequence = announcement.sequence;
@@ -85,13 +92,64 @@
         return true;
     }
     if (announcement.incarnation != known.announcement.incarnation) {
-        known.replaced_incarnation = known.announcement.incarnation;
+        // A start that has yielded is listed again when it announces itself again.
+        known.replaced_incarnation = yields ? 0 : known.announcement.incarnation;
     }
     known.announcement = announcement;
     assign_new_version(announcement.endpoint, known);
     return true;
 }
 
+bool directory::is_outdated(const entry& known, const wire::announcementT& announcement)
+{
+    // Without a start time the incarnation is 0 too and replaces none.
+    const bool replaced =
+        announcement.incarnation != 0 && announcement.incarnation == known.replaced_incarnation;
+    const bool repeats_yielded = announcement.born_ms != 0 && announcement.born_ms == known.yielded_born_ms &&
+                                 announcement.sequence <= known.yielded_sequence;
+    return replaced || repeats_yielded || is_older(announcement, known.announcement);
+}
+
+// An endpoint announces itself for as long as it runs, and at most one start of it runs. So when two starts
+// are announced, the one that goes on is the one that runs, whatever start time the other one claims.
+bool directory::yields_to(entry& known, const wire::announcementT& announcement, time_point now)
+{
+    const wire::announcementT& listed = known.announcement;
+    if (announcement.born_ms == 0 || announcement.born_ms >= listed.born_ms || listed.gone ||
+        known.start_confirmed) {
+        return false;
+    }
+    earlier_start& earlier = known.earlier;
+    if (earlier.born_ms != announcement.born_ms) {
+        earlier = {announcement.born_ms, announcement.sequence, now, 1};
+        return false;
+    }
+    if (announcement.sequence <= earlier.sequence) {
+        return false;
+    }
+    earlier.sequence = announcement.sequence;
+    ++earlier.announcements;
+    return earlier.announcements >= min_earlier_announcements &&
+           now - earlier.first_announced >= min_earlier_time &&
+           now - known.start_announced >= unconfirmed_start_timeout;
+}
+
+void directory::record_start(entry& known, const wire::announcementT& announcement, bool yields,
+                             time_point now)
+{
+    const wire::announcementT& listed = known.announcement;
+    if (announcement.born_ms == listed.born_ms) {
+        known.start_confirmed = known.start_confirmed || announcement.sequence > listed.sequence;
+        return;
+    }
+    // Both have been announced more than once: the one that yields to, and one that returns after it yielded.
+    known.start_confirmed = yields || announcement.born_ms == known.yielded_born_ms;
+    known.start_announced = now;
+    known.earlier = {};
+    known.yielded_born_ms = yields ? listed.born_ms : 0;
+    known.yielded_sequence = yields ? listed.sequence : 0;
+}
+
 bool directory::announce_gone(const wire::announcementT& announcement, time_point now)
 {
     if (!node::check_announcement(announcement, std::chrono::system_clock::now())) {
@@ -233,7 +291,11 @@
 
 void directory::add(const wire::announcementT& announcement, time_point now)
 {
-    entry added{announcement, now, 0, 0, ++m_last_arrival};
+    entry added;
+    added.announcement = announcement;
+    added.last_announced = now;
+    added.arrival = ++m_last_arrival;
+    added.start_announced = now;
     m_unrenewed.emplace(m_last_arrival, announcement.endpoint);
     m_next_expiry = std::min(m_next_expiry, now + lease_of(added));
     assign_new_version(announcement.endpoint,
--- a/src/control/directory.h
+++ b/src/control/directory.h
@@ -56,7 +56,8 @@
 
     // Renews the lease and stores a changed announcement. Returns false when it is rejected: it names no
     // endpoint to use, it is too large, the directory is full of renewed entries, or it is older than the
-    // stored one or from the process that was replaced.
+    // stored one or from the process that was replaced. A start that was announced once yields to an earlier
+    // start of the endpoint that keeps announcing itself; it is listed again when it announces itself again.
     bool announce(const wire::announcementT& announcement, time_point now);
 
     // Marks an endpoint as gone after it announced its end. It stays listed as gone until its lease expires,
@@ -85,6 +86,14 @@
     std::uint64_t version() const { return m_version; }
 
 private:
+    // An earlier start than the listed one that still announces itself.
+    struct earlier_start {
+        std::uint64_t born_ms = 0;
+        std::uint64_t sequence = 0; // of its latest announcement
+        time_point first_announced;
+        std::uint32_t announcements = 0; // with increasing sequence numbers
+    };
+
     struct entry {
         wire::announcementT announcement;
         time_point last_announced;
@@ -93,9 +102,23 @@
         incarnation replaced_incarnation = 0;
         // Position in m_unrenewed; 0 once the entry has been renewed.
         std::uint64_t arrival = 0;
+        // First announcement of the listed start, and whether a later one has followed it.
+        time_point start_announced;
+        bool start_confirmed = false;
+        earlier_start earlier;
+        // Latest announcement of the start that yielded to the listed one; 0 when none did.
+        std::uint64_t yielded_born_ms = 0;
+        std::uint64_t yielded_sequence = 0;
     };
 
     milliseconds lease_of(const entry& value) const;
+    // Whether the announcement is older than the listed one, or from a start that was replaced or has
+    // yielded.
+    static bool is_outdated(const entry& known, const wire::announcementT& announcement);
+    // Counts an outdated announcement, and returns whether the listed start yields to it.
+    static bool yields_to(entry& known, const wire::announcementT& announcement, time_point now);
+    static void record_start(entry& known, const wire::announcementT& announcement, bool yields,
+                             time_point now);
     // Removes the oldest entry that has not been renewed in time; returns false if there is none.
     bool make_room(time_point now);
     void add(const wire::announcementT& announcement, time_point now);
