Read the scaling limits of a service

A published configuration may name for a service the least and the largest number of endpoints in each failure domain, and their boot time. Missing and malformed fields, a max of 0 and a min above max make the configuration invalid, with the path of the field. Without it nothing is ordered.

--- a/src/route/document.h
+++ b/src/route/document.h
@@ -50,6 +50,13 @@
     double hop_ms = 0; // added to the steps of an answer whose prompt is held by several endpoints
 };
 
+// Number of endpoints that may be ordered for a service. `min` and `max` apply to each failure domain.
+struct scaling_rule {
+    std::uint32_t min = 0;
+    std::uint32_t max = 0;
+    milliseconds boot_time{}; // from the order of an endpoint until it takes requests
+};
+
 struct service_rule {
     std::string name;
     std::string health_path;
@@ -57,6 +64,7 @@
     milliseconds cold_time{};
     double cold_rate = 0; // requests per second that a cold endpoint can take; 0 = no limit
     std::optional<engine_rule> engine;
+    std::optional<scaling_rule> scaling; // absent: no endpoints are ordered
 };
 
 struct team_rule {
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -121,6 +121,42 @@
     BOOST_TEST(!error_of(std::string(sample_document).substr(0, 200)).empty());
 }
 
+// Guards against limits that are ignored or that no number of endpoints can keep, and against orders for
+// services that name none.
+BOOST_AUTO_TEST_CASE(reads_the_scaling_of_a_service)
+{
+    const auto with_scaling = [](const std::string& value) {
+        return replace_in_sample("{\"name\":\"s2\"}", "{\"name\":\"s2\",\"scaling\":" + value + "}");
+    };
+    const auto decoded = decode(with_scaling(R"({"min":2,"max":9,"boot_s":7.5})"));
+    BOOST_TEST_REQUIRE(decoded.has_value());
+    BOOST_TEST(!decoded.value().services[0].scaling.has_value());
+    BOOST_TEST_REQUIRE(decoded.value().services[1].scaling.has_value());
+    BOOST_TEST(decoded.value().services[1].scaling->min == 2U);
+    BOOST_TEST(decoded.value().services[1].scaling->max == 9U);
+    BOOST_TEST((decoded.value().services[1].scaling->boot_time == 7'500ms));
+    BOOST_TEST(decode(with_scaling(R"({"min":0,"max":1,"boot_s":0})")).has_value());
+    const auto absent = decode(with_scaling("null"));
+    BOOST_TEST_REQUIRE(absent.has_value());
+    BOOST_TEST(!absent.value().services[1].scaling.has_value());
+
+    const std::pair<const char*, const char*> invalid[] = {
+        {R"({"max":9,"boot_s":7})", "backends.1.scaling.min is missing"},
+        {R"({"min":2,"boot_s":7})", "backends.1.scaling.max is missing"},
+        {R"({"min":2,"max":9})", "backends.1.scaling.boot_s is missing"},
+        {R"({"min":2,"max":"9","boot_s":7})", "backends.1.scaling.max is not a non-negative integer"},
+        {R"({"min":-1,"max":9,"boot_s":7})", "backends.1.scaling.min is not a non-negative integer"},
+        {R"({"min":2,"max":4294967296,"boot_s":7})", "backends.1.scaling.max is too large"},
+        {R"({"min":0,"max":0,"boot_s":7})",
+         "backends.1.scaling.max is 0, but each failure domain needs room for an endpoint"},
+        {R"({"min":3,"max":2,"boot_s":7})", "backends.1.scaling.min is larger than max"}};
+    for (const auto& [value, message] : invalid) {
+        BOOST_TEST(error_of(with_scaling(value)) == message);
+    }
+    BOOST_TEST(!error_of(with_scaling(R"({"min":2,"max":9,"boot_s":-7})")).empty());
+    BOOST_TEST(!error_of(with_scaling("[]")).empty());
+}
+
 BOOST_AUTO_TEST_CASE(reads_check_ins)
 {
     const auto value = platform::read_check_in(
