Keep the number of endpoints steady under random load

Found by a play of random arrivals at even load: single seconds raised the number, and it fell again half a minute later (99 changes of three domains in 20 min). A single step is no longer taken for a rise that goes on.

The growth for an overload, and what it shows about the capacity of an endpoint, count once until the new endpoints take requests. A backlog counts for at most as much as the requests in work. A domain out of service keeps its number for 5 minutes.

--- a/src/policy/scaling.cpp
+++ b/src/policy/scaling.cpp
@@ -1,6 +1,7 @@
 #include "policy/scaling.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace verbena::policy {
@@ -38,6 +39,12 @@
 constexpr milliseconds settle_time{5'000};
 // Part of the endpoints of a domain by which its number falls at a time.
 constexpr std::uint32_t reduction_divisor = 5;
+// Room above the recent need that is given up only after the long hold time. Random arrivals need it again
+// within minutes.
+constexpr double reduction_reserve = 0.1;
+constexpr std::chrono::minutes long_hold_minutes{10};
+// A domain that is out of service for less keeps its endpoints for its return.
+constexpr std::chrono::minutes maintenance_time{5};
 
 std::uint32_t to_count(double value)
 {
@@ -64,6 +71,11 @@
     return std::max(2 * reaction_time(), min_hold_time);
 }
 
+milliseconds service_scaling::long_hold_time() const
+{
+    return std::max<milliseconds>(long_hold_minutes, 2 * hold_time());
+}
+
 std::uint32_t service_scaling::clamped(std::uint32_t count) const
 {
     return std::clamp(count, m_limits.min, std::max(m_limits.min, m_limits.max));
@@ -96,6 +108,9 @@
         state.desired = std::max(state.desired, endpoints);
         state.needs.assign(1, {now, state.desired});
     }
+    if (sample.in_service || state.last.in_service) {
+        state.out_since = now;
+    }
     state.last = sample;
     state.sampled = sampled;
     if (endpoints != 0 || state.last_with_endpoints == time_point{}) {
@@ -130,43 +145,51 @@
         if (!domain.known || age >= domain_timeout) {
             continue;
         }
-        result.work += domain.last.in_work + domain.last.waiting;
+        result.in_work += domain.last.in_work;
         result.waiting += domain.last.waiting;
         if (takes_load(domain, now)) {
             result.ready += domain.last.ready;
-            result.slots += domain.last.slots;
         }
     }
+    // A backlog that has built up needs no more room than to be served in about the time of one request.
+    result.work = result.in_work + std::min<double>(result.waiting, result.in_work);
+    if (result.in_work == 0) {
+        result.work = result.waiting;
+    }
     return result;
 }
 
-// Extrapolates the rise between the two halves of the reaction time to its end. A rise within the usual
-// variation of the number of requests does not count.
+// Extrapolates a steady rise to the time at which endpoints that are ordered now take requests. The load must
+// have risen from each quarter of the reaction time to the next: a single step does not go on rising.
 double service_scaling::forecast(double work, time_point now)
 {
+    constexpr std::size_t parts = 4;
     m_work.push_back({now, work});
     while (now - m_work.front().at > reaction_time()) {
         m_work.pop_front();
     }
-    const time_point middle = now - reaction_time() / 2;
-    double first = 0;
-    double second = 0;
-    std::size_t first_count = 0;
+    std::array<double, parts> sums{};
+    std::array<double, parts> counts{};
     for (const timed_work& item : m_work) {
-        (item.at < middle ? first : second) += item.work;
-        first_count += item.at < middle ? 1 : 0;
+        const double age = seconds_of(now - item.at) / std::max(seconds_of(reaction_time()), 1e-3);
+        const auto part = static_cast<std::size_t>(std::clamp((1 - age) * parts, 0.0, parts - 1.0));
+        sums.at(part) += item.work;
+        counts.at(part) += 1;
     }
-    if (first_count < m_work.size() / 3 || first_count == 0) {
-        return work;
+    double rise = max_forecast * work;
+    for (std::size_t part = 0; part < parts; ++part) {
+        if (counts.at(part) == 0) {
+            return work;
+        }
+        sums.at(part) /= counts.at(part);
+        rise = part == 0 ? rise : std::min(rise, sums.at(part) - sums.at(part - 1));
     }
-    first /= static_cast<double>(first_count);
-    second /= static_cast<double>(m_work.size() - first_count);
-    const double rise = second - first;
-    if (rise < 2 * std::sqrt(std::max(first, 1.0))) {
+    // A rise within the usual variation of the number of requests does not count.
+    if ((parts - 1) * rise < 2 * std::sqrt(std::max(sums.front(), 1.0))) {
         return work;
     }
-    // The means are half a reaction time apart, and the later one is a quarter of it old.
-    return std::max(work, std::min(second + 2.5 * rise, max_forecast * work));
+    // The last mean is half a part old, and the rise goes on for all parts of the reaction time.
+    return std::clamp(sums.back() + (parts + 0.5) * rise, work, max_forecast * work);
 }
 
 double service_scaling::overload(const total& load)
@@ -174,9 +197,10 @@
     const double failures = m_outcomes.late + m_outcomes.refused;
     const double requests = m_outcomes.answered + m_outcomes.refused;
     const double failed = failures >= min_failures ? failures / std::max(requests, failures) : 0;
-    const double waiting = load.work > 0 ? load.waiting / load.work : 0;
+    const double wanted = load.in_work + load.waiting;
+    const double waiting = wanted > 0 ? load.waiting / wanted : 0;
     const bool lacks_room = failed > tolerated_failures ||
-                            (waiting > tolerated_waiting && load.waiting >= std::max(m_slots / 2, 1U));
+                            (waiting > tolerated_waiting && load.waiting >= std::max(m_slots / 2.0, 1.0));
     m_outcomes = {};
     return lacks_room ? std::clamp(failed + waiting, min_growth, max_growth) : 0;
 }
@@ -190,8 +214,8 @@
     double capacity = m_capacity.value_or(slots);
     capacity *= std::exp2(seconds_of(now - m_capacity_updated) /
                           seconds_of(std::chrono::duration_cast<clock::duration>(capacity_doubling)));
-    if (overload > 0 && load.ready != 0) {
-        capacity = std::min(capacity, (load.work - load.waiting) / load.ready);
+    if (overload > 0 && load.ready != 0 && now >= m_growth_end) {
+        capacity = std::min(capacity, load.in_work / load.ready);
     }
     m_capacity = std::clamp(capacity, min_capacity * slots, slots);
     m_capacity_updated = now;
@@ -226,7 +250,7 @@
         const auto domains = static_cast<std::uint32_t>(shares.size());
         const std::uint32_t share = need / domains + (need % domains != 0 ? 1 : 0);
         for (auto& [name, value] : shares) {
-            value = clamped(share);
+            value = std::min(share, m_limits.max);
         }
     }
     return shares;
@@ -238,17 +262,21 @@
         domain.needs.pop_back();
     }
     domain.needs.push_back({now, need});
-    while (domain.needs.size() > 1 && now - domain.needs.front().at > hold_time()) {
+    while (domain.needs.size() > 1 && now - domain.needs.front().at > long_hold_time()) {
         domain.needs.pop_front();
     }
     const std::uint32_t highest = clamped(domain.needs.front().need);
-    if (highest >= domain.desired) {
-        domain.desired = highest;
-        return;
-    }
-    if (now - domain.reduced >= hold_time() / 2) {
+    const auto recent =
+        std::find_if(domain.needs.begin(), domain.needs.end(),
+                     [this, now](const timed_need& item) { return now - item.at <= hold_time(); });
+    const std::uint32_t recent_need = recent->need;
+    domain.desired = std::max(domain.desired, clamped(recent_need));
+    const std::uint32_t reserve = std::max(to_count(recent_need * reduction_reserve), 1U);
+    const std::uint32_t kept =
+        std::min(clamped(recent_need + reserve), std::max(highest, clamped(recent_need)));
+    if (kept < domain.desired && now - domain.reduced >= hold_time() / 2) {
         const std::uint32_t step = std::max(domain.desired / reduction_divisor, 1U);
-        domain.desired = clamped(std::max(highest, domain.desired - step));
+        domain.desired = std::max(kept, domain.desired - step);
         domain.reduced = now;
     }
 }
@@ -264,11 +292,9 @@
             continue;
         }
         const auto share = shares.find(name);
-        // A domain out of service is emptied slowly, one that has lost its endpoints keeps its number for
-        // their return.
-        std::uint32_t need = share != shares.end()    ? share->second
-                             : domain.last.in_service ? domain.desired
-                                                      : m_limits.min;
+        // A domain that has lost its endpoints, or is out of service for a short time, keeps its number.
+        const bool emptied = !domain.last.in_service && now - domain.out_since >= maintenance_time;
+        std::uint32_t need = share != shares.end() ? share->second : emptied ? m_limits.min : domain.desired;
         if (!load.complete) {
             need = std::max(need, domain.desired);
         }
--- a/src/policy/scaling.h
+++ b/src/policy/scaling.h
@@ -44,8 +44,9 @@
 // evenly over the domains that have endpoints and are in service.
 //
 // The result rises at once. It falls after the need has been lower for twice the boot and cold time and at
-// least 30 s, by a fifth at a time. Without a recent sample of each domain nothing falls. It is the number of
-// endpoints to have, not a difference, so that an order may be repeated or carried out late.
+// least 30 s, by a fifth at a time; the last tenth above the need only after 10 minutes. Without a recent
+// sample of each domain nothing falls. It is the number of endpoints to have, not a difference, so that an
+// order may be repeated or carried out late.
 //
 // Not thread-safe.
 class service_scaling {
@@ -76,10 +77,11 @@
         time_point sampled{};
         time_point last_with_endpoints{};
         time_point observed_until{};
-        bool known = false; // a sample has arrived
+        time_point out_since{}; // out of service
+        bool known = false;     // a sample has arrived
         bool restored = false;
         std::uint32_t desired = 0;
-        std::deque<timed_need> needs; // of the last hold_time(), each larger than all after it
+        std::deque<timed_need> needs; // of long_hold_time(), each larger than all after it
         time_point reduced{};
     };
 
@@ -90,10 +92,10 @@
 
     // Load of all domains together, as of their latest samples.
     struct total {
-        double work = 0;
+        double work = 0; // in work, and waiting as far as it counts
+        double in_work = 0;
+        double waiting = 0;
         std::uint32_t ready = 0;
-        std::uint32_t slots = 0;
-        std::uint32_t waiting = 0;
         bool complete = true; // there is a recent sample of each domain
     };
 
@@ -106,6 +108,7 @@
 
     milliseconds reaction_time() const { return m_limits.boot_time + m_limits.cold_time; }
     milliseconds hold_time() const;
+    milliseconds long_hold_time() const;
     std::uint32_t clamped(std::uint32_t count) const;
     static bool takes_load(const domain_state& domain, time_point now);
     void forget_empty_domains(time_point now);
