--- a/src/control/state_machine.cpp
+++ b/src/control/state_machine.cpp
@@ -101,6 +101,9 @@
         const std::unique_ptr<wire::key_finishT> request(finish->request()->UnPack());
         return pack(m_keys.finish(*request));
     }
+    if (const auto* scale = command.body_as_record_scale()) {
+        return pack(m_scales.record(*scale));
+    }
     return {};
 }
 
@@ -109,8 +112,9 @@
     flatbuffers::FlatBufferBuilder builder(m_keys.bytes() + (std::size_t{64} << 10U));
     const configuration_offsets config = m_configuration.save(builder);
     const auto keys = m_keys.save(builder);
+    const auto scales = m_scales.save(builder);
     builder.Finish(log_entry::Createsnapshot(builder, m_applied_index, to_ms(m_keys.now()), config.config,
-                                             config.answers, config.revisions, keys));
+                                             config.answers, config.revisions, keys, 0, 0, 0, 0, scales));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
@@ -124,6 +128,7 @@
     m_applied_index = saved->applied_index();
     m_configuration.restore(*saved);
     m_keys.restore(*saved);
+    m_scales.restore(*saved);
     return success();
 }
 
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -2,6 +2,7 @@
 
 #include "control/configuration.h"
 #include "control/key_table.h"
+#include "control/scale_table.h"
 
 #include <cstdint>
 #include <span>
@@ -44,6 +45,7 @@
     std::uint64_t invalid_commands() const { return m_invalid_commands; }
     const configuration& config() const { return m_configuration; }
     const key_table& keys() const { return m_keys; }
+    const scale_table& scales() const { return m_scales; }
 
 private:
     std::vector<std::uint8_t> apply(const log_entry::command& command);
@@ -52,6 +54,7 @@
     std::uint64_t m_invalid_commands = 0;
     configuration m_configuration;
     key_table m_keys;
+    scale_table m_scales;
 };
 
 } // namespace verbena::control
--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -383,6 +383,7 @@
         if (refused && now < m_complete_at && request.model.used < request.time_left) {
             outcome.wait = list_wait;
         }
+        count_refusal(request, outcome);
         if (outcome.choice) {
             const policy::work_key key =
                 request.key.value_or(policy::work_key{m_self, outcome.choice->number});
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -249,6 +249,10 @@
     // which this one has just connected.
     std::vector<wire::dispatch_noteT> own_notes() const;
 
+    // Load of these services in each failure domain, for the decision how many endpoints they need.
+    std::vector<std::unique_ptr<wire::service_demandT>> demand_summary(const std::set<std::string>& services,
+                                                                       time_point now) const;
+
     std::size_t size() const;
     std::size_t usable_count(const std::string& service, time_point now) const;
 
@@ -285,6 +289,7 @@
         incarnation reporter = 0;                // the entry whose connection vouches for the dispatch
         std::vector<wire::dispatch_noteT> notes; // one for each endpoint, the answering one first
         std::uint8_t phase = 0;
+        time_point due{}; // of the first event under its objective; time_point{} = none
         std::vector<policy::prompt_part> trial_parts; // of a request that this entry has sent as a trial
     };
 
@@ -295,8 +300,17 @@
         policy::waiting_prompt prompt;
     };
 
+    // Counts of a service in a failure domain since the start of this process.
+    struct outcome_counts {
+        std::uint64_t answered = 0; // first events
+        std::uint64_t late = 0;     // of these, after the objective
+        std::uint64_t refused = 0;  // for want of room; in this entry's own domain
+    };
+
     using note_list = std::vector<wire::dispatch_noteT>;
 
+    void count_first_event(const dispatch_record& record, time_point now);
+    void count_refusal(const dispatch_request& request, const dispatch_result& outcome);
     void begin_trial(const dispatch_choice& choice, const dispatch_request& request, dispatch_record& record,
                      time_point now);
     std::vector<endpoint_state*> trial_endpoints(const dispatch_request& request, time_point now);
@@ -382,6 +396,7 @@
     policy::crash_suspects m_suspects;
     std::vector<policy::crash_statement> m_changed_trials; // to be published when the lock is released
     std::map<std::string, route::engine_rule> m_engines;   // by service, from the latest dispatch
+    std::map<std::pair<std::string, std::string>, outcome_counts> m_outcomes; // by service and domain
     std::set<std::string> m_unknown_domains;
     std::set<std::string> m_domains_out;
     policy::limit_shares m_limit_shares;
--- a/src/forward/fleet_notes.cpp
+++ b/src/forward/fleet_notes.cpp
@@ -54,6 +54,9 @@
     dispatch_record& record = m_dispatches[key];
     record = dispatch_record{};
     record.reporter = key.entry;
+    if (request.model.objective > milliseconds::zero()) {
+        record.due = now + (request.model.objective - request.model.used);
+    }
     std::uint64_t reserved = 0;
     for (const chosen_endpoint& endpoint : choice.endpoints) {
         reserved += endpoint.reserved_tokens;
@@ -156,6 +159,9 @@
     if (known) {
         return false;
     }
+    if (!note.reads_for_other && note.objective_ms != 0) {
+        record.due = now + milliseconds(note.first_event_ms);
+    }
     record.notes.push_back(note);
     record.notes.back().phase = phase_started;
     const auto found = m_endpoints.find(note.endpoint);
@@ -181,6 +187,9 @@
         return;
     }
     dispatch_record& record = found->second;
+    if (note.phase == phase_answering) {
+        count_first_event(record, now);
+    }
     record.phase = note.phase;
     end_trial(record);
     if (note.phase == phase_ended) {
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -138,6 +138,7 @@
     options.frame_address = m_settings.peer_listen;
     options.failure_domain = m_process.settings().failure_domain;
     options.processor_share = m_process.settings().processor_share;
+    options.demand = [this] { return demand(); };
     m_control = std::make_shared<node::control_client>(m_process.io(), std::move(options), m_pool, m_config,
                                                        &m_directory, nullptr, counters);
     m_scheduler = std::make_unique<scheduler_client>(m_control->schedulers(), m_settings.peer_listen,
@@ -213,6 +214,22 @@
                    [] { return static_cast<double>(event_log::left_out()); });
 }
 
+std::vector<std::unique_ptr<wire::service_demandT>> forward_service::demand()
+{
+    const time_point now = clock::now();
+    const std::shared_ptr<const route::table> rules = update_rules();
+    std::set<std::string> scaled;
+    if (rules && m_scheduler->schedules(now)) {
+        for (const route::service_rule& service : rules->rules().services) {
+            if (service.scaling) {
+                scaled.insert(service.name);
+            }
+        }
+    }
+    return scaled.empty() ? std::vector<std::unique_ptr<wire::service_demandT>>()
+                          : m_fleet.demand_summary(scaled, now);
+}
+
 bool forward_service::can_serve(time_point now) const
 {
     return m_config.is_fresh(now) && m_directory.loaded();
--- a/src/forward/forward_service.h
+++ b/src/forward/forward_service.h
@@ -72,6 +72,9 @@
     net::task<void> refresh();
     net::task<void> query_peers();
     net::task<void> drain();
+    // Load of the services whose number of endpoints the control leader decides; empty unless this entry
+    // schedules requests.
+    std::vector<std::unique_ptr<wire::service_demandT>> demand();
     void log_shutdown(const char* step, time_point begin) const;
     // Answers the requests whose answer has not begun, in the background, each on its strand.
     void end_open_requests();
--- a/src/node/control_client.cpp
+++ b/src/node/control_client.cpp
@@ -256,6 +256,9 @@
     poll.wants_load_bytes = requested_bytes;
     const time_point sent_at = clock::now();
     poll.nonce = static_cast<std::uint64_t>(sent_at.time_since_epoch().count());
+    if (wants_demand(name)) {
+        poll.demand = m_options.demand();
+    }
     const std::uint64_t nonce = poll.nonce;
     stream->send(net::make_frame(std::move(poll)));
     net::steady_timer timer(co_await net::asio::this_coro::executor);
@@ -293,6 +296,12 @@
     }
 }
 
+bool control_client::wants_demand(const std::string& member) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_options.demand && m_demand_members.contains(member);
+}
+
 void control_client::record_group(const std::string& member, const wire::poll_reply& reply)
 {
     const time_point now = clock::now();
@@ -303,6 +312,11 @@
     }
     const std::string domain = reply.failure_domain() == nullptr ? "" : reply.failure_domain()->str();
     m_member_domains[member] = domain;
+    if (reply.demand_wanted()) {
+        m_demand_members.insert(member);
+    } else {
+        m_demand_members.erase(member);
+    }
     // The list of a member without a quorum may be out of date.
     if (reply.confirmed()) {
         m_last_confirmed_reply = now;
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -35,6 +35,9 @@
         // set for entries only.
         std::string failure_domain;
         std::uint32_t processor_share = 0;
+        // Load of the services whose number of endpoints the control leader decides; empty for processes that
+        // do not schedule requests.
+        std::function<std::vector<std::unique_ptr<wire::service_demandT>>()> demand;
     };
 
     // Builds the announcement of an agent; null for entries.
@@ -84,6 +87,7 @@
                                       sent_announcement& last_sent);
     net::task<result<wire::key_replyT>> call_member(host_port member, wire::frameT call,
                                                     milliseconds timeout);
+    bool wants_demand(const std::string& member) const;
     void record_group(const std::string& member, const wire::poll_reply& reply);
     void apply_reply(const std::string& member, const wire::poll_reply& reply, time_point sent_at);
     host_port next_target(const wire::key_replyT* last, std::size_t attempt) const;
@@ -110,6 +114,7 @@
     time_point m_last_confirmed_reply;
     std::map<std::string, std::string> m_member_domains; // by frame address
     time_point m_last_local_confirmation;                // by a member of this failure domain
+    std::set<std::string> m_demand_members;              // that want the load of services
     scheduler_list m_schedulers;
 };
 
--- a/test/forward_fleet_test.cpp
+++ b/test/forward_fleet_test.cpp
@@ -301,4 +301,48 @@
     BOOST_TEST(choose({"e1"}) == "e2");
 }
 
+// Guards against load that is hidden from the decision how many endpoints a service needs.
+BOOST_FIXTURE_TEST_CASE(summarizes_the_demand_of_services, fleet_fixture)
+{
+    const time_point now = clock::now();
+    wire::announcementT cold = make_endpoint("e3", "b");
+    cold.cold_ms = 60'000;
+    fleet.on_endpoint("e3", &cold);
+    wire::announcementT leaving = make_endpoint("e4", "b");
+    leaving.leaving = true;
+    fleet.on_endpoint("e4", &leaving);
+    const auto first = fleet.dispatch(request(), now);
+    const auto second = fleet.dispatch(request(), now);
+    BOOST_TEST_REQUIRE((first.choice && second.choice));
+    fleet.record_first_event(first.choice->number, now + 100ms);
+    fleet.record_first_event(second.choice->number, now + 301ms);
+    forward::dispatch_request refused = request();
+    refused.excluded = {"e1", "e2", "e3"};
+    BOOST_TEST(!fleet.dispatch(refused, now).choice);
+    refused.alone = true;
+    BOOST_TEST(!fleet.dispatch(refused, now).choice);
+    const policy::work_key waiting = fleet.begin_wait(request(), now);
+    fleet.set_domains_out({"b"});
+
+    BOOST_TEST(fleet.demand_summary({}, now).empty());
+    auto rows = fleet.demand_summary({"desk"}, now);
+    BOOST_TEST_REQUIRE(rows.size() == 2U);
+    BOOST_TEST(rows[0]->failure_domain == "a");
+    BOOST_TEST(rows[0]->endpoints == 1U);
+    BOOST_TEST(rows[0]->slots == 6U);
+    BOOST_TEST(rows[0]->waiting == 1U);
+    BOOST_TEST(rows[0]->turned_away == 1U, "an entry that chooses alone shows no lack of room");
+    BOOST_TEST(rows[1]->endpoints == 2U, "in a domain out of service, and without the one that leaves");
+    BOOST_TEST(rows[1]->starting == 1U);
+    BOOST_TEST(rows[0]->in_work + rows[1]->in_work == 2U);
+    BOOST_TEST(rows[0]->answered + rows[1]->answered == 2U);
+    BOOST_TEST(rows[0]->late + rows[1]->late == 1U);
+    fleet.end_wait(waiting);
+    fleet.record_end(first.choice->number, now);
+    fleet.record_end(second.choice->number, now);
+    rows = fleet.demand_summary({"desk"}, now);
+    BOOST_TEST(rows[0]->waiting + rows[0]->in_work + rows[1]->in_work == 0U);
+    BOOST_TEST(rows[0]->answered + rows[1]->answered == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
