--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -3,7 +3,6 @@
 #include "base/event_log.h"
 #include "base/log.h"
 #include "base/version.h"
-#include "control/duty_tasks.h"
 #include "control/wall_clock.h"
 #include "node/control_client.h"
 
@@ -59,24 +58,22 @@
 
 result<std::shared_ptr<control_service>>
 control_service::create(node::process& process, const settings::control_settingsT& settings, bool initialise,
-                        std::shared_ptr<external_call_handler> external_handler,
-                        std::shared_ptr<infrastructure> duty_target)
+                        std::shared_ptr<external_call_handler> external_handler, duty_adapter duties)
 {
     if (settings.member_id == 0 && initialise) {
         return make_error(error_kind::invalid_settings, "--init needs [control] member_id",
                           "set it to a number from 1, or set bootstrap in place of --init");
     }
-    auto service = std::make_shared<control_service>(process, settings, std::move(external_handler),
-                                                     std::move(duty_target));
+    auto service =
+        std::make_shared<control_service>(process, settings, std::move(external_handler), std::move(duties));
     BOOST_OUTCOME_TRY(service->open(initialise));
     return service;
 }
 
 control_service::control_service(node::process& process, const settings::control_settingsT& settings,
-                                 std::shared_ptr<external_call_handler> external_handler,
-                                 std::shared_ptr<infrastructure> duty_target)
+                                 std::shared_ptr<external_call_handler> external_handler, duty_adapter duties)
     : m_process(process), m_settings(settings), m_directory(process.self_incarnation()),
-      m_external_handler(std::move(external_handler)), m_duty_target(std::move(duty_target))
+      m_external_handler(std::move(external_handler)), m_duty_adapter(std::move(duties))
 {
 }
 
@@ -122,7 +119,7 @@
 
 void control_service::open_duties()
 {
-    if (!m_duty_target || m_settings.duties.empty()) {
+    if (!m_duty_adapter.target || m_settings.duties.empty()) {
         return;
     }
     const std::vector<std::string> duties = split_list(m_settings.duties);
@@ -138,6 +135,11 @@
         inputs.usage = &*m_usage;
         inputs.on_usage_step = [this](const event::usage_windowT& line) { report_usage_step(line); };
     }
+    if (std::find(duties.begin(), duties.end(), "autoscale") != duties.end()) {
+        m_demand.emplace();
+        inputs.demand = &*m_demand;
+        inputs.documents = m_duty_adapter.documents;
+    }
     duty_service::options options;
     options.tasks = make_duty_tasks(m_settings, inputs);
     options.limits = {milliseconds(m_settings.duty_lease), milliseconds(m_settings.duty_thaw)};
@@ -145,7 +147,7 @@
     options.incarnation = m_process.self_incarnation();
     constexpr double thousandths = 1'000;
     options.calls_per_s = m_settings.duty_rate / thousandths;
-    options.target = m_duty_target;
+    options.target = m_duty_adapter.target;
     m_duties = std::make_shared<duty_service>(m_raft, m_machine, m_process.counters(), std::move(options));
 }
 
@@ -387,6 +389,9 @@
     if (m_usage) {
         handle_usage(request, self.is_leader, now, reply);
     }
+    if (m_demand) {
+        m_demand->answer(request, self.is_leader, now, reply);
+    }
     stream->send(net::make_frame(std::move(reply)));
     m_process.counters().add("verbena_control_polls_total", {});
 }
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/duty_service.h"
+#include "control/duty_tasks.h"
 #include "control/public_calls.h"
 #include "control/raft_host.h"
 #include "control/usage_collector.h"
@@ -19,12 +20,10 @@
 public:
     static result<std::shared_ptr<control_service>>
     create(node::process& process, const settings::control_settingsT& settings, bool initialise,
-           std::shared_ptr<external_call_handler> external_handler = nullptr,
-           std::shared_ptr<infrastructure> duty_target = nullptr);
+           std::shared_ptr<external_call_handler> external_handler = nullptr, duty_adapter duties = {});
 
     control_service(node::process& process, const settings::control_settingsT& settings,
-                    std::shared_ptr<external_call_handler> external_handler,
-                    std::shared_ptr<infrastructure> duty_target);
+                    std::shared_ptr<external_call_handler> external_handler, duty_adapter duties);
 
     void start();
 
@@ -80,14 +79,15 @@
     control::state_machine m_machine;
     directory m_directory;
     poll_service m_polls;
-    std::optional<usage_collector> m_usage; // if the settings name the duty
+    std::optional<usage_collector> m_usage;   // if the settings name the duty
+    std::optional<demand_collector> m_demand; // likewise
     // End of the oldest window that is not reported, in ms of the wall clock, while this member leads; else
     // 0.
     std::atomic<std::uint64_t> m_usage_unreported_ms{0};
     std::shared_ptr<net::peer_pool> m_pool;
     std::shared_ptr<raft_host> m_raft;
     std::shared_ptr<external_call_handler> m_external_handler;
-    std::shared_ptr<infrastructure> m_duty_target;
+    duty_adapter m_duty_adapter;
     std::shared_ptr<duty_service> m_duties; // null without duties
     std::unique_ptr<operator_service> m_operator;
     std::shared_ptr<net::frame_server> m_frames;
--- a/src/control/duty_tasks.cpp
+++ b/src/control/duty_tasks.cpp
@@ -9,6 +9,8 @@
     for (const std::string& duty : split_list(settings.duties)) {
         if (duty == "metering" && inputs.usage != nullptr) {
             tasks.push_back(std::make_unique<usage_duty>(*inputs.usage, inputs.on_usage_step));
+        } else if (duty == "autoscale" && inputs.demand != nullptr && inputs.documents) {
+            tasks.push_back(std::make_unique<scaling_duty>(*inputs.demand, inputs.documents));
         }
     }
     return tasks;
--- a/src/control/state_machine.cpp
+++ b/src/control/state_machine.cpp
@@ -123,6 +123,9 @@
     if (const auto* finish = command.body_as_finish_usage()) {
         return pack(m_usage.finish(*finish));
     }
+    if (const auto* scale = command.body_as_record_scale()) {
+        return pack(m_scales.record(*scale));
+    }
     return {};
 }
 
@@ -133,9 +136,10 @@
     const auto keys = m_keys.save(builder);
     const auto duties = m_duties.save(builder);
     const auto usage = m_usage.save(builder);
+    const auto scales = m_scales.save(builder);
     builder.Finish(log_entry::Createsnapshot(builder, m_applied_index, to_ms(m_keys.now()), config.config,
                                              config.answers, config.revisions, keys, duties,
-                                             m_duties.last_token(), usage, m_usage.last_finished()));
+                                             m_duties.last_token(), usage, m_usage.last_finished(), scales));
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
@@ -151,6 +155,7 @@
     m_keys.restore(*saved);
     m_duties.restore(*saved);
     m_usage.restore(*saved);
+    m_scales.restore(*saved);
     return success();
 }
 
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -4,6 +4,7 @@
 #include "control/duty_table.h"
 #include "control/key_table.h"
 #include "control/packed.h"
+#include "control/scale_table.h"
 #include "control/usage_table.h"
 
 #include <cstdint>
@@ -59,6 +60,7 @@
     const key_table& keys() const { return m_keys; }
     const duty_table& duties() const { return m_duties; }
     const usage_table& usage() const { return m_usage; }
+    const scale_table& scales() const { return m_scales; }
 
 private:
     std::vector<std::uint8_t> apply(const log_entry::command& command);
@@ -70,6 +72,7 @@
     key_table m_keys;
     duty_table m_duties;
     usage_table m_usage;
+    scale_table m_scales;
 };
 
 } // namespace verbena::control
--- a/src/forward/forward_service.h
+++ b/src/forward/forward_service.h
@@ -74,6 +74,9 @@
     net::task<void> drain();
     // Sends the last usage counts to the member that collects them; waits a short time for its reply.
     net::task<void> flush_usage();
+    // Load of the services whose number of endpoints the control leader decides; empty unless this entry
+    // schedules requests.
+    std::vector<std::unique_ptr<wire::service_demandT>> demand();
     void log_shutdown(const char* step, time_point begin) const;
     // Answers the requests whose answer has not begun, in the background, each on its strand.
     void end_open_requests();
--- a/src/main/roles.cpp
+++ b/src/main/roles.cpp
@@ -170,7 +170,7 @@
         role_process, role, settings_file,
         control::control_service::create(role_process, *root.control, initialise,
                                          std::make_shared<platform::platform_call_handler>(codec),
-                                         std::move(infrastructure)));
+                                         {std::move(infrastructure), codec}));
 }
 
 } // namespace verbena
--- a/src/node/control_client.h
+++ b/src/node/control_client.h
@@ -39,6 +39,9 @@
         // Counts that are sent to the member that collects them; null for processes without. Outlives the
         // client.
         usage_counter* usage = nullptr;
+        // Load of the services whose number of endpoints the control leader decides; empty for processes that
+        // do not schedule requests.
+        std::function<std::vector<std::unique_ptr<wire::service_demandT>>()> demand;
     };
 
     // Builds the announcement of an agent; null for entries.
@@ -94,6 +97,7 @@
                                       member_exchange& exchange);
     net::task<result<wire::key_replyT>> call_member(host_port member, wire::frameT call,
                                                     milliseconds timeout);
+    bool wants_demand(const std::string& member) const;
     void record_group(const std::string& member, const wire::poll_reply& reply);
     void apply_usage_reply(const std::string& member, const wire::poll_reply& reply,
                            member_exchange& exchange);
@@ -124,6 +128,7 @@
     std::map<std::string, std::string> m_member_domains; // by frame address
     time_point m_last_local_confirmation;                // by a member of this failure domain
     std::map<std::string, milliseconds> m_usage_kept;    // as asked for, by frame address of the member
+    std::set<std::string> m_demand_members;              // that want the load of services
     scheduler_list m_schedulers;
 };
 
