Tell from the configuration whether slots are scarce

A configuration may state the mean prompt and answer of a model service. Read them, and derive whether an endpoint usually runs out of slots before memory: that is the condition under which requests are to queue for slots. Nothing uses it yet. It holds if the memory is at least 1.5 times what the usual requests in all slots need.

--- a/src/policy/engine_cost.cpp
+++ b/src/policy/engine_cost.cpp
@@ -37,4 +37,13 @@
     return step_ms(decoding_requests, context_tokens) * output_tokens;
 }
 
+bool slots_are_scarce(const route::engine_rule& rule)
+{
+    // Lengths vary around their mean. With less spare memory, a few long prompts use it up before the slots.
+    constexpr double spare_memory = 1.5;
+    const double tokens = static_cast<double>(rule.usual_prompt_tokens) + rule.usual_answer_tokens;
+    const double needed = tokens * rule.slots;
+    return needed > 0 && static_cast<double>(rule.memory_tokens) >= spare_memory * needed;
+}
+
 } // namespace verbena::policy
--- a/src/policy/engine_cost.h
+++ b/src/policy/engine_cost.h
@@ -33,4 +33,9 @@
     route::engine_rule m_rule;
 };
 
+// Whether an endpoint of the service usually runs out of slots before it runs out of memory: its memory holds
+// at least half as much again as the usual requests in all of its slots. Then a request that waits for a slot
+// is the common case under load. False if the service does not state its usual requests.
+bool slots_are_scarce(const route::engine_rule& rule);
+
 } // namespace verbena::policy
--- a/src/route/document.h
+++ b/src/route/document.h
@@ -48,6 +48,9 @@
         0; // attention cost: added by each million pairs of a token and an earlier one
     std::uint32_t chunk_tokens = 1; // prompt tokens prefilled in one step
     double hop_ms = 0; // added to the steps of an answer whose prompt is held by several endpoints
+    // Mean token counts of the prompts and answers that the service expects; 0 = not stated.
+    std::uint32_t usual_prompt_tokens = 0;
+    std::uint32_t usual_answer_tokens = 0;
 };
 
 struct service_rule {
--- a/test/policy_placement_test.cpp
+++ b/test/policy_placement_test.cpp
@@ -116,6 +116,21 @@
     BOOST_TEST(cost.event_interval_ms(16, 80'000) == 60.2, boost::test_tools::tolerance(0.02));
 }
 
+// Guards against queueing for slots in a service whose endpoints run out of memory first, or whose
+// configuration does not state the usual requests.
+BOOST_AUTO_TEST_CASE(slots_are_scarce_only_with_spare_memory)
+{
+    route::engine_rule rule = engine_constants();
+    BOOST_TEST(!policy::slots_are_scarce(rule));
+    rule.usual_prompt_tokens = 8'000;
+    rule.usual_answer_tokens = 1'600;
+    BOOST_TEST(policy::slots_are_scarce(rule)); // 232,000 tokens for 16 requests of 9,600
+    rule.usual_answer_tokens = 1'700;
+    BOOST_TEST(!policy::slots_are_scarce(rule));
+    rule.slots = 12;
+    BOOST_TEST(policy::slots_are_scarce(rule));
+}
+
 // Guards against splitting a short prompt that an idle fleet serves in time unsplit.
 BOOST_AUTO_TEST_CASE(places_a_short_prompt_unsplit)
 {
