Choose among endpoints with room for what other deciders may have sent

Schedulers hear of each other's choices at least 10 ms late and entries without a scheduler not at all, while all prefer the same, fullest endpoint. Where slots are scarce, estimate from the rate and the age of the others' notes what they have sent meanwhile, and draw among as many of the best endpoints as have room for it. This replaces the fixed 0.3 of the slots of other domains' endpoints there. An entry that chooses alone prefers the least loaded endpoint instead of filling few. The longest delay between domains comes from the configuration.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -18,9 +18,6 @@
 // no harm.
 constexpr milliseconds unlisted_grace{5'000};
 
-// Fraction of the slots of an endpoint that the schedulers of other failure domains leave free.
-constexpr double other_domain_slot_reserve = 0.3;
-
 // Assumed duration of a request to a plain service, used to compare queue lengths.
 constexpr double assumed_plain_request_ms = 40;
 
@@ -421,16 +418,7 @@
     std::size_t idle = 0;
     std::size_t unlimited = 0;
     for (const endpoint_state* state : found) {
-        policy::placement_candidate candidate;
-        candidate.load = &state->load;
-        candidate.slowdown = slowdown_of(*state, now);
-        candidate.failure_share = failure_rate_of(*state, now);
-        candidate.other_domain = state->info.failure_domain != m_own_domain;
-        candidate.slots = state->info.slots;
-        if (candidate.other_domain) {
-            // Several schedulers may choose the same endpoint before they hear of each other's choice.
-            candidate.slots -= static_cast<std::uint32_t>(candidate.slots * other_domain_slot_reserve);
-        }
+        policy::placement_candidate candidate = to_candidate(*state, cost.rule(), now);
         const bool takes_parts = state->load.parts() < state->info.slots && candidate.failure_share < 0.2;
         // The calls that reserve memory would count towards the limit of an endpoint.
         candidate.accepts_prefill_parts = takes_parts && !state->limit.rate();
@@ -450,7 +438,7 @@
     const double parallel = static_cast<double>(found.size()) * shared_prefill_fraction /
                             static_cast<double>(policy::placement_options{}.max_parts);
     model.queue_loss_per_ms = queue_loss_per_ms(request, now) / std::max(parallel, 1.0);
-    const auto placed = policy::place(model, cost, candidates, now);
+    const auto placed = policy::place(model, cost, candidates, now, placement_options(request));
     // Decoding requests end and free their memory, so a request that cannot be placed well now often can
     // soon.
     const bool harmful =
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -5,6 +5,7 @@
 #include "base/settings.h"
 #include "forward/limit_messages.h"
 #include "policy/crash_suspects.h"
+#include "policy/even_load.h"
 #include "policy/placement.h"
 #include "policy/prefill_order.h"
 #include "wire_generated.h"
@@ -114,6 +115,15 @@
     std::uint64_t skips = 0; // choices so far that left an endpoint out because of its limit
 };
 
+// How the load of the endpoints with slots spreads, as far as this process knows it.
+struct load_spread {
+    std::size_t over = 0;            // endpoints with more requests than slots
+    std::size_t idle_beside = 0;     // endpoints without any request while one of their service is over
+    double unheard = 0;              // expected requests that other schedulers have sent and not reported yet
+    std::uint64_t sends = 0;         // choices so far in services that spread their load
+    std::uint64_t sends_to_full = 0; // of these, to an endpoint without a free slot
+};
+
 // The endpoints known to this entry and the work dispatched to them, as far as this entry knows it: a
 // scheduler knows the work of all entries, any other entry its own. Thread-safe; its mutex comes after the
 // directory's in the lock order.
@@ -249,6 +259,8 @@
     // which this one has just connected.
     std::vector<wire::dispatch_noteT> own_notes() const;
 
+    load_spread summarize_load(time_point now) const;
+
     std::size_t size() const;
     std::size_t usable_count(const std::string& service, time_point now) const;
 
@@ -336,6 +348,10 @@
     double slowdown_of(const endpoint_state& state, time_point now) const;
     double failure_rate_of(const endpoint_state& state, time_point now) const;
     std::vector<endpoint_state*> eligible_endpoints(const dispatch_request& request, time_point now);
+    policy::placement_candidate to_candidate(const endpoint_state& state, const route::engine_rule& engine,
+                                             time_point now) const;
+    policy::placement_options placement_options(const dispatch_request& request);
+    void count_send(const endpoint_state& state, const dispatch_request& request);
     dispatch_result dispatch_model(const dispatch_request& request, const std::vector<endpoint_state*>& found,
                                    time_point now);
     dispatch_result dispatch_plain(const dispatch_request& request, const std::vector<endpoint_state*>& found,
@@ -384,6 +400,9 @@
     std::map<std::string, route::engine_rule> m_engines;   // by service, from the latest dispatch
     std::set<std::string> m_unknown_domains;
     std::set<std::string> m_domains_out;
+    policy::unheard_sends m_unheard;
+    std::uint64_t m_even_sends = 0;
+    std::uint64_t m_even_sends_to_full = 0;
     policy::limit_shares m_limit_shares;
     bool m_scheduling = false;
     std::uint64_t m_limit_skips = 0;
--- /dev/null
+++ b/src/forward/fleet_load.cpp
@@ -0,0 +1,93 @@
+#include "forward/fleet.h"
+
+#include <algorithm>
+
+// How the load spreads over the endpoints of a service when several schedulers, or entries without one,
+// choose at the same time.
+namespace verbena::forward {
+
+namespace {
+
+// Fraction of the slots of an endpoint that the schedulers of other failure domains leave free in services
+// whose load is not spread by what the others may have sent.
+constexpr double other_domain_slot_reserve = 0.3;
+
+// The longest time for which a scheduler collects notes before it sends them (load_exchange).
+constexpr std::chrono::microseconds note_interval{10'000};
+
+} // namespace
+
+policy::placement_candidate fleet::to_candidate(const endpoint_state& state, const route::engine_rule& engine,
+                                                time_point now) const
+{
+    policy::placement_candidate candidate;
+    candidate.load = &state.load;
+    candidate.slowdown = slowdown_of(state, now);
+    candidate.failure_share = failure_rate_of(state, now);
+    candidate.other_domain = state.info.failure_domain != m_own_domain;
+    candidate.slots = state.info.slots;
+    if (policy::slots_are_scarce(engine)) {
+        candidate.unheard =
+            m_unheard.expected(state.info.failure_domain, note_interval + engine.domain_delay, now);
+    } else if (candidate.other_domain) {
+        // Several schedulers may choose the same endpoint before they hear of each other's choice.
+        candidate.slots -= static_cast<std::uint32_t>(candidate.slots * other_domain_slot_reserve);
+    }
+    return candidate;
+}
+
+policy::placement_options fleet::placement_options(const dispatch_request& request)
+{
+    policy::placement_options options;
+    if (!policy::slots_are_scarce(*request.service->engine)) {
+        return options;
+    }
+    if (request.alone) {
+        return policy::options_alone();
+    }
+    options.draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+    return options;
+}
+
+void fleet::count_send(const endpoint_state& state, const dispatch_request& request)
+{
+    const auto& engine = request.service->engine;
+    if (engine && policy::slots_are_scarce(*engine)) {
+        ++m_even_sends;
+        m_even_sends_to_full += state.load.requests() >= state.info.slots ? 1 : 0;
+    }
+}
+
+load_spread fleet::summarize_load(time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    load_spread spread;
+    std::set<std::string> over;
+    std::set<std::string> domains;
+    std::map<std::string, std::size_t> idle;
+    std::chrono::microseconds delay = note_interval;
+    for (const auto& [name, state] : m_endpoints) {
+        const auto engine = m_engines.find(state.info.service);
+        if (engine == m_engines.end() || !accepts_work(state, now)) {
+            continue;
+        }
+        delay = std::max(delay, note_interval + engine->second.domain_delay);
+        domains.insert(state.info.failure_domain);
+        idle[state.info.service] += state.load.requests() == 0 ? 1 : 0;
+        if (state.load.requests() > state.info.slots) {
+            ++spread.over;
+            over.insert(state.info.service);
+        }
+    }
+    for (const std::string& service : over) {
+        spread.idle_beside += idle[service];
+    }
+    for (const std::string& domain : domains) {
+        spread.unheard += m_unheard.expected(domain, delay, now);
+    }
+    spread.sends = m_even_sends;
+    spread.sends_to_full = m_even_sends_to_full;
+    return spread;
+}
+
+} // namespace verbena::forward
--- a/src/forward/fleet_notes.cpp
+++ b/src/forward/fleet_notes.cpp
@@ -78,6 +78,9 @@
             note.read_us =
                 static_cast<std::uint32_t>(cost.prefill_ms(request.model.prompt_tokens, parts.size()) * 1000);
         }
+        if (i == 0) {
+            count_send(*parts[i], request);
+        }
         parts[i]->load.start(key, to_work(note, now), slowdown_of(*parts[i], now), now);
         if (i == 0) {
             parts[i]->recent_dispatches.push_back(now);
@@ -306,6 +309,7 @@
         if (notes.whole) {
             published = remove_reporter(notes.incarnation, now);
         }
+        m_unheard.hear(notes.incarnation, now);
         for (const auto& note : notes.notes) {
             const bool has_started = apply_note(notes.incarnation, *note, now);
             const auto endpoint = m_endpoints.find(note->endpoint);
@@ -313,6 +317,7 @@
             // up.
             if (has_started && !notes.whole && endpoint != m_endpoints.end()) {
                 take_permit(endpoint->second, false, now);
+                m_unheard.record(notes.incarnation, endpoint->second.info.failure_domain, now);
             }
             const policy::work_key key{note->entry == 0 ? notes.incarnation : note->entry, note->number};
             if (key.entry == notes.incarnation && key.entry != m_self) {
@@ -363,6 +368,7 @@
     {
         const std::lock_guard lock(m_mutex);
         ended = remove_reporter(entry, now);
+        m_unheard.remove(entry);
         trials.swap(m_changed_trials);
     }
     publish(ended);
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -197,6 +197,15 @@
                    [limits] { return std::chrono::duration<double>(limits().oldest).count(); });
     counters.gauge("verbena_forward_limit_skips", {},
                    [limits] { return static_cast<double>(limits().skips); });
+    const auto load = [self] { return self->m_fleet.summarize_load(clock::now()); };
+    counters.gauge("verbena_forward_endpoints_over_slots", {},
+                   [load] { return static_cast<double>(load().over); });
+    counters.gauge("verbena_forward_endpoints_idle_beside_over_slots", {},
+                   [load] { return static_cast<double>(load().idle_beside); });
+    counters.gauge("verbena_forward_unheard_sends", {}, [load] { return load().unheard; });
+    counters.gauge("verbena_forward_even_sends", {}, [load] { return static_cast<double>(load().sends); });
+    counters.gauge("verbena_forward_even_sends_to_full", {},
+                   [load] { return static_cast<double>(load().sends_to_full); });
     for (const policy::crash_state state : {policy::crash_state::suspect, policy::crash_state::blocked}) {
         counters.gauge("verbena_forward_prompt_parts", {{"state", to_string(state)}}, [self, state] {
             const auto records = self->m_fleet.crash_records(clock::now());
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -1,5 +1,7 @@
 #include "policy/placement.h"
 
+#include "policy/even_load.h"
+
 #include <algorithm>
 #include <array>
 #include <numeric>
@@ -197,27 +199,26 @@
             return choose_unsplit(part_ms);
         }
         std::vector<scored_candidate> helpers;
-        std::optional<scored_candidate> decoder;
+        std::vector<scored_candidate> decoders;
         helpers.reserve(m_candidates.size());
+        decoders.reserve(m_candidates.size());
         for (std::size_t i = 0; i < m_candidates.size(); ++i) {
             if (!m_candidates[i].accepts_prefill_parts) {
                 continue;
             }
             helpers.push_back(score_helper(i, part_ms));
-            const scored_candidate value = score_decoder(i, part_ms, false);
-            if (!decoder || value.score < decoder->score) {
-                decoder = value;
-            }
+            decoders.push_back(score_decoder(i, part_ms, false));
         }
         if (helpers.size() < parts) {
             return std::nullopt;
         }
+        const scored_candidate decoder = decoders[choose_decoder(decoders)];
         std::erase_if(helpers,
-                      [&decoder](const scored_candidate& value) { return value.index == decoder->index; });
+                      [&decoder](const scored_candidate& value) { return value.index == decoder.index; });
         std::nth_element(helpers.begin(), helpers.begin() + static_cast<std::ptrdiff_t>(parts - 2),
                          helpers.end(), is_better);
         helpers.resize(parts - 1);
-        return complete(*decoder, helpers, part_ms);
+        return complete(decoder, helpers, part_ms);
     }
 
     // An unsplit placement involves only one endpoint, so the full expected loss of each candidate is
@@ -230,19 +231,47 @@
         }
         const bool may_block_others = part_ms <= m_options.max_unsplit_ms || m_options.max_parts < 2 ||
                                       m_candidates.size() < min_endpoints_to_split;
+        std::vector<placement> possible;
+        std::vector<scored_candidate> decoders;
         for (std::size_t i = 0; i < m_candidates.size(); ++i) {
             const endpoint_load& load = *m_candidates[i].load;
             if (!may_block_others && (load.decoding_requests() != 0 || load.waiting_loss_per_ms() > 0)) {
                 continue;
             }
-            std::optional<placement> found = complete(score_decoder(i, part_ms, true), {}, part_ms);
-            if (found && (!best || found->expected_loss < best->expected_loss)) {
-                best = std::move(found);
+            scored_candidate decoder = score_decoder(i, part_ms, true);
+            std::optional<placement> found = complete(decoder, {}, part_ms);
+            if (found) {
+                decoder.score = found->expected_loss;
+                decoders.push_back(decoder);
+                possible.push_back(std::move(*found));
             }
         }
+        if (!possible.empty()) {
+            best = std::move(possible[choose_decoder(decoders)]);
+        }
         return best;
     }
 
+    // Returns the position of the scored endpoint to decode the answer. `decoders` must not be empty.
+    std::size_t choose_decoder(const std::vector<scored_candidate>& decoders) const
+    {
+        if (!m_options.draw) {
+            return static_cast<std::size_t>(std::min_element(decoders.begin(), decoders.end(), is_better) -
+                                            decoders.begin());
+        }
+        std::vector<even_candidate> candidates;
+        candidates.reserve(decoders.size());
+        for (const scored_candidate& value : decoders) {
+            const placement_candidate& candidate = m_candidates[value.index];
+            const auto used = static_cast<double>(candidate.load->requests());
+            candidates.push_back({value.score, std::max(candidate.slots - used, 0.0), candidate.unheard});
+        }
+        // These costs express preferences; no answer is late if they are not met.
+        const double preference =
+            m_options.packing_cost + m_options.shorter_pause_cost + m_options.cross_domain_cost;
+        return choose_with_room(candidates, m_value * preference, *m_options.draw);
+    }
+
     // True if this answer's allowed pause would be the shortest one at the endpoint.
     bool has_shortest_pause(const endpoint_load& load) const
     {
@@ -376,6 +405,14 @@
 
 } // namespace
 
+placement_options options_alone()
+{
+    placement_options options;
+    options.packing_cost = 0;
+    options.shorter_pause_cost = 0;
+    return options;
+}
+
 double loss_per_ms(const model_request& request)
 {
     const auto objective = std::max<double>(static_cast<double>(request.objective.count()), 1);
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -27,6 +27,9 @@
     bool other_domain = false;
     bool accepts_prefill_parts = true;
     std::uint32_t slots = 1;
+    // Expected requests that other deciders have sent to the endpoints of its failure domain and that `load`
+    // does not hold yet.
+    double unheard = 0;
 };
 
 struct placement_options {
@@ -63,8 +66,16 @@
     double prediction_margin = 0.9;
     // Fraction of an endpoint's memory that its requests may use together.
     double usable_memory_share = 0.95;
+    // Uniform in [0, 1): chooses among the endpoints whose free slots together have room for what other
+    // deciders may have sent meanwhile, so that deciders with the same picture do not all take the same one.
+    // Unset: the least expected loss decides alone.
+    std::optional<double> draw;
 };
 
+// Options of a decider that knows its own work only. It cannot tell which endpoints others have filled, and
+// deciders that fill few endpoints each would overrun them together; so it prefers none but the least loaded.
+placement_options options_alone();
+
 // Value that the caller can still lose; reduced if the first event is already late.
 double value_left(const model_request& request, const placement_options& options = {});
 
--- a/src/route/document.h
+++ b/src/route/document.h
@@ -51,6 +51,7 @@
     // Mean token counts of the prompts and answers that the service expects; 0 = not stated.
     std::uint32_t usual_prompt_tokens = 0;
     std::uint32_t usual_answer_tokens = 0;
+    std::chrono::microseconds domain_delay{}; // longest one between two failure domains; 0 = not stated
 };
 
 struct service_rule {
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -19,7 +19,8 @@
   "backends":[{"name":"s1","health_path":"/healthz","max_conns":234,"cold_s":3.0,"cold_per_s":26.0,
     "engine":{"slots":16,"kv_capacity":232000,"stride":43,"step_ms":1.02,"per_seq_ms":0.00226,
       "context_per_k":0.00431,"read_per_s":206000.0,"pairs_per_m":0.138,"chunk":2048,"hop_ms":0.075,
-      "usual":{"prompt":12331,"answer":1303}}},
+      "usual":{"prompt":12331,"answer":1303},
+      "delays":[{"from":"z1","delay_ms":0.9},{"from":"z2","delay_ms":3.4}]}},
    {"name":"s2"}],
   "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
   "tenants":[{"name":"t1","api_keys":["k1"],"priority":1}],"news":{"ignored":true}})";
@@ -87,6 +88,7 @@
     BOOST_TEST(value.services[0].engine->prefill_tokens_per_ms == 206.0);
     BOOST_TEST(value.services[0].engine->usual_prompt_tokens == 12'331U);
     BOOST_TEST(value.services[0].engine->usual_answer_tokens == 1'303U);
+    BOOST_TEST((value.services[0].engine->domain_delay == 3'400us));
     BOOST_TEST(!value.services[1].engine.has_value());
     BOOST_TEST(value.teams->at(0).priority.value() == 1U);
     BOOST_TEST((value.limits.idle_timeout == 15s));
