Let short requests wait at the scheduler for a free slot

A short prompt was bound to an endpoint at arrival even if all its slots were taken, and waited there while other endpoints had room. Where the configuration says that slots are scarce, such a request now waits at its scheduler until any endpoint it may use has a free slot: those that can be in time first, earliest due first, the others behind them. Requests whose prompt is split keep waiting for prefill capacity as before.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -65,6 +65,8 @@
         return "crashing_prompt";
     case dispatch_refusal::reason::rate_limited:
         return "rate_limited";
+    case dispatch_refusal::reason::no_slot:
+        return "no_slot";
     }
     return "unknown";
 }
@@ -405,8 +407,11 @@
     if (request.service->engine) {
         m_engines[request.service->name] = *request.service->engine;
     }
-    return request.service->engine ? dispatch_model(request, found, now)
-                                   : dispatch_plain(request, found, now);
+    if (!request.service->engine) {
+        return dispatch_plain(request, found, now);
+    }
+    return waits_for_slot(request) ? dispatch_to_free_slot(request, found, now)
+                                   : dispatch_model(request, found, now);
 }
 
 dispatch_result fleet::dispatch_model(const dispatch_request& request,
@@ -428,8 +433,10 @@
         idle += is_idle && takes_parts ? 1 : 0;
     }
     dispatch_result outcome;
-    const std::size_t reserved = m_waiting.empty() ? 0 : parts_before(request, found.size(), now);
-    if (request.wait && request.may_wait && !request.answer_started && reserved >= idle) {
+    const bool slot_only = waits_for_slot(request);
+    const std::size_t reserved =
+        m_waiting.empty() || slot_only ? 0 : parts_before(request, found.size(), now);
+    if (request.wait && !slot_only && request.may_wait && !request.answer_started && reserved >= idle) {
         outcome.wait = line_wait;
         return outcome;
     }
@@ -459,6 +466,13 @@
         outcome.refusal = {dispatch_refusal::reason::too_late, predicted};
         return outcome;
     }
+    // Another endpoint may have a slot and no prefill to do by the latest start in time.
+    const milliseconds slack = request.model.objective - request.model.used;
+    if (slot_only && request.may_wait && predicted > slack &&
+        slack > shortest_first_event(request) + line_wait) {
+        outcome.wait = line_wait;
+        return outcome;
+    }
     dispatch_choice choice;
     choice.predicted_first_event = predicted;
     std::vector<endpoint_state*> parts;
@@ -483,7 +497,8 @@
     const policy::work_key own_key = request.wait.value_or(policy::work_key{m_self, 0});
     std::vector<policy::waiting_prompt> waiting{to_waiting_prompt(request, own_key, now)};
     for (const auto& [key, other] : m_waiting) {
-        if (key != own_key && other.service == request.service->name) {
+        if (key != own_key && other.service == request.service->name &&
+            !waits_for_slot(*request.service, other.prompt.prefill_ms)) {
             waiting.push_back(other.prompt);
         }
     }
@@ -491,16 +506,6 @@
     return policy::parts_before(waiting, own_key, prefill_capacity, 0, now);
 }
 
-double fleet::queue_loss_per_ms(const dispatch_request& request, time_point now) const
-{
-    double loss = 0;
-    for (const auto& [key, other] : m_waiting) {
-        const bool behind = key != request.wait && other.service == request.service->name;
-        loss += behind && other.prompt.due > now ? other.prompt.loss_per_ms : 0;
-    }
-    return loss;
-}
-
 std::uint64_t fleet::next_number()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -62,11 +62,12 @@
         too_large,
         too_harmful,
         crashing_prompt,
-        rate_limited // by the limits of all endpoints that could take it
+        rate_limited, // by the limits of all endpoints that could take it
+        no_slot       // is expected to be free before the caller disconnects
     };
 
     reason why = reason::no_endpoint;
-    // Time to the first event with `too_late`, and until it could be sent with `rate_limited`.
+    // Time to the first event with `too_late`, and until it could be sent with `rate_limited` and `no_slot`.
     milliseconds predicted{};
     policy::prompt_part part = 0; // set for `crashing_prompt`: endpoints have crashed under it
     milliseconds retry_after{};   // time until such a request may be tried again; 0 = not known
@@ -261,6 +262,9 @@
 
     load_spread summarize_load(time_point now) const;
 
+    // Requests at all entries that wait for a slot, as far as this entry knows.
+    std::size_t slot_waiters() const;
+
     std::size_t size() const;
     std::size_t usable_count(const std::string& service, time_point now) const;
 
@@ -314,6 +318,16 @@
     std::vector<endpoint_state*> trial_endpoints(const dispatch_request& request, time_point now);
     dispatch_result choose(const dispatch_request& request, const std::vector<endpoint_state*>& found,
                            time_point now);
+    // Whether a request waits for a slot at its scheduler when none is free, instead of in the queue of an
+    // endpoint: the configuration of its service says that slots are scarce, and its prompt is placed
+    // unsplit.
+    static bool waits_for_slot(const dispatch_request& request);
+    static bool waits_for_slot(const route::service_rule& service, double prefill_ms);
+    static milliseconds shortest_first_event(const dispatch_request& request);
+    dispatch_result dispatch_to_free_slot(const dispatch_request& request,
+                                          const std::vector<endpoint_state*>& found, time_point now);
+    // Slots of an endpoint that this entry may fill.
+    std::uint32_t usable_slots(const endpoint_state& state) const;
     // Endpoints that the waiting prompts which go before the request would use.
     std::size_t parts_before(const dispatch_request& request, std::size_t endpoints, time_point now) const;
     // Expected loss of all other waiting prompts per ms that this one makes them wait.
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -189,6 +189,8 @@
     counters.gauge("verbena_forward_peers", {}, [self] {
         return static_cast<double>(self->m_load_exchange ? self->m_load_exchange->peers() : 0);
     });
+    counters.gauge("verbena_forward_slot_waiters", {},
+                   [self] { return static_cast<double>(self->m_fleet.slot_waiters()); });
     const auto limits = [self] { return self->m_fleet.summarize_limits(clock::now()); };
     counters.gauge("verbena_forward_limited_endpoints", {},
                    [limits] { return static_cast<double>(limits().endpoints); });
--- a/src/forward/placement_messages.cpp
+++ b/src/forward/placement_messages.cpp
@@ -87,7 +87,7 @@
 dispatch_refusal read_refusal(const wire::placement_reply& reply)
 {
     dispatch_refusal refusal;
-    constexpr auto last = static_cast<std::uint8_t>(dispatch_refusal::reason::rate_limited);
+    constexpr auto last = static_cast<std::uint8_t>(dispatch_refusal::reason::no_slot);
     refusal.why = static_cast<dispatch_refusal::reason>(std::min(reply.reason(), last));
     refusal.predicted = milliseconds(reply.predicted_ms());
     refusal.part = reply.prompt_part();
--- a/src/forward/request_ending.cpp
+++ b/src/forward/request_ending.cpp
@@ -57,13 +57,14 @@
 // Adds jitter, so that callers refused together return spread over the time in which endpoints become free.
 milliseconds request_forwarder::retry_after_time(const dispatch_refusal& refusal, time_point now)
 {
-    const bool rate_limited = refusal.why == dispatch_refusal::reason::rate_limited;
-    if (refusal.retry_after > milliseconds::zero() && !rate_limited) {
+    const bool knows_when = refusal.why == dispatch_refusal::reason::rate_limited ||
+                            refusal.why == dispatch_refusal::reason::no_slot;
+    if (refusal.retry_after > milliseconds::zero() && !knows_when) {
         std::uniform_real_distribution<double> later(1, 1.25);
         return std::chrono::duration_cast<milliseconds>(refusal.retry_after * later(m_random));
     }
     const milliseconds over =
-        rate_limited ? refusal.retry_after : refusal.predicted - m_request.route->objective;
+        knows_when ? refusal.retry_after : refusal.predicted - m_request.route->objective;
     const milliseconds base = std::clamp(over, min_retry_after, max_retry_after);
     std::uniform_real_distribution<double> spread(0.75, 1.5);
     const auto drawn = std::chrono::duration_cast<milliseconds>(base * spread(m_random));
--- a/test/forward_fleet_work.cpp
+++ b/test/forward_fleet_work.cpp
@@ -127,6 +127,55 @@
 
 namespace {
 
+// The endpoints of a model service with 6 slots each, "e1" and "e2" in the entry's own failure domain. As the
+// service states its usual requests, requests for it wait for slots.
+struct slot_fixture : fleet_fixture {
+    time_point now = clock::now();
+
+    slot_fixture()
+    {
+        desk.engine = route::engine_rule{6, 232'000, 43, 1.02, 0.00226, 0.00431, 206, 0.138, 2048, 0.075};
+        desk.engine->usual_prompt_tokens = 8'000;
+        desk.engine->usual_answer_tokens = 1'500;
+        add("e2", "a");
+    }
+
+    forward::dispatch_result dispatch(milliseconds used = 0ms, std::optional<policy::work_key> wait = {})
+    {
+        forward::dispatch_request value = request();
+        value.time_left = 10s;
+        value.model.prompt_tokens = 5'000;
+        value.model.output_tokens = 1'500;
+        value.model.used = used;
+        value.model.pause = 250ms;
+        value.model.disconnect_after = 2s - used;
+        value.may_wait = used < value.model.objective;
+        value.wait = wait;
+        return fleet.dispatch(value, now);
+    }
+
+    policy::work_key begin_wait()
+    {
+        forward::dispatch_request value = request();
+        value.model.prompt_tokens = 5'000;
+        return fleet.begin_wait(value, now);
+    }
+
+    // Fills all slots with answers and returns the dispatch numbers.
+    std::vector<std::uint64_t> fill()
+    {
+        std::vector<std::uint64_t> numbers;
+        for (int i = 0; i < 12; ++i) {
+            const auto found = dispatch();
+            BOOST_TEST_REQUIRE(found.choice.has_value());
+            numbers.push_back(found.choice->number);
+            fleet.record_first_event(numbers.back(), now);
+            now += 100ms;
+        }
+        return numbers;
+    }
+};
+
 // Five schedulers, each for 21 entries and 30 endpoints of 10 slots, that hear of each other's choices 10 ms
 // late.
 struct scheduler_group {
@@ -208,6 +257,64 @@
 
 } // namespace
 
+// Guards against a request that is bound to an endpoint without a free slot: it waits, also after its
+// objective, and gets the first slot that becomes free at any endpoint.
+BOOST_FIXTURE_TEST_CASE(a_request_waits_until_any_endpoint_has_a_free_slot, slot_fixture)
+{
+    const std::vector<std::uint64_t> numbers = fill();
+    BOOST_TEST((dispatch().wait > 0ms));
+    const policy::work_key key = begin_wait();
+    BOOST_TEST(fleet.slot_waiters() == 1U);
+    BOOST_TEST((dispatch(400ms, key).wait > 0ms));
+    const std::string freed = fleet.notes_of({7, numbers[5]}).front().endpoint;
+    fleet.record_end(numbers[5], now);
+    const auto found = dispatch(100ms, key);
+    BOOST_TEST_REQUIRE(found.choice.has_value());
+    BOOST_TEST(found.choice->endpoints.front().name == freed);
+    fleet.end_wait(key);
+    BOOST_TEST(fleet.slot_waiters() == 0U);
+}
+
+// Guards against a free slot that goes to a request that arrives later than one which waits for it.
+BOOST_FIXTURE_TEST_CASE(the_free_slot_goes_to_the_request_that_is_due_first, slot_fixture)
+{
+    const std::vector<std::uint64_t> numbers = fill();
+    const policy::work_key key = begin_wait();
+    now += 50ms;
+    fleet.record_end(numbers.front(), now);
+    BOOST_TEST((dispatch().wait > 0ms));
+    BOOST_TEST(dispatch(50ms, key).choice.has_value());
+}
+
+// Guards against callers that are kept waiting until they disconnect: a request that gets no slot before is
+// refused and told when one is expected.
+BOOST_FIXTURE_TEST_CASE(refuses_what_gets_no_slot_before_the_caller_disconnects, slot_fixture)
+{
+    (void)fill();
+    for (int i = 0; i < 30; ++i) {
+        (void)begin_wait();
+    }
+    now += 400ms; // all of them are late, and the answers take about two seconds
+    const auto found = dispatch(450ms);
+    BOOST_TEST(!found.choice.has_value());
+    BOOST_TEST((found.wait == 0ms));
+    BOOST_TEST((found.refusal.why == forward::dispatch_refusal::reason::no_slot));
+    BOOST_TEST((found.refusal.retry_after > 1s));
+    // One that can still be in time goes before them.
+    BOOST_TEST((dispatch().wait > 0ms));
+}
+
+// Guards against queueing for a service whose configuration does not state its usual requests.
+BOOST_FIXTURE_TEST_CASE(requests_of_other_services_do_not_wait_for_slots, slot_fixture)
+{
+    desk.engine->usual_prompt_tokens = 0;
+    desk.engine->usual_answer_tokens = 0;
+    (void)fill();
+    (void)begin_wait();
+    BOOST_TEST(dispatch().choice.has_value());
+    BOOST_TEST(fleet.slot_waiters() == 0U);
+}
+
 // Load: 500 short prompts a second over five schedulers, half of the slots. Decisions that are made at the
 // same time must not fill one endpoint beyond its slots, where a prompt waits for the end of another one's
 // answer.
