Lend the slots of other domains by need

The slots of another domain's endpoint that a scheduler leaves free follow the expected requests that the others have sent there and not reported yet, in place of the fixed 0.3, where the configuration calls for even load.

--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -125,6 +125,7 @@
     }
     state.info = value;
     state.listed = true;
+    m_domain_sizes.clear();
     state.cold_until = now + milliseconds(value.cold_ms);
     if (address) {
         state.address = address.value();
@@ -156,6 +157,7 @@
         }
         m_names_by_address[address].erase(item->first);
         item = m_endpoints.erase(item);
+        m_domain_sizes.clear();
         update_superseded(address);
     }
 }
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -327,7 +327,13 @@
     dispatch_result dispatch_to_free_slot(const dispatch_request& request,
                                           const std::vector<endpoint_state*>& found, time_point now);
     // Slots of an endpoint that this entry may fill.
-    std::uint32_t usable_slots(const endpoint_state& state) const;
+    std::uint32_t usable_slots(const endpoint_state& state, const route::engine_rule& engine,
+                               time_point now) const;
+    // Expected requests to the endpoints of the failure domain that others have sent and not reported yet.
+    double unheard_sends(const std::string& failure_domain, const route::engine_rule& engine,
+                         time_point now) const;
+    // Endpoints of the service in the failure domain.
+    std::size_t domain_size(const endpoint_state& state) const;
     // Endpoints that the waiting prompts which go before the request would use.
     std::size_t parts_before(const dispatch_request& request, std::size_t endpoints, time_point now) const;
     // Expected loss of all other waiting prompts per ms that this one makes them wait.
@@ -415,6 +421,11 @@
     std::set<std::string> m_unknown_domains;
     std::set<std::string> m_domains_out;
     policy::unheard_sends m_unheard;
+    // What a choice needs for each endpoint of a domain: the size of the domain by service, until the list
+    // changes, and the unheard sends of one moment.
+    mutable std::map<std::pair<std::string, std::string>, std::size_t> m_domain_sizes;
+    mutable std::map<std::string, double> m_unheard_now;
+    mutable time_point m_unheard_time{};
     std::uint64_t m_even_sends = 0;
     std::uint64_t m_even_sends_to_full = 0;
     policy::limit_shares m_limit_shares;
--- a/src/forward/fleet_load.cpp
+++ b/src/forward/fleet_load.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Fraction of the slots of an endpoint that the schedulers of other failure domains leave free in services
-// whose load is not spread by what the others may have sent.
+// whose configuration does not call for even load.
 constexpr double other_domain_slot_reserve = 0.3;
 
 // The longest time for which a scheduler collects notes before it sends them (load_exchange).
@@ -17,6 +17,50 @@
 
 } // namespace
 
+double fleet::unheard_sends(const std::string& failure_domain, const route::engine_rule& engine,
+                            time_point now) const
+{
+    if (!policy::slots_are_scarce(engine)) {
+        return 0;
+    }
+    if (m_unheard_time != now) {
+        m_unheard_time = now;
+        m_unheard_now.clear();
+    }
+    const auto [found, is_new] = m_unheard_now.try_emplace(failure_domain);
+    if (is_new) {
+        found->second = m_unheard.expected(failure_domain, note_interval + engine.domain_delay, now);
+    }
+    return found->second;
+}
+
+std::size_t fleet::domain_size(const endpoint_state& state) const
+{
+    if (m_domain_sizes.empty()) {
+        for (const auto& [name, other] : m_endpoints) {
+            ++m_domain_sizes[{other.info.service, other.info.failure_domain}];
+        }
+    }
+    return m_domain_sizes[{state.info.service, state.info.failure_domain}];
+}
+
+// Several schedulers may choose the same endpoint before they hear of each other's choice. The room of
+// another domain is lent as far as that domain does not need it.
+std::uint32_t fleet::usable_slots(const endpoint_state& state, const route::engine_rule& engine,
+                                  time_point now) const
+{
+    const std::uint32_t slots = state.info.slots;
+    const std::string& domain = state.info.failure_domain;
+    if (domain == m_own_domain) {
+        return slots;
+    }
+    if (!policy::slots_are_scarce(engine)) {
+        return slots - static_cast<std::uint32_t>(slots * other_domain_slot_reserve);
+    }
+    const auto size = static_cast<double>(std::max<std::size_t>(domain_size(state), 1));
+    return policy::lent_slots(slots, unheard_sends(domain, engine, now) / size);
+}
+
 policy::placement_candidate fleet::to_candidate(const endpoint_state& state, const route::engine_rule& engine,
                                                 time_point now) const
 {
@@ -25,14 +69,8 @@
     candidate.slowdown = slowdown_of(state, now);
     candidate.failure_share = failure_rate_of(state, now);
     candidate.other_domain = state.info.failure_domain != m_own_domain;
-    candidate.slots = state.info.slots;
-    if (policy::slots_are_scarce(engine)) {
-        candidate.unheard =
-            m_unheard.expected(state.info.failure_domain, note_interval + engine.domain_delay, now);
-    } else if (candidate.other_domain) {
-        // Several schedulers may choose the same endpoint before they hear of each other's choice.
-        candidate.slots -= static_cast<std::uint32_t>(candidate.slots * other_domain_slot_reserve);
-    }
+    candidate.slots = usable_slots(state, engine, now);
+    candidate.unheard = unheard_sends(state.info.failure_domain, engine, now);
     return candidate;
 }
 
--- a/src/forward/fleet_slots.cpp
+++ b/src/forward/fleet_slots.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Fraction of the slots of an endpoint that the schedulers of other failure domains leave free.
-constexpr double other_domain_slot_reserve = 0.3;
-
 // Bounds of the interval at which a request that waits for a slot retries its dispatch. The endings of
 // answers are a few milliseconds old when a scheduler hears of them, and each try costs processor time.
 constexpr milliseconds min_slot_wait{5};
@@ -56,14 +53,6 @@
     return milliseconds(static_cast<std::int64_t>(ms));
 }
 
-// Several schedulers may choose the same endpoint before they hear of each other's choice.
-std::uint32_t fleet::usable_slots(const endpoint_state& state) const
-{
-    const std::uint32_t slots = state.info.slots;
-    const bool other_domain = state.info.failure_domain != m_own_domain;
-    return other_domain ? slots - static_cast<std::uint32_t>(slots * other_domain_slot_reserve) : slots;
-}
-
 double fleet::queue_loss_per_ms(const dispatch_request& request, time_point now) const
 {
     double loss = 0;
@@ -83,7 +72,7 @@
     policy::slot_supply supply;
     std::size_t used = 0;
     for (endpoint_state* state : found) {
-        const std::size_t slots = usable_slots(*state);
+        const std::size_t slots = usable_slots(*state, cost.rule(), now);
         const std::size_t requests = state->load.requests();
         used += std::min(requests, slots);
         if (requests < slots) {
--- a/src/policy/even_load.cpp
+++ b/src/policy/even_load.cpp
@@ -20,16 +20,22 @@
     return std::chrono::duration<double>(value).count();
 }
 
+// Number of requests that about one endpoint in fifty exceeds if `mean` are expected at each: the mean and
+// two standard deviations of a Poisson distribution.
+double upper_bound(double mean)
+{
+    return mean + 2 * std::sqrt(mean);
+}
+
 // The first `count` endpoints in `order` that have room for the request and, of the sends not known yet, for
-// one part in `count`: its mean and two standard deviations of a Poisson distribution, which about one
-// endpoint in fifty exceeds.
+// one part in `count`.
 std::vector<std::size_t> first_with_room(const std::vector<even_candidate>& candidates,
                                          const std::vector<std::size_t>& order, std::size_t count)
 {
     std::vector<std::size_t> found;
     for (const std::size_t i : order) {
         const double mean = candidates[i].unheard / static_cast<double>(count);
-        if (found.size() < count && candidates[i].free_slots >= 1 + mean + 2 * std::sqrt(mean)) {
+        if (found.size() < count && candidates[i].free_slots >= 1 + upper_bound(mean)) {
             found.push_back(i);
         }
     }
@@ -96,6 +102,12 @@
     return sum;
 }
 
+std::uint32_t lent_slots(std::uint32_t slots, double unheard)
+{
+    const double kept = std::round(upper_bound(unheard));
+    return kept < slots ? slots - static_cast<std::uint32_t>(kept) : 0;
+}
+
 std::size_t choose_with_room(const std::vector<even_candidate>& candidates, double tolerance, double draw)
 {
     std::vector<std::size_t> order(candidates.size());
--- a/src/policy/even_load.h
+++ b/src/policy/even_load.h
@@ -41,6 +41,10 @@
     std::map<incarnation, decider_state> m_deciders;
 };
 
+// Slots of an endpoint that the decider of another failure domain may fill, of `slots` that it has: the
+// others stay free for the `unheard` requests that are expected to have been sent to it meanwhile.
+std::uint32_t lent_slots(std::uint32_t slots, double unheard);
+
 // An endpoint that may be chosen.
 struct even_candidate {
     double loss = 0;       // expected loss, with the known load
--- a/test/policy_even_load_test.cpp
+++ b/test/policy_even_load_test.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t endpoint_count = 60;
 constexpr std::size_t domain_count = 3;
+constexpr double domain_size = 20;
 constexpr std::uint32_t slots = 12;
 constexpr milliseconds answer_time{1'850};
 constexpr milliseconds first_event_time{50}; // after the prefill
@@ -209,6 +210,9 @@
             if (m_how == method::even) {
                 candidate.unheard =
                     m_deciders[from].unheard.expected(domain_name(endpoint), m_case.delay, m_now);
+                candidate.slots = candidate.other_domain
+                                      ? policy::lent_slots(slots, candidate.unheard / domain_size)
+                                      : slots;
             } else if (candidate.other_domain) {
                 candidate.slots = 9; // the others leave 0.3 free
             }
@@ -410,4 +414,16 @@
     BOOST_TEST(none == std::set<std::size_t>{1}, boost::test_tools::per_element());
 }
 
+// Guards against a reserve that does not follow the need: an idle domain lends all slots, a busy one whose
+// notes are old keeps the more the older they are.
+BOOST_AUTO_TEST_CASE(lends_the_slots_that_the_other_domain_does_not_need)
+{
+    BOOST_TEST(policy::lent_slots(12, 0) == 12U);
+    BOOST_TEST(policy::lent_slots(12, 0.02) == 12U);
+    BOOST_TEST(policy::lent_slots(12, 0.15) == 11U);
+    BOOST_TEST(policy::lent_slots(12, 0.75) == 10U);
+    BOOST_TEST(policy::lent_slots(12, 4) == 4U);
+    BOOST_TEST(policy::lent_slots(12, 12) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
