--- a/src/forward/fleet_notes.cpp
+++ b/src/forward/fleet_notes.cpp
@@ -310,6 +310,7 @@
             published = remove_reporter(notes.incarnation, now);
         }
         m_unheard.hear(notes.incarnation, now);
+        m_unheard_now.clear();
         for (const auto& note : notes.notes) {
             const bool has_started = apply_note(notes.incarnation, *note, now);
             const auto endpoint = m_endpoints.find(note->endpoint);
@@ -369,6 +370,7 @@
         const std::lock_guard lock(m_mutex);
         ended = remove_reporter(entry, now);
         m_unheard.remove(entry);
+        m_unheard_now.clear();
         trials.swap(m_changed_trials);
     }
     publish(ended);
