--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -125,6 +125,7 @@
     }
     state.info = value;
     state.listed = true;
+    m_domain_sizes.clear();
     state.cold_until = now + milliseconds(value.cold_ms);
     if (address) {
         state.address = address.value();
@@ -156,6 +157,7 @@
         }
         m_names_by_address[address].erase(item->first);
         item = m_endpoints.erase(item);
+        m_domain_sizes.clear();
         update_superseded(address);
     }
 }
@@ -424,12 +426,7 @@
     std::size_t idle = 0;
     std::size_t unlimited = 0;
     for (const endpoint_state* state : found) {
-        policy::placement_candidate candidate;
-        candidate.load = &state->load;
-        candidate.slowdown = slowdown_of(*state, now);
-        candidate.failure_share = failure_rate_of(*state, now);
-        candidate.other_domain = state->info.failure_domain != m_own_domain;
-        candidate.slots = usable_slots(*state);
+        policy::placement_candidate candidate = to_candidate(*state, cost.rule(), now);
         const bool takes_parts = state->load.parts() < state->info.slots && candidate.failure_share < 0.2;
         // The calls that reserve memory would count towards the limit of an endpoint.
         candidate.accepts_prefill_parts = takes_parts && !state->limit.rate();
@@ -451,7 +448,7 @@
     const double parallel = static_cast<double>(found.size()) * shared_prefill_fraction /
                             static_cast<double>(policy::placement_options{}.max_parts);
     model.queue_loss_per_ms = queue_loss_per_ms(request, now) / std::max(parallel, 1.0);
-    const auto placed = policy::place(model, cost, candidates, now);
+    const auto placed = policy::place(model, cost, candidates, now, placement_options(request));
     // Decoding requests end and free their memory, so a request that cannot be placed well now often can
     // soon.
     const bool harmful =
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -5,6 +5,7 @@
 #include "base/settings.h"
 #include "forward/limit_messages.h"
 #include "policy/crash_suspects.h"
+#include "policy/even_load.h"
 #include "policy/placement.h"
 #include "policy/prefill_order.h"
 #include "wire_generated.h"
@@ -115,6 +116,15 @@
     std::uint64_t skips = 0; // choices so far that left an endpoint out because of its limit
 };
 
+// How the load of the endpoints with slots spreads, as far as this process knows it.
+struct load_spread {
+    std::size_t over = 0;            // endpoints with more requests than slots
+    std::size_t idle_beside = 0;     // endpoints without any request while one of their service is over
+    double unheard = 0;              // expected requests that other schedulers have sent and not reported yet
+    std::uint64_t sends = 0;         // choices so far in services that spread their load
+    std::uint64_t sends_to_full = 0; // of these, to an endpoint without a free slot
+};
+
 // The endpoints known to this entry and the work dispatched to them, as far as this entry knows it: a
 // scheduler knows the work of all entries, any other entry its own. Thread-safe; its mutex comes after the
 // directory's in the lock order.
@@ -253,6 +263,8 @@
     // Load of these services in each failure domain, for the decision how many endpoints they need.
     std::vector<std::unique_ptr<wire::service_demandT>> demand_summary(const std::set<std::string>& services,
                                                                        time_point now) const;
+    load_spread summarize_load(time_point now) const;
+
     // Requests at all entries that wait for a slot, as far as this entry knows.
     std::size_t slot_waiters() const;
 
@@ -328,7 +340,13 @@
     dispatch_result dispatch_to_free_slot(const dispatch_request& request,
                                           const std::vector<endpoint_state*>& found, time_point now);
     // Slots of an endpoint that this entry may fill.
-    std::uint32_t usable_slots(const endpoint_state& state) const;
+    std::uint32_t usable_slots(const endpoint_state& state, const route::engine_rule& engine,
+                               time_point now) const;
+    // Expected requests to the endpoints of the failure domain that others have sent and not reported yet.
+    double unheard_sends(const std::string& failure_domain, const route::engine_rule& engine,
+                         time_point now) const;
+    // Endpoints of the service in the failure domain.
+    std::size_t domain_size(const endpoint_state& state) const;
     // Endpoints that the waiting prompts which go before the request would use.
     std::size_t parts_before(const dispatch_request& request, std::size_t endpoints, time_point now) const;
     // Expected loss of all other waiting prompts per ms that this one makes them wait.
@@ -363,6 +381,10 @@
     double slowdown_of(const endpoint_state& state, time_point now) const;
     double failure_rate_of(const endpoint_state& state, time_point now) const;
     std::vector<endpoint_state*> eligible_endpoints(const dispatch_request& request, time_point now);
+    policy::placement_candidate to_candidate(const endpoint_state& state, const route::engine_rule& engine,
+                                             time_point now) const;
+    policy::placement_options placement_options(const dispatch_request& request);
+    void count_send(const endpoint_state& state, const dispatch_request& request);
     dispatch_result dispatch_model(const dispatch_request& request, const std::vector<endpoint_state*>& found,
                                    time_point now);
     dispatch_result dispatch_plain(const dispatch_request& request, const std::vector<endpoint_state*>& found,
@@ -412,6 +434,14 @@
     std::map<std::pair<std::string, std::string>, outcome_counts> m_outcomes; // by service and domain
     std::set<std::string> m_unknown_domains;
     std::set<std::string> m_domains_out;
+    policy::unheard_sends m_unheard;
+    // What a choice needs for each endpoint of a domain: the size of the domain by service, until the list
+    // changes, and the unheard sends of one moment.
+    mutable std::map<std::pair<std::string, std::string>, std::size_t> m_domain_sizes;
+    mutable std::map<std::string, double> m_unheard_now;
+    mutable time_point m_unheard_time{};
+    std::uint64_t m_even_sends = 0;
+    std::uint64_t m_even_sends_to_full = 0;
     policy::limit_shares m_limit_shares;
     bool m_scheduling = false;
     std::uint64_t m_limit_skips = 0;
