--- a/test/control_usage_test.cpp
+++ b/test/control_usage_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 using namespace verbena;
 using namespace verbena::test;
 using namespace std::chrono_literals;
@@ -50,7 +52,7 @@
 };
 
 // A group whose members share one log, entries, and the counts that are true.
-struct system {
+struct metered_site {
     clocks time;
     std::vector<std::unique_ptr<entry>> entries;
     std::vector<std::unique_ptr<member>> members;
@@ -59,7 +61,7 @@
     std::map<std::uint64_t, std::set<counts>> sent; // by window
     bool calls_answered = true;
 
-    system(std::size_t entry_count, std::size_t member_count)
+    metered_site(std::size_t entry_count, std::size_t member_count)
     {
         for (std::size_t i = 0; i < entry_count; ++i) {
             start_entry("e" + std::to_string(i), i + 1);
@@ -183,7 +185,7 @@
 // Guards against counts that are lost between slices, polls and windows, and against late reports.
 BOOST_AUTO_TEST_CASE(reports_each_window_whole_and_in_time)
 {
-    system site(5, 3);
+    metered_site site(5, 3);
     site.run(2s);
     const std::uint64_t first = site.time.window() + 1;
     site.run(60s);
@@ -203,7 +205,7 @@
 // that reports what it has gathered so far.
 BOOST_AUTO_TEST_CASE(a_new_leader_repeats_the_recorded_counts_and_gathers_the_others)
 {
-    system site(5, 3);
+    metered_site site(5, 3);
     site.run(3s);
     const std::uint64_t first = site.time.window() + 1;
     site.calls_answered = false; // no one knows whether the infrastructure has the reports
@@ -220,7 +222,7 @@
 // Guards against other counts after all members have been killed between the record and the report.
 BOOST_AUTO_TEST_CASE(recorded_counts_survive_the_death_of_all_members)
 {
-    system site(3, 3);
+    metered_site site(3, 3);
     site.run(3s);
     site.calls_answered = false;
     site.run(12s);
@@ -245,7 +247,7 @@
 // more than the last counts of an entry that dies.
 BOOST_AUTO_TEST_CASE(an_entry_that_dies_delays_one_window_and_loses_little)
 {
-    system site(5, 1);
+    metered_site site(5, 1);
     site.run(13s);
     const std::uint64_t window = site.time.window();
     site.entries[0]->reachable = false;
@@ -262,7 +264,7 @@
 // Guards against a report that waits for the last counts of a process that has been replaced.
 BOOST_AUTO_TEST_CASE(a_restarted_entry_is_not_waited_for)
 {
-    system site(5, 1);
+    metered_site site(5, 1);
     site.run(13s);
     site.entries[0]->reachable = false;
     site.start_entry("e0", 100);
@@ -275,7 +277,7 @@
 // Guards against the loss of counts of an entry that is cut off for a while and reports late.
 BOOST_AUTO_TEST_CASE(an_entry_that_was_cut_off_sends_what_it_has_kept)
 {
-    system site(5, 1);
+    metered_site site(5, 1);
     site.run(13s);
     const std::uint64_t window = site.time.window();
     site.entries[0]->reachable = false;
@@ -290,7 +292,7 @@
 // all entries yet.
 BOOST_AUTO_TEST_CASE(a_leader_that_has_just_begun_reports_nothing)
 {
-    system site(2, 2);
+    metered_site site(2, 2);
     site.run(13s);
     site.lead(1);
     const std::size_t before = site.sent.size();
@@ -307,7 +309,7 @@
 // step on.
 BOOST_AUTO_TEST_CASE(steps_of_wall_clocks_do_not_move_windows)
 {
-    system site(5, 1);
+    metered_site site(5, 1);
     site.entries[0]->clock_error = 17min;
     site.run(3s);
     const std::uint64_t first = site.time.window() + 1;
