Let operators see duties and move them away from a machine

ctl status lists holder, token, age and barred machines of each duty, and move_duty bars a machine from one. Changes of holder are events. The name of the machine in calls is a setting of its own.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -143,7 +143,7 @@
     duty_service::options options;
     options.tasks = make_duty_tasks(m_settings, inputs);
     options.limits = {milliseconds(m_settings.duty_lease), milliseconds(m_settings.duty_thaw)};
-    options.holder = m_process.settings().name;
+    options.holder = m_settings.duty_holder.empty() ? m_process.settings().name : m_settings.duty_holder;
     options.incarnation = m_process.self_incarnation();
     constexpr double thousandths = 1'000;
     options.calls_per_s = m_settings.duty_rate / thousandths;
--- a/src/control/duty_service.cpp
+++ b/src/control/duty_service.cpp
@@ -1,6 +1,6 @@
 #include "control/duty_service.h"
 
-#include "base/log.h"
+#include "base/event_log.h"
 #include "control/wall_clock.h"
 
 namespace verbena::control {
@@ -126,8 +126,7 @@
 
 void duty_service::report(const duty& value, const char* what) const
 {
-    log::info("duty " + std::string(value.task->duty()) + ": " + what + ", token " +
-              std::to_string(value.holder.token()));
+    event_log::write(event::duty_stateT{{}, std::string(value.task->duty()), value.holder.token(), what});
 }
 
 void duty_service::claim(duty& value)
--- a/src/control/duty_table.h
+++ b/src/control/duty_table.h
@@ -38,6 +38,9 @@
 
     std::uint64_t last_token() const { return m_last_token; }
 
+    // By duty, in the order of their names.
+    const std::map<std::string, duty_record, std::less<>>& records() const { return m_records; }
+
     // Writes the records in the order of their names.
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<log_entry::duty_record>>>
     save(flatbuffers::FlatBufferBuilder& builder) const;
--- a/src/control/operator_service.cpp
+++ b/src/control/operator_service.cpp
@@ -109,6 +109,26 @@
     return status;
 }
 
+std::unique_ptr<op::duty_statusT> to_status(const std::string& duty, const duty_record& record,
+                                            wall_time wall)
+{
+    auto status = std::make_unique<op::duty_statusT>();
+    status->duty = duty;
+    status->holder = record.holder;
+    status->token = record.token;
+    const milliseconds age = record.token == 0 ? milliseconds::zero() : wall - record.taken;
+    status->age_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0));
+    for (const auto& [machine, until] : record.barred_until) {
+        if (wall < until) {
+            status->barred.push_back(machine);
+        }
+    }
+    return status;
+}
+
+// Longest time for which a machine may be barred from a duty.
+constexpr milliseconds max_bar = std::chrono::days(366);
+
 } // namespace
 
 operator_service::operator_service(replicated_log& log, const state_machine& state,
@@ -139,6 +159,8 @@
         change(to_native<op::change_request>(request), std::move(context));
     } else if (context.call == "add_member" || context.call == "remove_member") {
         change_member(request, std::move(context));
+    } else if (context.call == "move_duty") {
+        move_duty(to_native<op::move_duty_request>(request), std::move(context));
     } else if (context.call == "get_config") {
         get_config(to_native<op::get_config_request>(request), context);
     } else if (context.call == "history") {
@@ -225,6 +247,41 @@
     }
 }
 
+void operator_service::move_duty(const op::move_duty_requestT& request, call_context context)
+{
+    if (!m_log.is_leader()) {
+        context.handler(redirect(context.call));
+        return;
+    }
+    if (request.duty.empty() || request.machine.empty() || request.for_ms > max_bar.count()) {
+        context.handler(error_reply(make_error(error_kind::invalid_request,
+                                               "duty or machine is missing, or for_ms is longer than a year",
+                                               "name a duty and its holder as 'status' shows them")));
+        return;
+    }
+    log_entry::bar_dutyT command;
+    command.now_ms = static_cast<std::uint64_t>(context.wall.time_since_epoch().count());
+    command.duty = request.duty;
+    command.machine = request.machine;
+    command.until_ms = request.for_ms == 0 ? 0 : command.now_ms + request.for_ms;
+    auto on_committed = [this, call = context.call, handler = std::move(context.handler)](
+                            const result<std::vector<std::uint8_t>>& outcome) {
+        const auto reply =
+            outcome ? parse_duty_reply(outcome.value()) : result<log_entry::duty_replyT>(outcome.error());
+        if (!reply) {
+            handler(reply.error().kind == error_kind::not_leader
+                        ? redirect(call)
+                        : error_reply(unknown_outcome(reply.error())));
+            return;
+        }
+        op::move_duty_replyT answer;
+        answer.accepted = reply.value().accepted;
+        answer.holder = reply.value().holder;
+        handler(json_reply("move_duty_reply", answer));
+    };
+    m_log.propose(make_duty_command(std::move(command)), std::move(on_committed));
+}
+
 void operator_service::get_config(const op::get_config_requestT& request, const call_context& context) const
 {
     const revision number = request.revision == 0 ? m_state.config().current_revision() : request.revision;
@@ -262,6 +319,9 @@
     op::status_replyT reply = m_log.status();
     reply.revision = m_state.config().current_revision();
     reply.processes = m_polls.processes(context.now);
+    for (const auto& [duty, record] : m_state.duties().records()) {
+        reply.duties.push_back(to_status(duty, record, context.wall));
+    }
     context.handler(json_reply("status_reply", reply));
 }
 
--- a/src/control/operator_service.h
+++ b/src/control/operator_service.h
@@ -81,6 +81,7 @@
     void change(const op::change_requestT& request, call_context context);
     void propose(std::vector<std::uint8_t> command, call_context context);
     void change_member(std::span<const std::uint8_t> request, call_context context);
+    void move_duty(const op::move_duty_requestT& request, call_context context);
     void get_config(const op::get_config_requestT& request, const call_context& context) const;
     void history(const op::history_requestT& request, const call_context& context) const;
     void diff(const op::diff_requestT& request, const call_context& context) const;
--- a/src/ctl/body.cpp
+++ b/src/ctl/body.cpp
@@ -192,6 +192,9 @@
     if (call == "remove_member") {
         return " id=2";
     }
+    if (call == "move_duty") {
+        return " duty=metering machine=vm-1 for_ms=600000";
+    }
     return {};
 }
 
