--- a/test/forward_scheduler_test.cpp
+++ b/test/forward_scheduler_test.cpp
@@ -55,6 +55,13 @@
         route::service_rule desk;
         desk.name = "desk";
         document.services.push_back(desk);
+        // A model service whose requests wait for slots.
+        route::service_rule model;
+        model.name = "model";
+        model.engine = route::engine_rule{2, 232'000, 43, 1.02, 0.00226, 0.00431, 206, 0.138, 2048, 0.075};
+        model.engine->usual_prompt_tokens = 8'000;
+        model.engine->usual_answer_tokens = 1'500;
+        document.services.push_back(model);
         rules = route::table::create(std::move(document)).value();
         const std::string address = "127.0.0.1:" + std::to_string(port);
         client = std::make_unique<forward::scheduler_client>(schedulers, address, document_domain, fleet);
@@ -97,6 +104,18 @@
                          clock::now() + 1h);
     }
 
+    forward::dispatch_request model_request() const
+    {
+        forward::dispatch_request request;
+        request.service = rules->find_service("model");
+        request.time_left = 10s;
+        request.model.prompt_tokens = 5'000;
+        request.model.output_tokens = 1'500;
+        request.model.objective = 300ms;
+        request.model.disconnect_after = 5s;
+        return request;
+    }
+
     forward::dispatch_result choose(net_threads& threads)
     {
         forward::dispatch_request request;
@@ -182,6 +201,39 @@
     BOOST_TEST(second.choose(threads).chosen_by == first_address);
 }
 
+// Guards against a request that is lost with the queue of its scheduler: when the connection fails, it waits
+// at the next scheduler, here its own entry, until a slot is free.
+BOOST_FIXTURE_TEST_CASE(a_waiting_request_moves_to_the_next_scheduler, scheduler_fixture)
+{
+    wire::announcementT only = desk_endpoint("m1", 9'100);
+    only.service = "model";
+    only.slots = 1;
+    for (entry_process* entry : {&first, &second}) {
+        entry->fleet.on_endpoint(only.endpoint, &only);
+    }
+    start();
+    const auto taken = second.fleet.dispatch(second.model_request(), clock::now());
+    BOOST_TEST_REQUIRE(taken.choice.has_value());
+    BOOST_TEST(eventually([&] { return first.fleet.notes_of({12, taken.choice->number}).size() == 1U; }));
+    auto found = std::make_shared<std::promise<forward::dispatch_result>>();
+    std::future<forward::dispatch_result> value = found->get_future();
+    net::asio::co_spawn(
+        threads.io,
+        second.client->choose(second.model_request(), 300ms, std::make_shared<forward::choice_call>()),
+        [found](const std::exception_ptr&, forward::dispatch_result result) {
+            found->set_value(std::move(result));
+        });
+    BOOST_TEST(eventually([&] { return first.fleet.slot_waiters() == 1U; }));
+    second.exchange->drop(first_address, "the scheduler has failed");
+    BOOST_TEST(eventually([&] { return second.fleet.slot_waiters() == 1U; }));
+    BOOST_TEST(eventually([&] { return first.fleet.slot_waiters() == 0U; }));
+    second.fleet.record_end(taken.choice->number, clock::now());
+    BOOST_TEST_REQUIRE((value.wait_for(5s) == std::future_status::ready));
+    const forward::dispatch_result result = value.get();
+    BOOST_TEST_REQUIRE(result.choice.has_value());
+    BOOST_TEST(result.chosen_by == "self");
+}
+
 // A scheduler that does not answer, such as a suspended process, holds up a request for a moment only.
 BOOST_AUTO_TEST_CASE(chooses_alone_when_the_scheduler_is_silent)
 {
