--- a/test/policy_even_load_test.cpp
+++ b/test/policy_even_load_test.cpp
@@ -319,18 +319,19 @@
 // Load: 210 short prompts a second on 720 slots, more than half of them taken. A request that is sent to an
 // endpoint without a slot waits for the end of an answer, which takes longer than its objective, although
 // another endpoint would have begun at once. Up to a picture of 10 ms at most one request in a hundred may be
-// sent so or begin late, with an older one at most one in ten.
+// sent so or begin late; with an older one at most one in ten may be sent so, and one in twenty begin late.
 BOOST_AUTO_TEST_CASE(deciders_with_the_same_old_picture_do_not_overrun_endpoints_while_others_have_room)
 {
     for (const std::size_t deciders : {3U, 28U, 105U}) {
         for (const milliseconds delay : {0ms, 10ms, 100ms, 500ms}) {
             const load_case load{deciders, delay, 210};
             const spread_result result = play(load, method::even);
-            const double most = delay <= 10ms ? 0.01 : 0.1;
+            const double most_to_full = delay <= 10ms ? 0.01 : 0.1;
+            const double most_late = delay <= 10ms ? 0.01 : 0.05;
             std::ostringstream text;
             text << deciders << " deciders, " << delay.count() << " ms, " << result;
-            BOOST_TEST(result.sent_to_full <= most, text.str());
-            BOOST_TEST(result.late <= most, text.str());
+            BOOST_TEST(result.sent_to_full <= most_to_full, text.str());
+            BOOST_TEST(result.late <= most_late, text.str());
         }
     }
 }
