--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -125,6 +125,12 @@
     std::uint64_t sends_to_full = 0; // of these, to an endpoint without a free slot
 };
 
+// Parts of the choice that settings call for. They apply to services whose slots are scarce.
+struct placement_parts {
+    bool slot_queue = false; // docs/design/late-binding.md
+    bool even_load = false;  // docs/design/even-load.md
+};
+
 // The endpoints known to this entry and the work dispatched to them, as far as this entry knows it: a
 // scheduler knows the work of all entries, any other entry its own. Thread-safe; its mutex comes after the
 // directory's in the lock order.
@@ -143,6 +149,7 @@
     fleet(incarnation self, std::string own_domain, double cold_fraction, note_listener on_note);
 
     // Not thread-safe.
+    void set_placement_parts(const placement_parts& parts) { m_parts = parts; }
     void set_crash_listener(crash_listener listener) { m_on_crash = std::move(listener); }
     void set_limit_listener(limit_listener listener) { m_on_limits = std::move(listener); }
 
@@ -334,8 +341,10 @@
     // Whether a request waits for a slot at its scheduler when none is free, instead of in the queue of an
     // endpoint: the configuration of its service says that slots are scarce, and its prompt is placed
     // unsplit.
-    static bool waits_for_slot(const dispatch_request& request);
-    static bool waits_for_slot(const route::service_rule& service, double prefill_ms);
+    bool waits_for_slot(const dispatch_request& request) const;
+    bool waits_for_slot(const route::service_rule& service, double prefill_ms) const;
+    // Whether requests to a service with this engine are spread by what other schedulers may have sent.
+    bool spreads_load(const route::engine_rule& engine) const;
     static milliseconds shortest_first_event(const dispatch_request& request);
     dispatch_result dispatch_to_free_slot(const dispatch_request& request,
                                           const std::vector<endpoint_state*>& found, time_point now);
@@ -416,6 +425,7 @@
     const std::string m_own_domain;
     const double m_cold_fraction;
     const note_listener m_on_note;
+    placement_parts m_parts;
     crash_listener m_on_crash;
     limit_listener m_on_limits;
 
--- a/src/forward/fleet_load.cpp
+++ b/src/forward/fleet_load.cpp
@@ -17,10 +17,15 @@
 
 } // namespace
 
+bool fleet::spreads_load(const route::engine_rule& engine) const
+{
+    return m_parts.even_load && policy::slots_are_scarce(engine);
+}
+
 double fleet::unheard_sends(const std::string& failure_domain, const route::engine_rule& engine,
                             time_point now) const
 {
-    if (!policy::slots_are_scarce(engine)) {
+    if (!spreads_load(engine)) {
         return 0;
     }
     if (m_unheard_time != now) {
@@ -54,7 +59,7 @@
     if (domain == m_own_domain) {
         return slots;
     }
-    if (!policy::slots_are_scarce(engine)) {
+    if (!spreads_load(engine)) {
         return slots - static_cast<std::uint32_t>(slots * other_domain_slot_reserve);
     }
     const auto size = static_cast<double>(std::max<std::size_t>(domain_size(state), 1));
@@ -77,7 +82,7 @@
 policy::placement_options fleet::placement_options(const dispatch_request& request)
 {
     policy::placement_options options;
-    if (!policy::slots_are_scarce(*request.service->engine)) {
+    if (!spreads_load(*request.service->engine)) {
         return options;
     }
     if (request.alone) {
@@ -90,7 +95,7 @@
 void fleet::count_send(const endpoint_state& state, const dispatch_request& request)
 {
     const auto& engine = request.service->engine;
-    if (engine && policy::slots_are_scarce(*engine)) {
+    if (engine && spreads_load(*engine)) {
         ++m_even_sends;
         m_even_sends_to_full += state.load.requests() >= state.info.slots ? 1 : 0;
     }
--- a/src/forward/fleet_slots.cpp
+++ b/src/forward/fleet_slots.cpp
@@ -31,12 +31,13 @@
 
 } // namespace
 
-bool fleet::waits_for_slot(const route::service_rule& service, double prefill_ms)
+bool fleet::waits_for_slot(const route::service_rule& service, double prefill_ms) const
 {
-    return service.engine && policy::slots_are_scarce(*service.engine) && is_unsplit(prefill_ms);
+    return m_parts.slot_queue && service.engine && policy::slots_are_scarce(*service.engine) &&
+           is_unsplit(prefill_ms);
 }
 
-bool fleet::waits_for_slot(const dispatch_request& request)
+bool fleet::waits_for_slot(const dispatch_request& request) const
 {
     const std::optional<route::engine_rule>& engine = request.service->engine;
     return engine && !request.answer_started &&
@@ -118,8 +119,8 @@
     return static_cast<std::size_t>(
         std::count_if(m_waiting.begin(), m_waiting.end(), [this](const auto& item) {
             const auto engine = m_engines.find(item.second.service);
-            return engine != m_engines.end() && policy::slots_are_scarce(engine->second) &&
-                   is_unsplit(item.second.prompt.prefill_ms);
+            return m_parts.slot_queue && engine != m_engines.end() &&
+                   policy::slots_are_scarce(engine->second) && is_unsplit(item.second.prompt.prefill_ms);
         }));
 }
 
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -107,6 +107,7 @@
       m_budget(entry_retry_options(settings, assumed_entries)),
       m_answer_memory(held_bytes_bound(settings.total_buffer, process.settings().memory))
 {
+    m_fleet.set_placement_parts({settings.slot_queue == "true", settings.even_load == "true"});
     m_fleet.set_complete_at(time_point::max());
     m_fleet.set_crashes_known(settings.peer_listen.empty());
     m_fleet.set_crash_listener([this](const std::vector<policy::crash_statement>& changed) {
--- a/test/forward_even_load_test.cpp
+++ b/test/forward_even_load_test.cpp
@@ -17,6 +17,7 @@
 
     lone_endpoint()
     {
+        fleet.set_placement_parts({.slot_queue = true, .even_load = true});
         model.name = "model";
         model.engine = route::engine_rule{slots, 405'000, 38, 1.31, 0.000917, 0.00213, 154, 0.162, 2048, 0.1};
         model.engine->usual_prompt_tokens = 11'702;
--- a/test/forward_fleet_work.cpp
+++ b/test/forward_fleet_work.cpp
@@ -128,12 +128,13 @@
 namespace {
 
 // The endpoints of a model service with 6 slots each, "e1" and "e2" in the entry's own failure domain. As the
-// service states its usual requests, requests for it wait for slots.
+// settings call for it and the service states its usual requests, requests for it wait for slots.
 struct slot_fixture : fleet_fixture {
     time_point now = clock::now();
 
     slot_fixture()
     {
+        fleet.set_placement_parts({.slot_queue = true});
         desk.engine = route::engine_rule{6, 232'000, 43, 1.02, 0.00226, 0.00431, 206, 0.138, 2048, 0.075};
         desk.engine->usual_prompt_tokens = 8'000;
         desk.engine->usual_answer_tokens = 1'500;
@@ -315,6 +316,15 @@
     BOOST_TEST(fleet.slot_waiters() == 0U);
 }
 
+// Guards against queueing where the settings do not call for it.
+BOOST_FIXTURE_TEST_CASE(requests_do_not_wait_for_slots_by_default, slot_fixture)
+{
+    fleet.set_placement_parts({});
+    (void)fill();
+    BOOST_TEST(dispatch().choice.has_value());
+    BOOST_TEST(fleet.slot_waiters() == 0U);
+}
+
 // Load: 500 short prompts a second over five schedulers, half of the slots. Decisions that are made at the
 // same time must not fill one endpoint beyond its slots, where a prompt waits for the end of another one's
 // answer.
--- a/test/forward_scheduler_test.cpp
+++ b/test/forward_scheduler_test.cpp
@@ -50,6 +50,7 @@
               }
           })
     {
+        fleet.set_placement_parts({.slot_queue = true});
         route::document document;
         document.version = 1;
         route::service_rule desk;
