--- a/standin/infrastructure.cpp
+++ b/standin/infrastructure.cpp
@@ -40,12 +40,12 @@
         return std::nullopt;
     }
     value.duty = request.target;
-    if (request.target == names::scale) {
+    if (request.target == names::target_of(names::scale)) {
         value.subject = string_member(*body, "backend") + " " + string_member(*body, "zone");
         return value;
     }
     const auto* counts = body->if_contains("counts");
-    if (request.target != names::usage || counts == nullptr || !counts->is_object()) {
+    if (request.target != names::target_of(names::usage) || counts == nullptr || !counts->is_object()) {
         return std::nullopt;
     }
     value.window = number_member(*body, "window", 0);
@@ -124,7 +124,7 @@
     }
     highest = value.token;
     judge_holder(value);
-    if (value.duty == names::usage) {
+    if (value.duty == names::target_of(names::usage)) {
         const auto report = m_reports.emplace(value.window, value.counts).first;
         if (report->second != value.counts) {
             m_violations.push_back("window " + std::to_string(value.window) + " with other counts");
