--- a/test/process_fixture.h
+++ b/test/process_fixture.h
@@ -71,7 +71,7 @@
     // File descriptors that an entry may use; 0: the limit of its process.
     std::size_t descriptors = 0;
     // Further lines of [control].
-    std::string control_settings;
+    std::string control_settings{};
 };
 
 // A deployment like that of the users' platform on loopback: three control processes and entries as
