Fill sections of templates in the settings test; give the interim head test an answer that is no stream

The templates' section of duties was taken for a setting. An answer without a content type counts as a stream of events, which the body of the test is not.

--- a/test/platform_heads_test.cpp
+++ b/test/platform_heads_test.cpp
@@ -103,7 +103,7 @@
 BOOST_FIXTURE_TEST_CASE(interim_heads_are_skipped_up_to_a_bound, heads_fixture)
 {
     const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nRunner-Seal: s1.standin\r\n"
-                               "Content-Length: 2\r\n\r\nok";
+                               "Content-Type: text/plain\r\nContent-Length: 2\r\n\r\nok";
     const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
     std::string many;
     for (int i = 0; i < 20; ++i) {
--- a/test/policy_slot_queue_test.cpp
+++ b/test/policy_slot_queue_test.cpp
@@ -114,6 +114,7 @@
         const auto used = static_cast<double>(endpoint_count * slots - supply.free);
         supply.freed_per_ms = used / mean_answer_ms;
         std::vector<policy::waiting_prompt> queue;
+        queue.reserve(waiting.size());
         for (const caller& item : waiting) {
             queue.push_back({{1, item.number}, at(item.arrival + objective), 50, 10});
         }
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -98,10 +98,24 @@
 // take.
 BOOST_AUTO_TEST_CASE(deployment_templates_give_valid_settings)
 {
-    const std::map<std::string, std::string> values{
-        {"retry_slack", "42.42"}, {"retry_window_s", "1e1"}, {"stall_ms", "1500.0"}, {"grace_s", "8.0"},
-        {"cpu_share", "0.09"},    {"bootstrap", "true"},     {"machines", "2"},      {"max_fds", "4100"},
-        {"port_range.0", "7340"}, {"port_range.1", "7355"},  {"memory_mb", "159.5"}};
+    const std::map<std::string, std::string> values{{"retry_slack", "42.42"},
+                                                    {"retry_window_s", "1e1"},
+                                                    {"stall_ms", "1500.0"},
+                                                    {"grace_s", "8.0"},
+                                                    {"cpu_share", "0.09"},
+                                                    {"bootstrap", "true"},
+                                                    {"machines", "2"},
+                                                    {"max_fds", "4100"},
+                                                    {"port_range.0", "7340"},
+                                                    {"port_range.1", "7355"},
+                                                    {"memory_mb", "159.5"},
+                                                    {"lease_ms", "3000.0"},
+                                                    {"thaw_ms", "300"},
+                                                    {"usage_window_s", "5"},
+                                                    {"usage_late_s", "1e1"},
+                                                    {"duty_per_s", "50.0"},
+                                                    {"duties", "metering,autoscale"},
+                                                    {"cloud.addr", "10.0.0.1:80"}};
     for (const char* role : {"entry", "control"}) {
         std::ifstream file(std::string(VERBENA_SOURCE_DIR) + "/deploy/" + role + ".ini");
         std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
@@ -109,6 +123,10 @@
         for (auto begin = text.find("{{"); begin != std::string::npos; begin = text.find("{{")) {
             const auto end = text.find("}}", begin);
             const std::string field = text.substr(begin + 2, end - begin - 2);
+            if (field.starts_with('#') || field.starts_with('/')) {
+                text.erase(begin, end + 2 - begin); // a section of a field that has a value
+                continue;
+            }
             std::string value = field.starts_with("listen.") || field == "seeds" ? "10.0.0.1:80" : "10.0.0.1";
             for (const auto& [suffix, known] : values) {
                 value = field.ends_with(suffix) ? known : value;
