--- a/test/process_duty_test.cpp
+++ b/test/process_duty_test.cpp
@@ -47,6 +47,7 @@
         m_caller.join();
         processes.reset();
         m_threads.stop();
+        judge.reset(); // its acceptor refers to the context of m_threads
     }
 
     bool wait_until(const std::function<bool()>& reached) const
