Run each coroutine of the test threads on a strand

The fixtures ran coroutines on an io_context of four threads without a strand. The time limit of a stream closes its socket from a handler of its own; without a strand it did so while the coroutine closed the same socket, as a check-in took as long as its limit of 2 s. The state of the descriptor was freed twice, so that later sockets shared it.

All coroutines of fixtures start on a strand, and process_deployment stops its threads before it clears what they read.

--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -362,7 +362,7 @@
         });
     }
     net::asio::co_spawn(
-        m_io,
+        net::asio::make_strand(m_io),
         [self = shared_from_this(), crash]() -> net::task<void> {
             if (crash.control.port == 0) {
                 co_return;
--- a/test/forward_scheduler_test.cpp
+++ b/test/forward_scheduler_test.cpp
@@ -219,7 +219,7 @@
     auto found = std::make_shared<std::promise<forward::dispatch_result>>();
     std::future<forward::dispatch_result> value = found->get_future();
     net::asio::co_spawn(
-        threads.io,
+        threads.strand(),
         second.client->choose(second.model_request(), 300ms, std::make_shared<forward::choice_call>()),
         [found](const std::exception_ptr&, forward::dispatch_result result) {
             found->set_value(std::move(result));
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -2,6 +2,7 @@
 #include "net_fixture.h"
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 
 #include <cstdio>
@@ -67,6 +68,43 @@
 
 constexpr std::size_t whole_request = 50; // of a call without a body, at least
 
+// Accepts calls and answers each of them after `delay`.
+net::task<void> answer_late(net_threads& threads, net::tcp::acceptor& acceptor, milliseconds delay)
+{
+    while (true) {
+        auto peer = std::make_shared<net::tcp::socket>(threads.strand());
+        auto [failure] = co_await acceptor.async_accept(*peer, net::no_throw);
+        if (failure) {
+            co_return;
+        }
+        net::asio::co_spawn(
+            peer->get_executor(),
+            [peer, delay]() -> net::task<void> {
+                std::string bytes(whole_request, ' ');
+                co_await net::asio::async_read(*peer, net::asio::buffer(bytes), net::no_throw);
+                co_await net::sleep_for(delay);
+                const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                co_await net::asio::async_write(*peer, net::asio::buffer(text), net::no_throw);
+            },
+            net::asio::detached);
+    }
+}
+
+// Calls a peer again and again for a second. Returns how many calls got neither their answer nor an error
+// that names the time limit.
+net::task<std::size_t> call_again(host_port address, milliseconds limit)
+{
+    std::size_t wrong = 0;
+    const net::http_call call;
+    const time_point end = clock::now() + 1s;
+    while (clock::now() < end) {
+        const auto answer = co_await net::fetch_http(address, call, limit);
+        const bool is_late = !answer && answer.error().kind == error_kind::timeout;
+        wrong += is_late || (answer && answer.value().body == "ok") ? 0U : 1U;
+    }
+    co_return wrong;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(http_client)
@@ -104,7 +142,7 @@
     net::tcp::acceptor acceptor(threads.io, {net::asio::ip::address_v4::loopback(), 0});
     const host_port address{"127.0.0.1", acceptor.local_endpoint().port()};
     net::asio::co_spawn(
-        threads.io,
+        threads.strand(),
         [address]() -> net::task<void> {
             const net::http_call call;
             (void)co_await net::fetch_http(address, call, 15s);
@@ -117,4 +155,26 @@
     threads.stop();
 }
 
+// Guards against fixtures that run a call and its time limit side by side: a limit that ends as the answer
+// arrives then closes a socket twice, and the next connections share the state of one.
+BOOST_AUTO_TEST_CASE(time_limits_end_as_answers_arrive)
+{
+    constexpr milliseconds limit{10};
+    net_threads threads;
+    net::tcp::acceptor acceptor(threads.strand(), {net::asio::ip::address_v4::loopback(), 0});
+    const host_port address{"127.0.0.1", acceptor.local_endpoint().port()};
+    net::asio::co_spawn(acceptor.get_executor(), answer_late(threads, acceptor, limit), net::asio::detached);
+    std::vector<std::future<std::size_t>> callers;
+    for (int i = 0; i < 16; ++i) {
+        callers.push_back(
+            net::asio::co_spawn(threads.strand(), call_again(address, limit), net::asio::use_future));
+    }
+    std::size_t wrong = 0;
+    for (std::future<std::size_t>& caller : callers) {
+        wrong += caller.get();
+    }
+    threads.stop();
+    BOOST_TEST(wrong == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/net_fixture.h
+++ b/test/net_fixture.h
@@ -43,13 +43,17 @@
         m_threads.clear();
     }
 
+    // An executor for one coroutine. The time limit of a stream closes its socket from a handler of its own,
+    // which must not run beside the coroutine that uses the stream.
+    verbena::net::asio::any_io_executor strand() { return verbena::net::asio::make_strand(io); }
+
     // Runs a coroutine to completion and returns its result. The timeout only stops a test that hangs.
     template <typename T>
     T run(std::function<verbena::net::task<T>()> body)
     {
         auto done = std::make_shared<std::promise<T>>();
         std::future<T> value = done->get_future();
-        verbena::net::asio::co_spawn(io, body(), [done](const std::exception_ptr& failure, T result) {
+        verbena::net::asio::co_spawn(strand(), body(), [done](const std::exception_ptr& failure, T result) {
             failure ? done->set_exception(failure) : done->set_value(std::move(result));
         });
         BOOST_TEST_REQUIRE((value.wait_for(std::chrono::seconds(20)) == std::future_status::ready));
--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -292,7 +292,7 @@
                                                                             std::size_t entry_index)
 {
     return net::asio::co_spawn(
-        m_threads.io, fetch_task({"127.0.0.1", m_entries.at(entry_index).port}, make_http_call(spec)),
+        m_threads.strand(), fetch_task({"127.0.0.1", m_entries.at(entry_index).port}, make_http_call(spec)),
         net::asio::use_future);
 }
 
--- a/test/process_fixture.cpp
+++ b/test/process_fixture.cpp
@@ -173,12 +173,9 @@
 
 process_deployment::~process_deployment()
 {
-    for (const auto& runner : m_runners) {
-        runner->stop();
-    }
+    m_threads.stop(); // the check-ins read m_controls
     m_entries.clear();
     m_controls.clear();
-    m_threads.stop();
     std::error_code ignored;
     std::filesystem::remove_all(m_folder, ignored);
 }
@@ -284,7 +281,7 @@
 {
     auto done = std::make_shared<std::promise<result<net::http_response>>>();
     auto answer = done->get_future();
-    net::asio::co_spawn(m_threads.io, fetch_task(std::move(address), std::move(call), std::move(done)),
+    net::asio::co_spawn(m_threads.strand(), fetch_task(std::move(address), std::move(call), std::move(done)),
                         net::asio::detached);
     return answer.get();
 }
@@ -375,7 +372,7 @@
     BOOST_TEST_REQUIRE(eventually([this] { return publish(1) == 200; }));
     for (const auto& runner : m_runners) {
         runner->start();
-        net::asio::co_spawn(m_threads.io, check_in_loop(runner), net::asio::detached);
+        net::asio::co_spawn(m_threads.strand(), check_in_loop(runner), net::asio::detached);
     }
     std::size_t probes = 0;
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
--- a/test/process_limit_test.cpp
+++ b/test/process_limit_test.cpp
@@ -76,7 +76,7 @@
             auto caller = std::make_shared<soak::caller>(m_context, options);
             ++m_context->running;
             net::asio::co_spawn(
-                m_system.threads().io, [caller] { return caller->run(); },
+                m_system.threads().strand(), [caller] { return caller->run(); },
                 [context = m_context, caller](const std::exception_ptr&) { --context->running; });
         }
     }
--- a/test/process_soak_test.cpp
+++ b/test/process_soak_test.cpp
@@ -76,8 +76,7 @@
         ++m_callers->running;
         auto value = std::make_shared<caller>(m_callers, options);
         net::asio::co_spawn(
-            net::asio::make_strand(m_system.threads().io),
-            [value, body = std::move(body)] { return body(*value); },
+            m_system.threads().strand(), [value, body = std::move(body)] { return body(*value); },
             [value, context = m_callers](const std::exception_ptr&) { --context->running; });
     }
 
--- a/test/process_trouble_test.cpp
+++ b/test/process_trouble_test.cpp
@@ -160,7 +160,7 @@
                                          m_random()};
             auto value = std::make_shared<caller>(m_callers, options);
             net::asio::co_spawn(
-                net::asio::make_strand(m_system.threads().io), [value] { return value->run(); },
+                m_system.threads().strand(), [value] { return value->run(); },
                 [value, context = m_callers](const std::exception_ptr&) { --context->running; });
         }
     }
