--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -164,8 +164,10 @@
     net::tcp::acceptor acceptor(threads.strand(), {net::asio::ip::address_v4::loopback(), 0});
     const host_port address{"127.0.0.1", acceptor.local_endpoint().port()};
     net::asio::co_spawn(acceptor.get_executor(), answer_late(threads, acceptor, limit), net::asio::detached);
+    constexpr std::size_t caller_count = 16;
     std::vector<std::future<std::size_t>> callers;
-    for (int i = 0; i < 16; ++i) {
+    callers.reserve(caller_count);
+    while (callers.size() < caller_count) {
         callers.push_back(
             net::asio::co_spawn(threads.strand(), call_again(address, limit), net::asio::use_future));
     }
