Let the runners of platform_dripping check in while its requests last

The runners of the fixture check in when they start and never again. The directory lists them for 8 s, and entries use them for 5 s more. The requests of `a_request_without_an_answer_ends_before_its_deadline` take 11.4 s (12 times 0.95 s), so that 1.6 s remain between the check-ins and the first request. A start that takes longer leaves the last requests without an endpoint: 503 where 504 or 502 is due. The 30 requests of the other case come to the same end where they take more than 13 s. Endpoints that announce themselves do so every 1 to 2 s; the test now repeats the check-ins every ten requests and with each fault. Its checks are the same, and the status is printed.

--- a/test/platform_dripping_test.cpp
+++ b/test/platform_dripping_test.cpp
@@ -29,6 +29,9 @@
             const std::size_t before = system.requests_at("model-a");
             constexpr std::size_t requests = 30;
             for (std::size_t i = 0; i < requests; ++i) {
+                if (i % 10 == 0) {
+                    system.check_in_all(); // they are listed for a few seconds
+                }
                 BOOST_TEST(system.request({}, i % 2).status == 200U);
                 std::this_thread::sleep_for(100ms);
             }
@@ -44,6 +47,7 @@
     system.start_serving();
     for (const runner_fault fault : {runner_fault::no_answer, runner_fault::dripping_chunk,
                                      runner_fault::dripping_head, runner_fault::dripping_body}) {
+        system.check_in_all(); // the requests of all faults take longer than the runners are listed
         for (const char* path : {"/model/1", "/safe/1", "/once/1"}) {
             BOOST_TEST_CONTEXT("fault " << static_cast<int>(fault) << " " << path)
             {
@@ -55,7 +59,7 @@
                 call.deadline = 1s;
                 const time_point begin = clock::now();
                 const auto answer = system.request(call);
-                BOOST_TEST((answer.status == 504U || answer.status == 502U));
+                BOOST_TEST((answer.status == 504U || answer.status == 502U), "status " << answer.status);
                 BOOST_TEST((clock::now() - begin < call.deadline));
                 for (const char* id : {"model-a", "model-b", "desk-a", "desk-b"}) {
                     system.runner(id).set_faults({});
