--- a/test/chat_fixture.cpp
+++ b/test/chat_fixture.cpp
@@ -1,7 +1,5 @@
 #include "chat_fixture.h"
 
-#include "net/http_client.h"
-
 #include <boost/json/serialize.hpp>
 
 #include <cstdlib>
@@ -256,7 +254,7 @@
     (void)co_await exchange.finish();
 }
 
-chat_deployment::chat_deployment()
+chat_deployment::chat_deployment(options engine_options) : m_options(engine_options)
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "verbena-chat-XXXXXX").string();
     BOOST_TEST_REQUIRE(mkdtemp(pattern.data()) != nullptr);
@@ -329,9 +327,10 @@
     settings::agent_settingsT settings;
     settings.listen = local(free_port());
     settings.endpoint = "model-1";
-    settings.engine = local(m_engine_server->port());
-    settings.service = "chat";
-    settings.models = "m";
+    settings.engine = local(m_options.engine_port == 0 ? m_engine_server->port() : m_options.engine_port);
+    settings.service = m_options.plain ? "desk" : "chat";
+    settings.kind = m_options.plain ? "plain" : "model";
+    settings.models = m_options.plain ? "" : "m";
     settings.engine_silence = 100;
     auto service = agent::agent_service::create(*process, settings);
     BOOST_TEST_REQUIRE(service.has_value(), (service ? "" : describe(service.error())));
@@ -374,11 +373,16 @@
     }));
     BOOST_TEST_REQUIRE(change(R"({"request_id":"service","expected_revision":1,)"
                               R"("put_service":{"name":"chat","models":["m"]}})"));
+    BOOST_TEST_REQUIRE(
+        change(R"({"request_id":"plain","expected_revision":2,)"
+               R"("put_service":{"name":"desk","kind":"plain","paths":[{"prefix":"/safe/"}]}})"));
 }
 
 bool chat_deployment::served()
 {
-    const answer received = request();
+    net::http_call plain;
+    plain.target = "/services/desk/safe/1";
+    const answer received = m_options.plain ? send(plain, 2s) : request();
     return received.status == 200 && received.complete;
 }
 
@@ -386,12 +390,17 @@
 {
     net::http_call call;
     call.target = "/v1/chat/completions";
-    call.headers = {{"Authorization", "Bearer secret-of-clerks"},
-                    {"X-Deadline-Ms", std::to_string(deadline.count())}};
     call.body = std::string(R"({"model":"m","messages":[{"content":"prompt"}],"max_tokens":16,"stream":)") +
                 (streamed ? "true}" : "false}");
+    return send(std::move(call), deadline);
+}
+
+chat_deployment::answer chat_deployment::send(net::http_call call, milliseconds deadline)
+{
+    call.headers.emplace_back("Authorization", "Bearer secret-of-clerks");
+    call.headers.emplace_back("X-Deadline-Ms", std::to_string(deadline.count()));
     const host_port address{"127.0.0.1", m_entry_port};
-    const std::function<net::task<answer>()> send = [address, call]() -> net::task<answer> {
+    const std::function<net::task<answer>()> fetch = [address, call]() -> net::task<answer> {
         answer received;
         const time_point begin = clock::now();
         auto opened = co_await net::open_http(address, call, 2s, 15s);
@@ -410,5 +419,5 @@
         received.duration = std::chrono::duration_cast<milliseconds>(clock::now() - begin);
         co_return received;
     };
-    return m_threads.run<answer>(send);
+    return m_threads.run<answer>(fetch);
 }
--- a/test/chat_fixture.h
+++ b/test/chat_fixture.h
@@ -3,6 +3,7 @@
 #include "agent/agent_service.h"
 #include "control/control_service.h"
 #include "entry/entry_service.h"
+#include "net/http_client.h"
 #include "net_fixture.h"
 
 #include <map>
@@ -88,6 +89,11 @@
 // One control process, one entry and one agent with a scripted engine, in one process on loopback.
 class chat_deployment {
 public:
+    struct options {
+        std::uint16_t engine_port = 0; // of another engine; 0: the scripted one
+        bool plain = false;            // the other one is a plain service
+    };
+
     struct answer {
         unsigned status = 0; // 0: no head
         bool complete = false;
@@ -96,7 +102,8 @@
         verbena::milliseconds duration{};
     };
 
-    chat_deployment();
+    chat_deployment() : chat_deployment(options{}) {}
+    explicit chat_deployment(options engine_options);
     chat_deployment(const chat_deployment&) = delete;
     chat_deployment& operator=(const chat_deployment&) = delete;
     ~chat_deployment();
@@ -104,7 +111,10 @@
     // Sends a chat request through the entry and waits for the answer.
     answer request(bool streamed = true, verbena::milliseconds deadline = verbena::milliseconds(8'000));
 
-    // Whether a chat request is answered as a whole.
+    // Sends a call through the entry and waits for the answer.
+    answer send(verbena::net::http_call call, verbena::milliseconds deadline);
+
+    // Whether a chat request, or one to the plain service, is answered as a whole.
     bool served();
 
     scripted_engine engine;
@@ -125,6 +135,7 @@
     void run(std::unique_ptr<verbena::node::process> process);
 
     net_threads m_threads;
+    options m_options;
     verbena::metrics m_counters;
     std::shared_ptr<verbena::net::http_server> m_engine_server;
     std::vector<role> m_roles;
