Test what the deaths of all members, a lost disk and a barred leader do to a duty

The stand-in of the infrastructure keeps each report that arrives, carried out or not, and finds other counts of a window also among calls that it did not accept. Process tests: a window that is recorded and not reported outlives all members and an entry, and the disk of its holder; a barred leader hands over.

--- a/standin/infrastructure.cpp
+++ b/standin/infrastructure.cpp
@@ -41,7 +41,10 @@
     }
     value.duty = request.target;
     if (request.target == names::target_of(names::scale)) {
-        value.subject = string_member(*body, "backend") + " " + string_member(*body, "zone");
+        value.service = string_member(*body, "backend");
+        value.failure_domain = string_member(*body, "zone");
+        value.subject = value.service + " " + value.failure_domain;
+        value.desired = number_member(*body, "desired", 0);
         return value;
     }
     const auto* counts = body->if_contains("counts");
@@ -68,6 +71,7 @@
         const std::lock_guard lock(m_mutex);
         faults = m_faults;
         within_rate = take_rate();
+        record_received(*value);
     }
     if (faults.late) {
         net::asio::co_spawn(
@@ -109,6 +113,18 @@
     return true;
 }
 
+void infrastructure::record_received(const call& value)
+{
+    if (value.duty != names::target_of(names::usage)) {
+        return;
+    }
+    const auto known = m_received.emplace(value.window, received_report{value.holder, value.counts}).first;
+    if (known->second.counts != value.counts) {
+        m_violations.push_back("window " + std::to_string(value.window) + " sent by " + known->second.holder +
+                               " and by " + value.holder + " with other counts");
+    }
+}
+
 unsigned infrastructure::execute(const call& value)
 {
     const std::lock_guard lock(m_mutex);
@@ -129,6 +145,9 @@
         if (report->second != value.counts) {
             m_violations.push_back("window " + std::to_string(value.window) + " with other counts");
         }
+    } else {
+        m_orders.push_back(
+            {value.service, value.failure_domain, value.desired, value.holder, value.token, clock::now()});
     }
     ++m_calls[200];
     return 200;
@@ -162,6 +181,18 @@
     return m_reports;
 }
 
+std::map<std::uint64_t, received_report> infrastructure::received() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_received;
+}
+
+std::vector<scale_order> infrastructure::orders() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_orders;
+}
+
 std::vector<std::string> infrastructure::holders() const
 {
     const std::lock_guard lock(m_mutex);
--- a/test/process_duty_test.cpp
+++ b/test/process_duty_test.cpp
@@ -1,94 +1,52 @@
-#include "process_fixture.h"
-#include "standin/infrastructure.h"
-
-#include <boost/test/unit_test.hpp>
-
-#include <algorithm>
-#include <atomic>
-#include <thread>
+#include "duty_fixture.h"
 
 using namespace verbena;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr milliseconds lease = 1s;
-// An election, the lease of the new holder, and a window with its delay.
-constexpr milliseconds takeover_time = 12s;
-
-// Three control processes with a duty, entries with callers, and the infrastructure that judges the calls.
-class duty_deployment {
-public:
-    duty_deployment()
-    {
-        auto created = standin::infrastructure::create(m_threads.io, {{"127.0.0.1", 0}, 50, lease});
-        BOOST_TEST_REQUIRE(created.has_value());
-        judge = created.value();
-        process_deployment_options options;
-        options.control_settings =
-            "infrastructure = 127.0.0.1:" + std::to_string(judge->address().port) +
-            "\nduties = metering\nduty_rate = 50\nduty_lease = " + std::to_string(lease.count()) +
-            "ms\nduty_thaw = 300ms\nusage_window = 1s\nusage_late = 2s\n";
-        processes = std::make_unique<process_deployment>(options);
-        processes->start_serving();
-        m_caller = std::thread([this] {
-            for (std::size_t i = 0; !m_stopping; ++i) {
-                (void)processes->request(i % processes->entry_count(), "/safe/1", "x",
-                                         "duty-" + std::to_string(i));
-                std::this_thread::sleep_for(20ms);
-            }
-        });
-    }
-    duty_deployment(const duty_deployment&) = delete;
-    duty_deployment& operator=(const duty_deployment&) = delete;
-    ~duty_deployment()
-    {
-        m_stopping = true;
-        m_caller.join();
-        processes.reset();
-        m_threads.stop();
-        judge.reset(); // its acceptor refers to the context of m_threads
-    }
+// A window that was sent while the infrastructure took no calls: recorded, and not reported.
+struct unreported_window {
+    std::uint64_t window = 0;
+    standin::received_report report;
+};
 
-    bool wait_until(const std::function<bool()>& reached) const
-    {
-        const time_point deadline = clock::now() + takeover_time;
-        while (!reached()) {
-            if (clock::now() >= deadline) {
-                return false;
+unreported_window record_without_report(duty_deployment& deployment)
+{
+    BOOST_TEST_REQUIRE(deployment.wait_for_reports(2));
+    deployment.judge->set_faults({.silent = true});
+    unreported_window found;
+    BOOST_TEST_REQUIRE(deployment.wait_until([&] {
+        const auto reports = deployment.judge->reports();
+        for (const auto& [window, report] : deployment.judge->received()) {
+            if (!reports.contains(window) && !report.counts.empty()) {
+                found = {window, report};
+                return true;
             }
-            std::this_thread::sleep_for(20ms);
         }
-        return true;
-    }
-
-    // Index of the control process whose call was accepted last.
-    std::size_t holder() const
-    {
-        const std::string name = judge->holders().back();
-        return static_cast<std::size_t>(name.back() - '0');
-    }
+        return false;
+    }));
+    return found;
+}
 
-    bool wait_for_reports(std::size_t count) const
-    {
-        const std::size_t known = judge->reports().size();
-        return wait_until([&] { return judge->reports().size() >= known + count; });
-    }
+void expect_exact_repeat(duty_deployment& deployment, const unreported_window& window)
+{
+    deployment.judge->set_faults({});
+    BOOST_TEST_REQUIRE(
+        deployment.wait_until([&] { return deployment.judge->reports().contains(window.window); }));
+    BOOST_TEST((deployment.judge->reports().at(window.window) == window.report.counts));
+    BOOST_TEST_REQUIRE(deployment.wait_for_reports(2));
+    deployment.report_violations();
+}
 
-    // Waits for a report of another process than `previous`.
-    bool wait_for_other(std::size_t previous) const
-    {
-        return wait_until([&] { return holder() != previous; });
+std::string print(const std::set<std::int64_t>& ids)
+{
+    std::string text;
+    for (const std::int64_t id : ids) {
+        text += std::to_string(id) + " ";
     }
-
-    std::unique_ptr<process_deployment> processes;
-    std::shared_ptr<standin::infrastructure> judge;
-
-private:
-    net_threads m_threads{2};
-    std::atomic<bool> m_stopping{false};
-    std::thread m_caller;
-};
+    return text;
+}
 
 } // namespace
 
@@ -125,9 +83,7 @@
     BOOST_TEST_REQUIRE(deployment.wait_for_other(holder));
     BOOST_TEST_REQUIRE(deployment.wait_for_reports(2));
 
-    for (const std::string& violation : deployment.judge->violations()) {
-        BOOST_ERROR(violation);
-    }
+    deployment.report_violations();
     std::uint64_t requests = 0;
     for (const auto& [window, counts] : deployment.judge->reports()) {
         for (const auto& [team, count] : counts) {
@@ -137,4 +93,68 @@
     BOOST_TEST(requests > 0);
 }
 
+// Guards against counts that live in memory only. An entry dies, too, so that its counts can't be gathered
+// again.
+BOOST_AUTO_TEST_CASE(recorded_window_survives_the_death_of_all_members)
+{
+    duty_deployment deployment;
+    process_deployment& processes = *deployment.processes;
+    const unreported_window window = record_without_report(deployment);
+    for (std::size_t i = 0; i < processes.control_count(); ++i) {
+        processes.control_process(i).signal(SIGKILL);
+    }
+    deployment.kill(processes.entry(1));
+    for (std::size_t i = 0; i < processes.control_count(); ++i) {
+        BOOST_TEST_REQUIRE(processes.control_process(i).wait_exit(5s).has_value());
+        BOOST_TEST_REQUIRE(processes.control_process(i).start().has_value());
+    }
+    processes.start(1);
+    expect_exact_repeat(deployment, window);
+}
+
+// Guards against a record that only the disk of its holder has, and against a group that does not take the
+// empty member back as one that counts.
+BOOST_AUTO_TEST_CASE(recorded_window_survives_the_loss_of_its_holders_disk)
+{
+    duty_deployment deployment;
+    process_deployment& processes = *deployment.processes;
+    const unreported_window window = record_without_report(deployment);
+    const std::size_t lost = deployment.index_of(window.report.holder);
+    const std::set<std::int64_t> voters = deployment.voters(lost);
+    BOOST_TEST_REQUIRE(voters.size() == processes.control_count());
+    deployment.kill(processes.control_process(lost));
+    deployment.kill(processes.entry(1));
+    processes.lose_disk(lost);
+    BOOST_TEST_REQUIRE(processes.control_process(lost).start().has_value());
+    processes.start(1);
+    expect_exact_repeat(deployment, window);
+
+    const std::size_t holder = deployment.holder();
+    std::set<std::int64_t> now;
+    BOOST_TEST_REQUIRE(deployment.wait_until([&] {
+        now = deployment.voters(holder);
+        return now.size() == voters.size() && now != voters;
+    }),
+                       "voters " << print(voters) << "before, " << print(now) << "now\n"
+                                 << processes.control_process(lost).output());
+    BOOST_TEST_REQUIRE(holder != lost);
+    deployment.kill(processes.control_process(holder));
+    BOOST_TEST_REQUIRE(deployment.wait_for_other(holder));
+    deployment.report_violations();
+}
+
+// Guards against a barred leader that keeps its leadership: as only the leader holds duties, nobody would.
+BOOST_AUTO_TEST_CASE(barred_leader_hands_its_leadership_over)
+{
+    duty_deployment deployment;
+    BOOST_TEST_REQUIRE(deployment.wait_for_reports(2));
+    const std::size_t holder = deployment.holder();
+    BOOST_TEST_REQUIRE(deployment.move_duty("metering", holder, 30s));
+    BOOST_TEST_REQUIRE(deployment.wait_for_other(holder));
+    const std::size_t changes = deployment.judge->holders().size();
+    BOOST_TEST_REQUIRE(deployment.wait_for_reports(4));
+    BOOST_TEST(deployment.judge->holders().size() == changes, "the duty stays with its new holder");
+    deployment.report_violations();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/process_fixture.cpp
+++ b/test/process_fixture.cpp
@@ -308,31 +308,61 @@
 }
 
 unsigned process_deployment::publish_document(const std::string& document, std::size_t control)
+{
+    const result<net::http_response> answer = post(std::string(platform::names::publish), document, control);
+    return answer ? answer.value().status : 0;
+}
+
+result<net::http_response> process_deployment::post(const std::string& target, const std::string& body,
+                                                    std::size_t control)
 {
     host_port address = control_address(control);
-    for (int redirects = 0; redirects < 3; ++redirects) {
+    constexpr int max_redirects = 2;
+    for (int redirects = 0;; ++redirects) {
         net::http_call call;
-        call.target = std::string(platform::names::publish);
-        call.body = document;
+        call.target = target;
+        call.body = body;
         const result<net::http_response> answer = fetch(address, call);
-        if (!answer) {
-            return 0;
+        if (!answer || answer.value().status != 307 || redirects == max_redirects) {
+            return answer;
         }
         std::string location;
         for (const auto& [name, value] : answer.value().headers) {
             location = name == "Location" ? value : location;
         }
-        if (answer.value().status != 307 || location.empty()) {
-            return answer.value().status;
+        if (location.empty()) {
+            return answer;
         }
         const std::string rest = location.substr(std::string("http://").size());
         const result<host_port> next = parse_host_port(rest.substr(0, rest.find('/')));
         if (!next) {
-            return 307;
+            return answer;
         }
         address = next.value();
     }
-    return 307;
+}
+
+void process_deployment::lose_disk(std::size_t control) const
+{
+    const std::string name = "control-" + std::to_string(control);
+    std::filesystem::remove_all(m_folder + "/" + name);
+    std::filesystem::create_directory(m_folder + "/" + name);
+    // As the platform does after the first start of a group.
+    std::string settings = read_text(m_folder + "/" + name + ".ini");
+    const std::string field = "bootstrap = ";
+    const std::size_t at = settings.find(field + "true");
+    if (at != std::string::npos) {
+        settings.replace(at, field.size() + 4, field + "false");
+        write_file(name + ".ini", settings);
+    }
+}
+
+void process_deployment::start_runner(const std::string& id, const std::string& service,
+                                      const std::string& domain)
+{
+    add_runner(id, service, domain);
+    m_runners.back()->start();
+    net::asio::co_spawn(m_threads.io, check_in_loop(m_runners.back()), net::asio::detached);
 }
 
 bool process_deployment::is_ready(std::size_t index)
--- a/test/process_fixture.h
+++ b/test/process_fixture.h
@@ -121,6 +121,16 @@
     // The same for a configuration of the test's own.
     unsigned publish_document(const std::string& document, std::size_t control = 0);
 
+    // Sends a call to one control process, following redirects to the leader.
+    verbena::result<verbena::net::http_response> post(const std::string& target, const std::string& body,
+                                                      std::size_t control = 0);
+
+    // Starts one more runner, which checks in from then on.
+    void start_runner(const std::string& id, const std::string& service, const std::string& domain);
+
+    // Empties the data folder of a control process that has exited. Its next start joins the group.
+    void lose_disk(std::size_t control) const;
+
     // Output of an entry, all starts together. `part`: only the lines that contain it.
     std::string entry_output(std::size_t index, const std::string& part = {}) const;
 
