Draw faults for a duty in a soak of its own and wait until its reports are on time again

Six faults a seed: deaths of the holder, of any member, of all, of an entry; suspension of the holder or of the two others; planned stop; a bar; beside them calls that are silent, unanswered, late or slow. Judged by the infrastructure: tokens, order of holders, counts of windows; not more requests than sent.

--- a/test/process_duty_soak_test.cpp
+++ b/test/process_duty_soak_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr int action_count = 7;
+constexpr int action_count = 6;
 
 enum class action : std::uint8_t {
     kill_holder,
@@ -19,16 +19,12 @@
     isolate_holder, // the others are frozen: no round of the holder is confirmed
     stop_holder,
     move_duty,
-    kill_entry,
-    silent,
-    answers_lost,
-    late,
-    slow
+    kill_entry
 };
 
-constexpr std::array<const char*, 12> action_names = {
-    "kill holder", "kill any",   "kill all", "freeze holder", "isolate holder", "stop holder",
-    "move duty",   "kill entry", "silent",   "answers lost",  "late",           "slow"};
+constexpr std::array<const char*, 8> action_names = {"kill holder",   "kill any",       "kill all",
+                                                     "freeze holder", "isolate holder", "stop holder",
+                                                     "move duty",     "kill entry"};
 
 // Faults of one seed while usage windows run; the infrastructure judges all calls.
 class duty_soak {
@@ -39,11 +35,19 @@
     {
         BOOST_TEST_REQUIRE(m_deployment.wait_for_reports(1), "seed " << m_seed);
         for (int i = 0; i < action_count; ++i) {
-            std::this_thread::sleep_for(draw(200ms, 1'500ms));
+            std::this_thread::sleep_for(draw(200ms, 2'500ms));
+            set_fault();
+            std::this_thread::sleep_for(draw(0ms, 1'000ms));
             run_action(static_cast<action>(m_random() % action_names.size()));
+            m_deployment.judge->set_faults({});
         }
-        m_deployment.judge->set_faults({});
         BOOST_TEST(m_deployment.wait_for_reports(2), "no reports after the faults; " << m_text);
+        BOOST_TEST(m_deployment.wait_until([this] {
+            constexpr std::uint64_t usual_age = 4; // a window, its delay and a second
+            const auto now = static_cast<std::uint64_t>(std::time(nullptr));
+            return m_deployment.judge->reports().rbegin()->first + usual_age >= now;
+        }),
+                   "reports stay late; " << m_text);
         judge();
     }
 
@@ -109,6 +113,7 @@
             return freeze({(holder + 1) % count, (holder + 2) % count}, duration);
         case action::move_duty:
             (void)m_deployment.move_duty("metering", holder, duration);
+            std::this_thread::sleep_for(duration);
             return;
         case action::kill_entry: {
             server_process& process =
@@ -116,18 +121,27 @@
             process.signal(SIGKILL);
             return restart(process);
         }
-        // Faults of the infrastructure last until the next one, beside faults of processes.
-        case action::silent:
-            return m_deployment.judge->set_faults({.silent = true});
-        case action::answers_lost:
-            return m_deployment.judge->set_faults({.answers_lost = true});
-        case action::late:
-            return m_deployment.judge->set_faults({.late = duration});
-        case action::slow:
-            return m_deployment.judge->set_faults({.delay = duration / 2});
         }
     }
 
+    // A fault of the infrastructure, or none, for the time of an action.
+    void set_fault()
+    {
+        constexpr std::array<const char*, 8> names = {"",         "",       "",       "",
+                                                      "silent: ", "lost: ", "late: ", "slow: "};
+        const milliseconds duration = draw(100ms, 3'000ms);
+        standin::infrastructure_faults faults;
+        const std::size_t drawn = m_random() % names.size();
+        faults.silent = drawn == 4;
+        faults.answers_lost = drawn == 5;
+        if (drawn == 6) {
+            faults.late = duration;
+        }
+        faults.delay = drawn == 7 ? duration / 2 : 0ms;
+        m_text += names.at(drawn);
+        m_deployment.judge->set_faults(faults);
+    }
+
     void judge()
     {
         for (const std::string& violation : m_deployment.judge->violations()) {
@@ -142,8 +156,9 @@
         }
         BOOST_TEST(requests > 0U, m_text);
         BOOST_TEST(requests <= m_deployment.sent, "requests counted twice; " << m_text);
-        BOOST_TEST_MESSAGE("seed " << m_seed << ": " << reports.size() << " windows, " << requests << " of "
-                                   << m_deployment.sent << " requests, "
+        const std::uint64_t windows = reports.rbegin()->first - reports.begin()->first + 1;
+        BOOST_TEST_MESSAGE("seed " << m_seed << ": " << reports.size() << " of " << windows << " windows, "
+                                   << requests << " of " << m_deployment.sent << " requests, "
                                    << m_deployment.judge->holders().size() << " holders; " << m_text);
     }
 
