--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -286,6 +286,11 @@
            accepts_work(state, now) && !is_blocked(state, now) && now >= state.superseded_until;
 }
 
+bool fleet::has_free_slot(const endpoint_state* state)
+{
+    return state->load.requests() < state->info.slots;
+}
+
 // Endpoints in backoff are returned only when there are no others, so that an outage of many endpoints does
 // not leave a service without any. The same holds for endpoints of failure domains whose load is not known,
 // and for those that may crash under the trial of a suspect prompt part.
@@ -315,6 +320,11 @@
                                           : !unknown_load.empty() ? unknown_load
                                           : !on_trial.empty()     ? on_trial
                                                                   : backing_off;
+    // Callers who wait for a slot are late for nothing if such an endpoint has one.
+    if (&found == &reachable && waits_for_slot(request) &&
+        std::none_of(reachable.begin(), reachable.end(), has_free_slot)) {
+        std::copy_if(unknown_load.begin(), unknown_load.end(), std::back_inserter(found), has_free_slot);
+    }
     // Many entries that choose alone at the same time must not all choose the same endpoint.
     if (!found.empty()) {
         const auto first = static_cast<std::ptrdiff_t>(m_random() % found.size());
@@ -425,8 +435,11 @@
     candidates.reserve(found.size());
     std::size_t idle = 0;
     std::size_t unlimited = 0;
+    const bool slot_only = waits_for_slot(request);
     for (const endpoint_state* state : found) {
         policy::placement_candidate candidate = to_candidate(*state, cost.rule(), now);
+        // The queue has decided that the request may have any of these slots.
+        candidate.slots = slot_only ? state->info.slots : candidate.slots;
         const bool takes_parts = state->load.parts() < state->info.slots && candidate.failure_share < 0.2;
         // The calls that reserve memory would count towards the limit of an endpoint.
         candidate.accepts_prefill_parts = takes_parts && !state->limit.rate();
@@ -436,7 +449,6 @@
         idle += is_idle && takes_parts ? 1 : 0;
     }
     dispatch_result outcome;
-    const bool slot_only = waits_for_slot(request);
     const std::size_t reserved =
         m_waiting.empty() || slot_only ? 0 : parts_before(request, found.size(), now);
     if (request.wait && !slot_only && request.may_wait && !request.answer_started && reserved >= idle) {
@@ -469,13 +481,6 @@
         outcome.refusal = {dispatch_refusal::reason::too_late, predicted};
         return outcome;
     }
-    // Another endpoint may have a slot and no prefill to do by the latest start in time.
-    const milliseconds slack = request.model.objective - request.model.used;
-    if (slot_only && request.may_wait && predicted > slack &&
-        slack > shortest_first_event(request) + line_wait) {
-        outcome.wait = line_wait;
-        return outcome;
-    }
     dispatch_choice choice;
     choice.predicted_first_event = predicted;
     std::vector<endpoint_state*> parts;
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -8,6 +8,7 @@
 #include "policy/even_load.h"
 #include "policy/placement.h"
 #include "policy/prefill_order.h"
+#include "policy/slot_queue.h"
 #include "wire_generated.h"
 
 #include <deque>
@@ -301,6 +302,13 @@
         policy::request_limit limit;
     };
 
+    // Endpoints with a free slot, by whether a new request would be in time there.
+    struct free_slots {
+        policy::slot_supply supply;
+        std::vector<endpoint_state*> quick;
+        std::vector<endpoint_state*> slow;
+    };
+
     struct limit_change {
         endpoint_limit now;
         std::optional<double> previous;
@@ -342,10 +350,19 @@
     // endpoint: the configuration of its service says that slots are scarce, and its prompt is placed
     // unsplit.
     bool waits_for_slot(const dispatch_request& request) const;
+    static bool has_free_slot(const endpoint_state* state);
     bool waits_for_slot(const route::service_rule& service, double prefill_ms) const;
     // Whether requests to a service with this engine are spread by what other schedulers may have sent.
     bool spreads_load(const route::engine_rule& engine) const;
     static milliseconds shortest_first_event(const dispatch_request& request);
+    // Predicted time to the first event of an unsplit prompt at an endpoint with a free slot.
+    milliseconds first_event_at(const endpoint_state& state, const dispatch_request& request,
+                                time_point now) const;
+    free_slots find_free_slots(const dispatch_request& request, const std::vector<endpoint_state*>& found,
+                               time_point now) const;
+    // Those with a slot that this entry may fill in any case; all of them if there is none.
+    std::vector<endpoint_state*> within_reserve(const std::vector<endpoint_state*>& found,
+                                                const route::engine_rule& engine, time_point now) const;
     dispatch_result dispatch_to_free_slot(const dispatch_request& request,
                                           const std::vector<endpoint_state*>& found, time_point now);
     // Slots of an endpoint that this entry may fill.
--- a/src/forward/fleet_slots.cpp
+++ b/src/forward/fleet_slots.cpp
@@ -65,23 +65,54 @@
     return loss;
 }
 
-dispatch_result fleet::dispatch_to_free_slot(const dispatch_request& request,
-                                             const std::vector<endpoint_state*>& found, time_point now)
+milliseconds fleet::first_event_at(const endpoint_state& state, const dispatch_request& request,
+                                   time_point now) const
 {
     const policy::engine_cost cost(*request.service->engine);
-    std::vector<endpoint_state*> with_room;
-    policy::slot_supply supply;
-    std::size_t used = 0;
+    const double pass_ms = cost.event_interval_ms(state.load.decoding_requests() + 1,
+                                                  state.load.context_tokens() + request.model.prompt_tokens);
+    const double ms =
+        state.load.backlog_ms(now) +
+        (cost.prefill_ms(request.model.prompt_tokens) + 1.5 * pass_ms) * slowdown_of(state, now);
+    return milliseconds(static_cast<std::int64_t>(std::min(ms, 1e9)));
+}
+
+fleet::free_slots fleet::find_free_slots(const dispatch_request& request,
+                                         const std::vector<endpoint_state*>& found, time_point now) const
+{
+    const policy::engine_cost cost(*request.service->engine);
+    const double quick_ms =
+        static_cast<double>(request.model.objective.count()) * policy::placement_options{}.prediction_margin;
+    const double slot_ms = std::max(mean_slot_ms(cost), 1.0);
+    free_slots result;
     for (endpoint_state* state : found) {
-        const std::size_t slots = usable_slots(*state, cost.rule(), now);
+        const milliseconds first_event = first_event_at(*state, request, now);
+        const auto first_event_ms = static_cast<double>(first_event.count());
         const std::size_t requests = state->load.requests();
-        used += std::min(requests, slots);
-        if (requests < slots) {
-            supply.free += slots - requests;
-            with_room.push_back(state);
+        const std::size_t slots = state->info.slots;
+        const double freed = static_cast<double>(std::min(requests, slots)) / slot_ms;
+        result.supply.freed_anywhere_per_ms += freed;
+        result.supply.freed_per_ms += first_event_ms <= quick_ms ? freed : 0;
+        if (requests >= slots) {
+            continue;
         }
+        if (first_event_ms > quick_ms) {
+            auto& best = result.supply.slow_first_event;
+            best = best ? std::min(*best, first_event) : first_event;
+            result.slow.push_back(state);
+            continue;
+        }
+        result.supply.free += slots - requests;
+        result.quick.push_back(state);
     }
-    supply.freed_per_ms = static_cast<double>(used) / std::max(mean_slot_ms(cost), 1.0);
+    return result;
+}
+
+dispatch_result fleet::dispatch_to_free_slot(const dispatch_request& request,
+                                             const std::vector<endpoint_state*>& found, time_point now)
+{
+    const policy::engine_cost cost(*request.service->engine);
+    const free_slots slots = find_free_slots(request, found, now);
     const policy::work_key own = request.wait.value_or(policy::work_key{m_self, 0});
     const double pass_ms = cost.event_interval_ms(1, request.model.prompt_tokens);
     std::vector<policy::waiting_prompt> waiting{detail::to_waiting_prompt(request, own, now)};
@@ -98,9 +129,15 @@
     const milliseconds left =
         disconnect > milliseconds::zero() ? std::min(disconnect, request.time_left) : request.time_left;
     const policy::slot_decision decision =
-        policy::decide_slot(waiting, own, supply, left - shortest_first_event(request), now);
-    if (decision.action == policy::slot_action::take) {
-        return dispatch_model(request, with_room, now);
+        policy::decide_slot(waiting, own, slots.supply, left - shortest_first_event(request), now);
+    switch (decision.action) {
+    case policy::slot_action::take:
+        return dispatch_model(request, within_reserve(slots.quick, cost.rule(), now), now);
+    case policy::slot_action::take_slow:
+        return dispatch_model(request, slots.slow, now);
+    case policy::slot_action::wait:
+    case policy::slot_action::refuse:
+        break;
     }
     dispatch_result outcome;
     if (decision.action == policy::slot_action::refuse) {
@@ -113,6 +150,19 @@
     return outcome;
 }
 
+// The slots that other domains' schedulers need are used when there are no others: a request that waits
+// while they are free is late for nothing.
+std::vector<fleet::endpoint_state*> fleet::within_reserve(const std::vector<endpoint_state*>& found,
+                                                          const route::engine_rule& engine,
+                                                          time_point now) const
+{
+    std::vector<endpoint_state*> result;
+    std::copy_if(found.begin(), found.end(), std::back_inserter(result), [&](const endpoint_state* state) {
+        return state->load.requests() < usable_slots(*state, engine, now);
+    });
+    return result.empty() ? found : result;
+}
+
 std::size_t fleet::slot_waiters() const
 {
     const std::lock_guard lock(m_mutex);
