--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -306,6 +306,7 @@
     struct free_slots {
         policy::slot_supply supply;
         std::vector<endpoint_state*> quick;
+        std::vector<endpoint_state*> reserved; // quick, but only with slots kept for other schedulers
         std::vector<endpoint_state*> slow;
     };
 
@@ -360,9 +361,6 @@
                                 time_point now) const;
     free_slots find_free_slots(const dispatch_request& request, const std::vector<endpoint_state*>& found,
                                time_point now) const;
-    // Those with a slot that this entry may fill in any case; all of them if there is none.
-    std::vector<endpoint_state*> within_reserve(const std::vector<endpoint_state*>& found,
-                                                const route::engine_rule& engine, time_point now) const;
     dispatch_result dispatch_to_free_slot(const dispatch_request& request,
                                           const std::vector<endpoint_state*>& found, time_point now);
     // Slots of an endpoint that this entry may fill.
--- a/src/forward/fleet_slots.cpp
+++ b/src/forward/fleet_slots.cpp
@@ -92,7 +92,8 @@
         const std::size_t slots = state->info.slots;
         const double freed = static_cast<double>(std::min(requests, slots)) / slot_ms;
         result.supply.freed_anywhere_per_ms += freed;
-        result.supply.freed_per_ms += first_event_ms <= quick_ms ? freed : 0;
+        const std::size_t usable = usable_slots(*state, cost.rule(), now);
+        result.supply.freed_per_ms += first_event_ms <= quick_ms && requests <= usable ? freed : 0;
         if (requests >= slots) {
             continue;
         }
@@ -102,7 +103,13 @@
             result.slow.push_back(state);
             continue;
         }
-        result.supply.free += slots - requests;
+        if (requests >= usable) {
+            result.supply.reserved += slots - requests;
+            result.reserved.push_back(state);
+            continue;
+        }
+        result.supply.free += usable - requests;
+        result.supply.reserved += slots - usable;
         result.quick.push_back(state);
     }
     return result;
@@ -132,7 +139,9 @@
         policy::decide_slot(waiting, own, slots.supply, left - shortest_first_event(request), now);
     switch (decision.action) {
     case policy::slot_action::take:
-        return dispatch_model(request, within_reserve(slots.quick, cost.rule(), now), now);
+        return dispatch_model(request, slots.quick, now);
+    case policy::slot_action::take_reserved:
+        return dispatch_model(request, slots.reserved.empty() ? slots.quick : slots.reserved, now);
     case policy::slot_action::take_slow:
         return dispatch_model(request, slots.slow, now);
     case policy::slot_action::wait:
@@ -150,19 +159,6 @@
     return outcome;
 }
 
-// The slots that other domains' schedulers need are used when there are no others: a request that waits
-// while they are free is late for nothing.
-std::vector<fleet::endpoint_state*> fleet::within_reserve(const std::vector<endpoint_state*>& found,
-                                                          const route::engine_rule& engine,
-                                                          time_point now) const
-{
-    std::vector<endpoint_state*> result;
-    std::copy_if(found.begin(), found.end(), std::back_inserter(result), [&](const endpoint_state* state) {
-        return state->load.requests() < usable_slots(*state, engine, now);
-    });
-    return result.empty() ? found : result;
-}
-
 std::size_t fleet::slot_waiters() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/policy/slot_queue.cpp
+++ b/src/policy/slot_queue.cpp
@@ -49,9 +49,13 @@
     const double start_ms = slots_before * slot_ms;
     const double give_up_ms = static_cast<double>(give_up_after.count());
     slot_decision decision;
+    const bool is_late = start_ms > latest_start_ms;
+    if (is_late && latest_start_ms > 0 && ahead < supply.free + supply.reserved) {
+        decision.action = slot_action::take_reserved;
+        return decision;
+    }
     if (supply.slow_first_event) {
         const auto slow_ms = static_cast<double>(supply.slow_first_event->count());
-        const bool is_late = start_ms > latest_start_ms;
         if (is_late && slow_ms <= start_ms + first_event_ms && slow_ms <= give_up_ms + first_event_ms) {
             decision.action = slot_action::take_slow;
             return decision;
--- a/test/forward_fleet_work.cpp
+++ b/test/forward_fleet_work.cpp
@@ -162,6 +162,23 @@
         return fleet.begin_wait(value, now);
     }
 
+    // Other prompts that these endpoints have to prefill before.
+    void add_prefill(const std::vector<std::string>& endpoints, milliseconds prefill)
+    {
+        wire::load_notesT notes;
+        notes.incarnation = 9;
+        for (const std::string& endpoint : endpoints) {
+            wire::dispatch_noteT note;
+            note.number = notes.notes.size() + 1;
+            note.endpoint = endpoint;
+            note.reads_for_other = true;
+            note.parts = 2;
+            note.read_us = static_cast<std::uint32_t>(std::chrono::microseconds(prefill).count());
+            notes.notes.push_back(std::make_unique<wire::dispatch_noteT>(note));
+        }
+        fleet.apply_notes(notes, now);
+    }
+
     // Fills all slots with answers and returns the dispatch numbers.
     std::vector<std::uint64_t> fill()
     {
@@ -305,6 +322,66 @@
     BOOST_TEST((dispatch().wait > 0ms));
 }
 
+// Guards against slots of other domains that stay free while callers become late: the part of them that is
+// kept for the schedulers there is used by a request that would be late otherwise.
+BOOST_FIXTURE_TEST_CASE(uses_the_reserved_slots_of_other_domains_rather_than_being_late, slot_fixture)
+{
+    add("e2", "b", 2);
+    for (int i = 0; i < 11; ++i) {
+        const auto found = dispatch();
+        BOOST_TEST_REQUIRE(found.choice.has_value());
+        fleet.record_first_event(found.choice->number, now);
+        now += 100ms;
+    }
+    BOOST_TEST((dispatch().wait > 0ms)); // a slot is expected in time
+    const auto found = dispatch(200ms);
+    BOOST_TEST_REQUIRE(found.choice.has_value());
+    BOOST_TEST(found.choice->endpoints.front().name == "e2");
+    BOOST_TEST((dispatch(200ms).wait > 0ms)); // all slots are taken
+}
+
+// Guards against requests that wait while slots are free in a failure domain from which no load is reported,
+// as when schedulers can't reach each other.
+BOOST_FIXTURE_TEST_CASE(uses_slots_of_unknown_load_when_no_other_is_free, slot_fixture)
+{
+    add("e2", "b", 2);
+    fleet.set_unknown_domains({"b"});
+    std::map<std::string, int> requests;
+    for (int i = 0; i < 12; ++i) {
+        const auto found = dispatch();
+        BOOST_TEST_REQUIRE(found.choice.has_value());
+        const std::string& name = found.choice->endpoints.front().name;
+        BOOST_TEST((name == "e1" || requests["e1"] == 6));
+        ++requests[name];
+        fleet.record_first_event(found.choice->number, now);
+        now += 100ms;
+    }
+    BOOST_TEST(requests["e2"] == 6);
+}
+
+// Guards against a request that is held until it is late although every free slot makes it late.
+BOOST_FIXTURE_TEST_CASE(takes_a_late_slot_at_once_when_no_other_can_be_in_time, slot_fixture)
+{
+    add_prefill({"e1", "e2"}, 700ms);
+    BOOST_TEST(dispatch().choice.has_value());
+}
+
+// Guards against a request that is bound to an endpoint where it is late while another one is expected to
+// have a slot in time.
+BOOST_FIXTURE_TEST_CASE(waits_for_a_slot_in_time_rather_than_for_a_long_prompt, slot_fixture)
+{
+    const std::vector<std::uint64_t> numbers = fill();
+    add("e3", "a");
+    add_prefill({"e3"}, 700ms);
+    BOOST_TEST((dispatch().wait > 0ms));
+    const policy::work_key key = begin_wait();
+    const std::string freed = fleet.notes_of({7, numbers[5]}).front().endpoint;
+    fleet.record_end(numbers[5], now);
+    const auto found = dispatch(50ms, key);
+    BOOST_TEST_REQUIRE(found.choice.has_value());
+    BOOST_TEST(found.choice->endpoints.front().name == freed);
+}
+
 // Guards against queueing for a service whose configuration does not state its usual requests.
 BOOST_FIXTURE_TEST_CASE(requests_of_other_services_do_not_wait_for_slots, slot_fixture)
 {
--- a/test/policy_slot_queue_test.cpp
+++ b/test/policy_slot_queue_test.cpp
@@ -67,6 +67,21 @@
         return m_outcome;
     }
 
+    // The first `endpoints` prefill a long prompt for `prefill` each second, before all others.
+    play& with_long_prompts(std::size_t endpoints, milliseconds prefill)
+    {
+        m_slow_endpoints = endpoints;
+        m_long_prefill = prefill;
+        return *this;
+    }
+
+    // The queue counts all free slots alike and leaves it to the endpoints when to begin.
+    play& counting_all_slots()
+    {
+        m_counts_all = true;
+        return *this;
+    }
+
     // Each request is bound at its arrival to the endpoint with the fewest requests and waits there.
     outcome bind_early(const std::vector<caller>& callers)
     {
@@ -105,14 +120,46 @@
         }
     }
 
-    bool decide(std::vector<caller>& waiting, std::size_t index, milliseconds now)
+    // Time until an endpoint has prefilled its long prompt.
+    milliseconds backlog(std::size_t endpoint, milliseconds now) const
+    {
+        const milliseconds since = now % 1'000ms;
+        return endpoint < m_slow_endpoints && since < m_long_prefill ? m_long_prefill - since : 0ms;
+    }
+
+    policy::slot_supply find_supply(milliseconds now) const
     {
         policy::slot_supply supply;
-        for (const auto& ends : m_busy) {
-            supply.free += slots - ends.size();
+        for (std::size_t i = 0; i < endpoint_count; ++i) {
+            const std::size_t used = m_busy[i].size();
+            const milliseconds first = backlog(i, now) + first_event;
+            const bool quick = m_counts_all || first <= objective;
+            supply.freed_anywhere_per_ms += static_cast<double>(used) / mean_answer_ms;
+            supply.freed_per_ms += quick ? static_cast<double>(used) / mean_answer_ms : 0;
+            supply.free += quick ? slots - used : 0;
+            if (!quick && used < slots) {
+                supply.slow_first_event = std::min(supply.slow_first_event.value_or(first), first);
+            }
+        }
+        return supply;
+    }
+
+    // The endpoint with a free slot that is quick, or not, and fills first.
+    std::size_t choose(bool quick, milliseconds now) const
+    {
+        std::size_t best = endpoint_count;
+        for (std::size_t i = 0; i < endpoint_count; ++i) {
+            const bool is_quick = m_counts_all || backlog(i, now) + first_event <= objective;
+            if (m_busy[i].size() < slots && is_quick == quick &&
+                (best == endpoint_count || backlog(i, now) < backlog(best, now))) {
+                best = i;
+            }
         }
-        const auto used = static_cast<double>(endpoint_count * slots - supply.free);
-        supply.freed_per_ms = used / mean_answer_ms;
+        return best;
+    }
+
+    bool decide(std::vector<caller>& waiting, std::size_t index, milliseconds now)
+    {
         std::vector<policy::waiting_prompt> queue;
         queue.reserve(waiting.size());
         for (const caller& item : waiting) {
@@ -120,8 +167,8 @@
         }
         const caller own = waiting[index];
         const milliseconds waited = now - own.arrival;
-        const policy::slot_decision decision =
-            policy::decide_slot(queue, {1, own.number}, supply, disconnect - waited - first_event, at(now));
+        const policy::slot_decision decision = policy::decide_slot(
+            queue, {1, own.number}, find_supply(now), disconnect - waited - first_event, at(now));
         if (decision.action == policy::slot_action::wait) {
             return false;
         }
@@ -131,11 +178,11 @@
             m_outcome.longest_until_refused = std::max(m_outcome.longest_until_refused, waited);
             return true;
         }
-        const auto free =
-            std::find_if(m_busy.begin(), m_busy.end(), [](const auto& ends) { return ends.size() < slots; });
-        BOOST_TEST_REQUIRE((free != m_busy.end()));
-        free->push_back(now + own.answer);
-        count(waited);
+        const std::size_t chosen = choose(decision.action == policy::slot_action::take, now);
+        BOOST_TEST_REQUIRE(chosen < endpoint_count);
+        const milliseconds start = now + backlog(chosen, now);
+        m_busy[chosen].push_back(start + own.answer);
+        count(start - own.arrival);
         return true;
     }
 
@@ -148,6 +195,9 @@
     }
 
     std::vector<std::vector<milliseconds>> m_busy{endpoint_count}; // ends of the answers, by endpoint
+    std::size_t m_slow_endpoints = 0;
+    milliseconds m_long_prefill{};
+    bool m_counts_all = false;
     outcome m_outcome;
 };
 
@@ -190,6 +240,34 @@
     BOOST_TEST((late_binding.longest_until_refused < disconnect));
 }
 
+// Guards against free slots at endpoints that prefill long prompts for longer than the objective: a request
+// that waits a little for a slot elsewhere is in time, and one that can't be in time gets its late answer.
+BOOST_AUTO_TEST_CASE(slots_behind_long_prompts_do_not_count_as_free)
+{
+    const std::vector<caller> callers = make_callers(0.8, 20s);
+    const outcome by_time = play().with_long_prompts(5, 700ms).bind_late(callers);
+    const outcome by_slots = play().with_long_prompts(5, 700ms).counting_all_slots().bind_late(callers);
+    BOOST_TEST_MESSAGE("in time " << by_time.in_time << " and " << by_slots.in_time << ", late "
+                                  << by_time.late << " and " << by_slots.late << ", refused "
+                                  << by_time.refused << " and " << by_slots.refused << " of "
+                                  << callers.size());
+    BOOST_TEST(by_time.in_time > by_slots.in_time);
+    BOOST_TEST(by_time.refused + by_time.lost == 0U);
+}
+
+// Guards against a request that is held until it is late although nothing else can serve it in time.
+BOOST_AUTO_TEST_CASE(takes_a_slow_slot_when_no_other_comes_in_time)
+{
+    const std::vector<policy::waiting_prompt> waiting{waiter(1, 300ms)};
+    const auto decide = [&](double freed_per_ms, milliseconds slow_first_event) {
+        const policy::slot_supply supply{0, freed_per_ms, freed_per_ms, slow_first_event};
+        return policy::decide_slot(waiting, {1, 1}, supply, 2s, at(0ms)).action;
+    };
+    BOOST_TEST((decide(0.01, 400ms) == policy::slot_action::wait));       // a slot in 100 ms is in time
+    BOOST_TEST((decide(0.002, 400ms) == policy::slot_action::take_slow)); // one in 500 ms is later
+    BOOST_TEST((decide(0.002, 900ms) == policy::slot_action::wait));      // and here it is earlier
+}
+
 // Guards against a caller that is kept waiting although its slot cannot come before it disconnects, and
 // against a time to return that does not follow the queue.
 BOOST_AUTO_TEST_CASE(refuses_at_once_when_the_queue_is_too_long)
