--- a/src/policy/slot_queue.cpp
+++ b/src/policy/slot_queue.cpp
@@ -14,6 +14,15 @@
     return 1 / std::max(freed_per_ms, min_freed_per_ms);
 }
 
+// Requests that go before the own one if `free` slots are free. Free slots are units of work that have been
+// served already.
+std::size_t slots_ahead(const std::vector<waiting_prompt>& units, const work_key& own, std::size_t free,
+                        double slot_ms, time_point now)
+{
+    const std::vector<work_key> order = serving_order(units, 1, -static_cast<double>(free) * slot_ms, now);
+    return static_cast<std::size_t>(std::find(order.begin(), order.end(), own) - order.begin());
+}
+
 milliseconds to_ms(double value)
 {
     return milliseconds(static_cast<std::int64_t>(value));
@@ -25,8 +34,7 @@
                           const slot_supply& supply, milliseconds give_up_after, time_point now)
 {
     const double slot_ms = ms_per_slot(supply.freed_per_ms);
-    // A slot is one unit of work for the serving order, and has to be free by the latest start in time. The
-    // free slots are units that have been served already.
+    // A slot is one unit of work for the serving order, and has to be free by the latest start in time.
     double first_event_ms = 0;
     double latest_start_ms = 0;
     std::vector<waiting_prompt> units = waiting;
@@ -39,9 +47,7 @@
         }
         unit.prefill_ms = slot_ms;
     }
-    const double first_free_ms = -static_cast<double>(supply.free) * slot_ms;
-    const std::vector<work_key> order = serving_order(std::move(units), 1, first_free_ms, now);
-    const auto ahead = static_cast<std::size_t>(std::find(order.begin(), order.end(), own) - order.begin());
+    const std::size_t ahead = slots_ahead(units, own, supply.free, slot_ms, now);
     if (ahead < supply.free) {
         return {};
     }
@@ -50,7 +56,9 @@
     const double give_up_ms = static_cast<double>(give_up_after.count());
     slot_decision decision;
     const bool is_late = start_ms > latest_start_ms;
-    if (is_late && latest_start_ms > 0 && ahead < supply.free + supply.reserved) {
+    const std::size_t with_reserved = supply.free + supply.reserved;
+    if (is_late && latest_start_ms > 0 && supply.reserved > 0 &&
+        slots_ahead(units, own, with_reserved, slot_ms, now) < with_reserved) {
         decision.action = slot_action::take_reserved;
         return decision;
     }
--- a/test/policy_slot_queue_test.cpp
+++ b/test/policy_slot_queue_test.cpp
@@ -268,6 +268,22 @@
     BOOST_TEST((decide(0.002, 900ms) == policy::slot_action::wait));      // and here it is earlier
 }
 
+// Guards against slots kept for the schedulers of other domains that stay free while a caller becomes late,
+// and against their use by requests that can wait or are late in any case.
+BOOST_AUTO_TEST_CASE(takes_a_reserved_slot_only_to_be_in_time)
+{
+    const std::vector<policy::waiting_prompt> waiting{waiter(1, -10ms), waiter(2, 300ms),
+                                                      waiter(3, 310ms, 5)};
+    const auto action = [&](std::uint64_t number, double freed_per_ms) {
+        const policy::slot_supply supply{0, freed_per_ms, freed_per_ms, std::nullopt, 1};
+        return policy::decide_slot(waiting, {1, number}, supply, 60s, at(0ms)).action;
+    };
+    BOOST_TEST((action(2, 0.01) == policy::slot_action::wait)); // a slot in 100 ms is in time
+    BOOST_TEST((action(2, 0.001) == policy::slot_action::take_reserved));
+    BOOST_TEST((action(3, 0.001) == policy::slot_action::wait)); // there is one only
+    BOOST_TEST((action(1, 0.001) == policy::slot_action::wait)); // late in any case
+}
+
 // Guards against a caller that is kept waiting although its slot cannot come before it disconnects, and
 // against a time to return that does not follow the queue.
 BOOST_AUTO_TEST_CASE(refuses_at_once_when_the_queue_is_too_long)
