--- a/test/process_fixture.cpp
+++ b/test/process_fixture.cpp
@@ -359,7 +359,7 @@
 {
     add_runner(id, service, domain);
     m_runners.back()->start();
-    net::asio::co_spawn(m_threads.io, check_in_loop(m_runners.back()), net::asio::detached);
+    net::asio::co_spawn(m_threads.strand(), check_in_loop(m_runners.back()), net::asio::detached);
 }
 
 bool process_deployment::is_ready(std::size_t index)
