--- a/test/process_scaling_test.cpp
+++ b/test/process_scaling_test.cpp
@@ -68,7 +68,7 @@
     const auto loaded = std::make_shared<std::atomic<bool>>(true);
     for (int i = 0; i < 100; ++i) {
         net::asio::co_spawn(
-            processes.threads().io,
+            processes.threads().strand(),
             call_model(processes.front(i % processes.entry_count()), loaded, "load-" + std::to_string(i)),
             net::asio::detached);
     }
--- a/test/raw_engine.h
+++ b/test/raw_engine.h
@@ -29,7 +29,8 @@
         : m_acceptor(io, {verbena::net::asio::ip::address_v4::loopback(), 0})
     {
         verbena::net::asio::co_spawn(
-            io, [this] { return accept_loop(); }, verbena::net::asio::detached);
+            verbena::net::asio::make_strand(io), [this] { return accept_loop(); },
+            verbena::net::asio::detached);
     }
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
