--- a/test/process_fixture.cpp
+++ b/test/process_fixture.cpp
@@ -322,7 +322,7 @@
         net::http_call call;
         call.target = target;
         call.body = body;
-        const result<net::http_response> answer = fetch(address, call);
+        result<net::http_response> answer = fetch(address, call);
         if (!answer || answer.value().status != 307 || redirects == max_redirects) {
             return answer;
         }
