--- a/test/duty_fixture.h
+++ b/test/duty_fixture.h
@@ -74,10 +74,10 @@
     // Index of the control process whose call was accepted last.
     std::size_t holder() const { return index_of(judge->holders().back()); }
 
-    bool wait_for_reports(std::size_t count) const
+    bool wait_for_reports(std::size_t count, verbena::milliseconds limit = takeover_time) const
     {
         const std::size_t known = judge->reports().size();
-        return wait_until([&] { return judge->reports().size() >= known + count; });
+        return wait_until([&] { return judge->reports().size() >= known + count; }, limit);
     }
 
     // Waits for a report of another process than `previous`.
