--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -67,6 +67,8 @@
         return "rate_limited";
     case dispatch_refusal::reason::no_slot:
         return "no_slot";
+    case dispatch_refusal::reason::retry_budget:
+        return "retry_budget";
     }
     return "unknown";
 }
@@ -301,7 +303,8 @@
             continue;
         }
         const std::string& domain = state.info.failure_domain;
-        if (now < state.backoff_until) {
+        const bool overdue = m_first_events.is_silent(name, now) && state.load.backlog_ms(now) <= 0;
+        if (now < state.backoff_until || overdue) {
             backing_off.push_back(&state);
         } else if (state.trials != 0) {
             on_trial.push_back(&state);
@@ -377,6 +380,7 @@
         if (!request.alone) {
             update_scheduling(true, now);
         }
+        hear_statement(request, now);
         const auto found = trial ? trial_endpoints(request, now) : eligible_endpoints(request, now);
         std::optional<dispatch_result> not_permitted = await_permit(request, found, now);
         outcome = not_permitted ? std::move(*not_permitted) : choose(request, found, now);
@@ -385,6 +389,8 @@
             outcome.wait = list_wait;
         }
         count_refusal(request, outcome);
+        grant_repeat(request, outcome, now);
+        watch_first_event(request, outcome, now);
         if (outcome.choice) {
             const policy::work_key key =
                 request.key.value_or(policy::work_key{m_self, outcome.choice->number});
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -6,8 +6,10 @@
 #include "forward/limit_messages.h"
 #include "policy/crash_suspects.h"
 #include "policy/even_load.h"
+#include "policy/first_event_watch.h"
 #include "policy/placement.h"
 #include "policy/prefill_order.h"
+#include "policy/retry_grants.h"
 #include "wire_generated.h"
 
 #include <deque>
@@ -42,6 +44,9 @@
     std::optional<policy::work_key> key;
     // This entry chooses without the work of the other entries, because no scheduler answers.
     bool alone = false;
+    wire::attempt_kind attempt = wire::attempt_kind::unstated;
+    policy::retry_statement recent; // unless unstated: what the entry has sent to the service
+    std::set<std::string> silent;   // endpoints whose silence makes it repeat the request
 };
 
 // The endpoints selected for a request; the first one generates the answer.
@@ -63,7 +68,8 @@
         too_harmful,
         crashing_prompt,
         rate_limited, // by the limits of all endpoints that could take it
-        no_slot       // is expected to be free before the caller disconnects
+        no_slot,      // is expected to be free before the caller disconnects
+        retry_budget  // does not suffice for a repeated attempt
     };
 
     reason why = reason::no_endpoint;
@@ -81,6 +87,7 @@
     milliseconds wait{};
     dispatch_refusal refusal;
     std::string chosen_by; // address of the scheduler, `self` or `alone`
+    bool repeat_granted = false;
 };
 
 // Result of an attempt as far as it affects the selection of the endpoint for later requests. The values are
@@ -127,8 +134,10 @@
 
 // Parts of the choice that settings call for. They apply to services whose slots are scarce.
 struct placement_parts {
-    bool slot_queue = false; // docs/design/late-binding.md
-    bool even_load = false;  // docs/design/even-load.md
+    bool slot_queue = false;        // docs/design/late-binding.md
+    bool even_load = false;         // docs/design/even-load.md
+    bool retry_grants = false;      // docs/design/retry-budget.md
+    bool first_event_watch = false; // the same page
 };
 
 // The endpoints known to this entry and the work dispatched to them, as far as this entry knows it: a
@@ -171,6 +180,10 @@
     // objective. Receiving records sets it as well.
     void set_crashes_known(bool known);
 
+    // Sets the budget of repeated attempts that this entry grants as a scheduler, and returns its state.
+    void set_retry_options(const policy::retry_grant_options& options);
+    policy::retry_pool_state retry_state(time_point now) const;
+
     // Selects endpoints and records the dispatch under one lock, so that two requests cannot take the same
     // slot.
     dispatch_result dispatch(const dispatch_request& request, time_point now);
@@ -380,6 +393,11 @@
     std::optional<dispatch_result> await_permit(const dispatch_request& request,
                                                 const std::vector<endpoint_state*>& found, time_point now);
     void take_permit(endpoint_state& state, bool alone, time_point now);
+    // Notes what the entry of the request has sent, and which endpoints it has found silent.
+    void hear_statement(const dispatch_request& request, time_point now);
+    void watch_first_event(const dispatch_request& request, const dispatch_result& outcome, time_point now);
+    // Draws on the retry budget for the chosen attempt; without a grant the choice becomes a refusal.
+    void grant_repeat(const dispatch_request& request, dispatch_result& outcome, time_point now);
     void update_scheduling(bool scheduling, time_point now);
     std::optional<limit_change> merge_limit(const endpoint_limit& value, time_point now);
     void keep_limit(const endpoint_limit& value);
@@ -452,6 +470,8 @@
     mutable time_point m_unheard_time{};
     std::uint64_t m_even_sends = 0;
     std::uint64_t m_even_sends_to_full = 0;
+    policy::retry_grants m_retry_grants;
+    policy::first_event_watch m_first_events; // of the requests that this entry has chosen endpoints for
     policy::limit_shares m_limit_shares;
     bool m_scheduling = false;
     std::uint64_t m_limit_skips = 0;
--- a/src/forward/fleet_limits.cpp
+++ b/src/forward/fleet_limits.cpp
@@ -49,6 +49,7 @@
 void fleet::update_scheduling(bool scheduling, time_point now)
 {
     if (scheduling && !m_scheduling) {
+        m_retry_grants.begin(now);
         for (auto& [name, state] : m_endpoints) {
             if (state.limit.rate()) {
                 state.limit.use_up(m_limit_shares, now);
--- a/src/forward/fleet_notes.cpp
+++ b/src/forward/fleet_notes.cpp
@@ -194,6 +194,11 @@
         count_first_event(record, now);
     }
     record.phase = note.phase;
+    if (!record.notes.empty() && note.phase == phase_answering) {
+        m_first_events.begin(record.notes.front().endpoint, key, now);
+    } else if (!record.notes.empty() && note.phase == phase_ended) {
+        m_first_events.end(record.notes.front().endpoint, key);
+    }
     end_trial(record);
     if (note.phase == phase_ended) {
         apply_report(record, note, now);
@@ -379,6 +384,7 @@
         const std::lock_guard lock(m_mutex);
         ended = remove_reporter(entry, now);
         m_unheard.remove(entry);
+        m_retry_grants.remove(entry, now);
         m_unheard_now.clear();
         trials.swap(m_changed_trials);
     }
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -105,9 +105,12 @@
           event_log::write(line);
       }),
       m_budget(entry_retry_options(settings, assumed_entries)),
+      m_own_budget(own_retry_options(settings, assumed_entries)),
       m_answer_memory(held_bytes_bound(settings.total_buffer, process.settings().memory))
 {
-    m_fleet.set_placement_parts({settings.slot_queue == "true", settings.even_load == "true"});
+    m_fleet.set_placement_parts({settings.slot_queue == "true", settings.even_load == "true",
+                                 settings.retry_grants == "scheduler", settings.first_event_watch == "true"});
+    m_fleet.set_retry_options(scheduler_retry_options(settings, assumed_entries));
     m_fleet.set_complete_at(time_point::max());
     m_fleet.set_crashes_known(settings.peer_listen.empty());
     m_fleet.set_crash_listener([this](const std::vector<policy::crash_statement>& changed) {
@@ -197,6 +200,12 @@
     counters.gauge("verbena_forward_peers", {}, [self] {
         return static_cast<double>(self->m_load_exchange ? self->m_load_exchange->peers() : 0);
     });
+    const auto retries = [self] { return self->m_fleet.retry_state(clock::now()); };
+    counters.gauge("verbena_forward_repeats_granted_limit", {}, [retries] { return retries().limit; });
+    counters.gauge("verbena_forward_repeats_left", {}, [retries] {
+        const policy::retry_pool_state state = retries();
+        return std::max(state.limit - state.used, 0.0);
+    });
     counters.gauge("verbena_forward_slot_waiters", {},
                    [self] { return static_cast<double>(self->m_fleet.slot_waiters()); });
     const auto limits = [self] { return self->m_fleet.summarize_limits(clock::now()); };
@@ -344,6 +353,8 @@
         const std::size_t known_entries = m_control->schedulers().entry_count(now);
         const std::size_t entries = std::max(known_entries, min_entries);
         m_budget.set_options(entry_retry_options(m_settings, entries));
+        m_own_budget.set_options(own_retry_options(m_settings, entries));
+        m_fleet.set_retry_options(scheduler_retry_options(m_settings, entries));
         m_scheduler->refresh(now);
         if (listed && first_listed == time_point{}) {
             first_listed = now;
@@ -607,7 +618,8 @@
                                     [this](time_point now) { return can_serve(now); },
                                     m_stopping,
                                     m_answer_memory,
-                                    &m_usage};
+                                    &m_usage,
+                                    m_settings.retry_grants == "scheduler" ? &m_own_budget : nullptr};
     const time_point deadline = request.deadline;
     const time_point arrived = request.arrived;
     const std::string route = request.route->name;
--- a/src/forward/forward_service.h
+++ b/src/forward/forward_service.h
@@ -90,6 +90,7 @@
     node::directory_view m_directory;
     node::usage_counter m_usage;
     shared_retry_budget m_budget;
+    shared_retry_budget m_own_budget;
     answer_memory m_answer_memory;
     std::shared_ptr<net::peer_pool> m_pool;
     std::shared_ptr<node::control_client> m_control;
--- a/src/forward/placement_messages.cpp
+++ b/src/forward/placement_messages.cpp
@@ -36,6 +36,10 @@
     message.answer_started = request.answer_started;
     message.excluded.assign(request.excluded.begin(), request.excluded.end());
     message.prompt_parts = request.parts;
+    message.attempt = request.attempt;
+    message.window_requests = request.recent.requests;
+    message.window_repeats = request.recent.repeats;
+    message.silent.assign(request.silent.begin(), request.silent.end());
     return message;
 }
 
@@ -62,6 +66,13 @@
     if (message.prompt_parts() != nullptr) {
         request.parts.assign(message.prompt_parts()->begin(), message.prompt_parts()->end());
     }
+    request.attempt = message.attempt();
+    request.recent = {message.window_requests(), message.window_repeats()};
+    if (message.silent() != nullptr) {
+        for (const auto* name : *message.silent()) {
+            request.silent.insert(name->str());
+        }
+    }
     return request;
 }
 
@@ -77,6 +88,7 @@
         return reply;
     }
     reply.state = wire::placement_state::chosen;
+    reply.repeat_granted = found.repeat_granted;
     reply.predicted_ms = to_u32(found.choice->predicted_first_event);
     for (wire::dispatch_noteT& note : notes) {
         reply.notes.push_back(std::make_unique<wire::dispatch_noteT>(std::move(note)));
@@ -87,7 +99,7 @@
 dispatch_refusal read_refusal(const wire::placement_reply& reply)
 {
     dispatch_refusal refusal;
-    constexpr auto last = static_cast<std::uint8_t>(dispatch_refusal::reason::no_slot);
+    constexpr auto last = static_cast<std::uint8_t>(dispatch_refusal::reason::retry_budget);
     refusal.why = static_cast<dispatch_refusal::reason>(std::min(reply.reason(), last));
     refusal.predicted = milliseconds(reply.predicted_ms());
     refusal.part = reply.prompt_part();
--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -147,14 +147,16 @@
 {
     m_executor = executor;
     m_change.emplace(executor);
-    m_context.budget.record_request(m_request.service->name, clock::now());
+    budget().record_request(m_request.service->name, clock::now());
     while (!m_caller_left) {
         const time_point now = clock::now();
         if (now >= answer_limit()) {
             co_await refuse(m_may_have_run ? 504 : 503, "deadline", milliseconds::zero());
             co_return;
         }
-        const dispatch_result found = co_await choose_endpoints(resumes() ? resume_limit() : objective_end());
+        const dispatch_result found = co_await choose_endpoints(
+            resumes() ? resume_limit() : objective_end(),
+            m_awaits_grant ? wire::attempt_kind::repeat_lost : wire::attempt_kind::counted);
         if (m_caller_left) {
             break;
         }
@@ -169,7 +171,12 @@
             if (co_await await_endpoint(found.refusal)) {
                 continue;
             }
-            co_await refuse_dispatch(found.refusal);
+            if (found.refusal.why == dispatch_refusal::reason::retry_budget) {
+                count_repeat(policy::retry_cause::lost, "refused");
+                co_await end_without_budget();
+            } else {
+                co_await refuse_dispatch(found.refusal);
+            }
             co_return;
         }
         if (!confirm(*found.choice)) {
@@ -180,6 +187,11 @@
             co_await refuse_unconfirmed();
             co_return;
         }
+        if (m_awaits_grant && !draw_on_budget(found, policy::retry_cause::lost)) {
+            m_context.endpoints.record_end(found.choice->number, clock::now());
+            co_await end_without_budget();
+            co_return;
+        }
         start_attempt(*found.choice);
         const attempt_end end = co_await await_attempts();
         const bool ended = end == attempt_end::answered || end == attempt_end::caller_left;
@@ -191,10 +203,64 @@
     record_end("caller_left", 0);
 }
 
-net::task<dispatch_result> request_forwarder::choose_endpoints(time_point wait_end)
+bool request_forwarder::is_granted_by_scheduler() const
+{
+    const std::optional<route::engine_rule>& engine = m_request.service->engine;
+    return m_context.own_budget != nullptr && engine && policy::slots_are_scarce(*engine);
+}
+
+shared_retry_budget& request_forwarder::budget() const
+{
+    return is_granted_by_scheduler() ? *m_context.own_budget : m_context.budget;
+}
+
+bool request_forwarder::draw_on_budget(const dispatch_result& found, policy::retry_cause cause)
+{
+    const std::string& service = m_request.service->name;
+    if (found.repeat_granted) {
+        budget().record_retry(service, clock::now());
+        count_repeat(cause, "granted");
+        return true;
+    }
+    // Silent attempts need not leave anything to lost answers where a scheduler usually decides.
+    const policy::retry_cause counted = is_granted_by_scheduler() ? policy::retry_cause::lost : cause;
+    const bool allowed = budget().try_retry(service, clock::now(), counted);
+    count_repeat(cause, allowed ? "own" : "refused");
+    return allowed;
+}
+
+void request_forwarder::count_repeat(policy::retry_cause cause, const char* decision) const
+{
+    m_context.counters.add("verbena_forward_repeats_total",
+                           {{"service", m_request.service->name},
+                            {"cause", cause == policy::retry_cause::lost ? "lost" : "silent"},
+                            {"decision", decision}});
+}
+
+net::task<void> request_forwarder::end_without_budget()
+{
+    event_log::write(event::retry_refusedT{{},
+                                           m_request.terms.id,
+                                           m_attempts,
+                                           "retry_budget",
+                                           m_answer.last_event.value_or(0),
+                                           to_u32(time_left(clock::now()))});
+    co_await finish(m_last_end);
+}
+
+net::task<dispatch_result> request_forwarder::choose_endpoints(time_point wait_end, wire::attempt_kind kind)
 {
     const time_point now = clock::now();
     dispatch_request request = make_dispatch_request(now);
+    if (is_granted_by_scheduler()) {
+        request.attempt = kind;
+        request.recent = budget().statement(m_request.service->name, now);
+    }
+    if (request.attempt == wire::attempt_kind::repeat_silent) {
+        for (const attempt_ptr& current : m_open) {
+            request.silent.insert(current->endpoint());
+        }
+    }
     request.answer_started = m_answer.started;
     const auto wait_limit = std::chrono::duration_cast<milliseconds>(wait_end - now);
     request.may_wait = wait_limit > milliseconds::zero();
@@ -209,7 +275,8 @@
 {
     const time_point next = clock::now() + endpoint_poll_interval;
     const bool may_change = refusal.why == dispatch_refusal::reason::no_endpoint ||
-                            refusal.why == dispatch_refusal::reason::rate_limited;
+                            refusal.why == dispatch_refusal::reason::rate_limited ||
+                            refusal.why == dispatch_refusal::reason::retry_budget;
     if (!may_change || !resumes() || next >= resume_limit()) {
         co_return false;
     }
@@ -263,10 +330,16 @@
     const char* reason = reason_against_attempt(end, now);
     // Only an attempt after one that may have reached an endpoint counts as a retry.
     const bool counts = m_reached_endpoint;
+    m_awaits_grant = false;
     while (reason == nullptr && counts &&
-           !m_context.budget.try_retry(m_request.service->name, now, policy::retry_cause::lost)) {
+           !budget().try_retry(m_request.service->name, now, policy::retry_cause::lost)) {
+        if (is_granted_by_scheduler()) {
+            m_awaits_grant = true;
+            break;
+        }
         if (!resumes() || now + retry_poll_interval >= resume_limit()) {
             reason = "retry_budget";
+            count_repeat(policy::retry_cause::lost, "refused");
             break;
         }
         co_await net::sleep_for(retry_poll_interval);
@@ -274,6 +347,9 @@
         reason = reason_against_attempt(end, now);
     }
     const std::uint64_t last_event = m_answer.last_event.value_or(0);
+    if (reason == nullptr && counts && !m_awaits_grant) {
+        count_repeat(policy::retry_cause::lost, "own");
+    }
     if (reason != nullptr) {
         event_log::write(event::retry_refusedT{
             {}, m_request.terms.id, m_attempts, reason, last_event, to_u32(time_left(now))});
@@ -426,7 +502,8 @@
         co_return;
     }
     m_choosing_another = true;
-    const dispatch_result found = co_await choose_endpoints(objective_end());
+    const dispatch_result found =
+        co_await choose_endpoints(objective_end(), wire::attempt_kind::repeat_silent);
     m_choosing_another = false;
     if (m_caller_left || m_answered || !all_silent()) {
         if (found.choice) {
@@ -435,6 +512,9 @@
         co_return;
     }
     if (!found.choice) {
+        if (found.refusal.why == dispatch_refusal::reason::retry_budget) {
+            count_repeat(policy::retry_cause::silent, "refused");
+        }
         log_silence(to_string(found.refusal.why));
         co_return;
     }
@@ -442,7 +522,7 @@
         log_silence("not_ready");
         co_return;
     }
-    if (!m_context.budget.try_retry(m_request.service->name, clock::now(), policy::retry_cause::silent)) {
+    if (!draw_on_budget(found, policy::retry_cause::silent)) {
         m_context.endpoints.record_end(found.choice->number, clock::now());
         log_silence("retry_budget");
         co_return;
--- a/src/forward/request_forwarder.h
+++ b/src/forward/request_forwarder.h
@@ -44,6 +44,9 @@
     const std::atomic<bool>& stopping;        // whether this process is stopping
     answer_memory& memory;
     node::usage_counter* usage = nullptr; // counts the answers that begin
+    // This entry's part of the budget in services whose repeated attempts the schedulers grant; null if they
+    // grant none.
+    shared_retry_budget* own_budget = nullptr;
 };
 
 // Forwards one request to endpoints until it is answered, refused or given up. An attempt that may have run
@@ -130,8 +133,19 @@
     dispatch_request make_dispatch_request(time_point now) const;
     std::uint32_t priority_level() const;
 
+    // Whether the scheduler decides whether this request may be sent once more.
+    bool is_granted_by_scheduler() const;
+    // The budget of this entry alone.
+    shared_retry_budget& budget() const;
+    // Counts a repeated attempt if the scheduler has granted it, or else if the budget of this entry allows
+    // it.
+    bool draw_on_budget(const dispatch_result& found, policy::retry_cause cause);
+    void count_repeat(policy::retry_cause cause, const char* decision) const;
+
     // Selects endpoints; waits for them until `wait_end` if they are not free yet.
-    net::task<dispatch_result> choose_endpoints(time_point wait_end);
+    net::task<dispatch_result> choose_endpoints(time_point wait_end, wire::attempt_kind kind);
+    // Ends a request for whose next attempt the retry budget does not suffice.
+    net::task<void> end_without_budget();
     // When the first event is late.
     time_point objective_end() const { return m_request.arrived + m_request.route->objective; }
     // Whether a begun answer that no endpoint can go on with now may find one later; waits before the next
@@ -226,6 +240,7 @@
     bool m_answered = false;
     bool m_silence_noticed = false;
     bool m_choosing_another = false;
+    bool m_awaits_grant = false; // the next attempt repeats the request and has to be granted
     bool m_caller_left = false;
     bool m_stopped = false; // by end_for_stop()
     bool m_may_have_run = false;
--- a/src/forward/scheduler_client.cpp
+++ b/src/forward/scheduler_client.cpp
@@ -271,6 +271,7 @@
             found.chosen_by = address;
             if (found.choice) {
                 found.choice->predicted_first_event = milliseconds(unpacked.predicted_ms);
+                found.repeat_granted = unpacked.repeat_granted;
                 co_return found;
             }
             request.excluded.insert(rejected);
--- a/src/policy/retry_budget.cpp
+++ b/src/policy/retry_budget.cpp
@@ -85,4 +85,19 @@
     return true;
 }
 
+void retry_budget::record_retry(std::string_view team, std::string_view service, time_point now)
+{
+    const auto second = second_of(now);
+    for (auto* value : {&advance(m_teams, team, second), &advance(m_services, service, second)}) {
+        ++value->retries[bucket_of(value->second)];
+    }
+}
+
+retry_budget::counts retry_budget::service_counts(std::string_view service, time_point now)
+{
+    const window& value = advance(m_services, service, second_of(now));
+    return {std::accumulate(value.requests.begin(), value.requests.end(), std::uint32_t{0}),
+            std::accumulate(value.retries.begin(), value.retries.end(), std::uint32_t{0})};
+}
+
 } // namespace verbena::policy
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -40,6 +40,16 @@
     bool try_retry(std::string_view team, std::string_view service, time_point now,
                    retry_cause cause = retry_cause::lost);
 
+    // Counts a retry that another process has allowed.
+    void record_retry(std::string_view team, std::string_view service, time_point now);
+
+    // Requests and retries of the service in the last window.
+    struct counts {
+        std::uint32_t requests = 0;
+        std::uint32_t retries = 0;
+    };
+    counts service_counts(std::string_view service, time_point now);
+
     std::size_t tracked() const { return m_teams.size() + m_services.size(); }
 
 private:
