--- a/src/policy/retry_grants.cpp
+++ b/src/policy/retry_grants.cpp
@@ -9,7 +9,7 @@
 constexpr std::chrono::seconds window{retry_budget::window_seconds};
 
 // Entries connect to a new decider within a few hundred milliseconds and ask it with their next request.
-constexpr milliseconds settle_time{1'000};
+constexpr milliseconds settle_time{500};
 
 // The statements of an entry contain a granted attempt when the entry asks next after it has been sent.
 constexpr milliseconds statement_delay{1'000};
