--- a/src/forward/fleet_retries.cpp
+++ b/src/forward/fleet_retries.cpp
@@ -54,7 +54,8 @@
     }
 }
 
-// An entry that chooses alone learns of silence by its own requests.
+// An entry that chooses alone learns of silence by its own requests. The answer to a split prompt may be late
+// because of another endpoint.
 void fleet::watch_first_event(const dispatch_request& request, const dispatch_result& outcome, time_point now)
 {
     const std::optional<route::engine_rule>& engine = request.service->engine;
