--- a/src/forward/request_forwarder.cpp
+++ b/src/forward/request_forwarder.cpp
@@ -189,6 +189,10 @@
         }
         if (m_awaits_grant && !draw_on_budget(found, policy::retry_cause::lost)) {
             m_context.endpoints.record_end(found.choice->number, clock::now());
+            if (resumes() && clock::now() + endpoint_poll_interval < resume_limit()) {
+                co_await net::sleep_for(endpoint_poll_interval);
+                continue;
+            }
             co_await end_without_budget();
             co_return;
         }
