--- a/test/forward_scheduler_test.cpp
+++ b/test/forward_scheduler_test.cpp
@@ -50,7 +50,8 @@
               }
           })
     {
-        fleet.set_placement_parts({.slot_queue = true});
+        fleet.set_placement_parts({.slot_queue = true, .retry_grants = true});
+        fleet.set_retry_options({0.1, 0});
         route::document document;
         document.version = 1;
         route::service_rule desk;
@@ -128,6 +129,18 @@
         });
     }
 
+    // A request after a silent attempt, by an entry that has sent 100 requests.
+    forward::dispatch_result repeat(net_threads& threads)
+    {
+        forward::dispatch_request request = model_request();
+        request.model.value = 1;
+        request.attempt = wire::attempt_kind::repeat_silent;
+        request.recent = {100, 0};
+        return threads.run<forward::dispatch_result>([this, request] {
+            return client->choose(request, 300ms, std::make_shared<forward::choice_call>());
+        });
+    }
+
     std::uint64_t digest = 0;
 };
 
@@ -235,6 +248,27 @@
     BOOST_TEST(result.chosen_by == "self");
 }
 
+// Guards against repeats that a scheduler grants before it knows what the entries have sent, and against
+// entries that cannot repeat anything after a change of the scheduler.
+BOOST_FIXTURE_TEST_CASE(grants_repeats_when_it_has_heard_the_entries, scheduler_fixture)
+{
+    wire::announcementT model = desk_endpoint("m1", 9'100);
+    model.service = "model";
+    model.slots = 12;
+    for (entry_process* entry : {&first, &second}) {
+        entry->fleet.on_endpoint(model.endpoint, &model);
+    }
+    start();
+    const std::vector<std::string> both{first_address, second_address};
+    for (const std::vector<std::string>& candidates : {both, {second_address}}) {
+        second.list(candidates);
+        const forward::dispatch_result undecided = second.repeat(threads);
+        BOOST_TEST(undecided.chosen_by == (candidates.size() == 2 ? first_address : "self"));
+        BOOST_TEST((undecided.choice && !undecided.repeat_granted));
+        BOOST_TEST(eventually([&] { return second.repeat(threads).repeat_granted; }));
+    }
+}
+
 // A scheduler that does not answer, such as a suspended process, holds up a request for a moment only.
 BOOST_AUTO_TEST_CASE(chooses_alone_when_the_scheduler_is_silent)
 {
