--- a/test/forward_scheduler_test.cpp
+++ b/test/forward_scheduler_test.cpp
@@ -129,16 +129,20 @@
         });
     }
 
-    // A request after a silent attempt, by an entry that has sent 100 requests.
+    // A request after a silent attempt, by an entry that has sent 100 requests; it ends at once.
     forward::dispatch_result repeat(net_threads& threads)
     {
         forward::dispatch_request request = model_request();
         request.model.value = 1;
         request.attempt = wire::attempt_kind::repeat_silent;
         request.recent = {100, 0};
-        return threads.run<forward::dispatch_result>([this, request] {
+        const auto found = threads.run<forward::dispatch_result>([this, request] {
             return client->choose(request, 300ms, std::make_shared<forward::choice_call>());
         });
+        if (found.choice) {
+            fleet.record_end(found.choice->number, clock::now());
+        }
+        return found;
     }
 
     std::uint64_t digest = 0;
