--- a/src/forward/fleet.cpp
+++ b/src/forward/fleet.cpp
@@ -426,7 +426,7 @@
     std::size_t idle = 0;
     std::size_t unlimited = 0;
     for (const endpoint_state* state : found) {
-        policy::placement_candidate candidate = to_candidate(*state, cost.rule(), now);
+        policy::placement_candidate candidate = to_candidate(*state, request, now);
         const bool takes_parts = state->load.parts() < state->info.slots && candidate.failure_share < 0.2;
         // The calls that reserve memory would count towards the limit of an endpoint.
         candidate.accepts_prefill_parts = takes_parts && !state->limit.rate();
@@ -526,7 +526,7 @@
         double cost = assumed_plain_request_ms * (1 + std::max(0.0, requests - slots + 1) / slots) *
                       slowdown_of(*state, now);
         cost += assumed_plain_request_ms * (requests / slots + 10 * failure_rate_of(*state, now));
-        cost += state->info.failure_domain == m_own_domain ? 0 : assumed_plain_request_ms / 8;
+        cost += state->info.failure_domain == domain_of(request) ? 0 : assumed_plain_request_ms / 8;
         if (best == nullptr || cost < best_cost) {
             best = state;
             best_cost = cost;
@@ -586,6 +586,15 @@
     return m_endpoints.size();
 }
 
+std::size_t fleet::listed_count(const std::string& service, time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return static_cast<std::size_t>(
+        std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
+            return item.second.info.service == service && is_listed(item.second, now);
+        }));
+}
+
 std::size_t fleet::usable_count(const std::string& service, time_point now) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -40,6 +40,7 @@
     std::vector<policy::prompt_part> parts; // of its prompt, that other requests may contain too
     // The dispatch of another entry that asks this one; nullopt = this entry's own, numbered by dispatch().
     std::optional<policy::work_key> key;
+    std::string failure_domain; // of the entry that sends it; empty = the one of the entry that chooses
     // This entry chooses without the work of the other entries, because no scheduler answers.
     bool alone = false;
 };
@@ -240,6 +241,10 @@
     // up: the choices before are not known.
     void set_scheduling(bool scheduling, time_point now);
 
+    // Whether this entry chooses for all failure domains and hears of no other scheduler. Then it fills the
+    // endpoints of all domains, unless entries have chosen without it a moment ago.
+    void set_sole_scheduler(bool sole);
+
     // Endpoints of a service that this entry sends nothing to because of what they have answered to it.
     std::set<std::string> blocked(const std::string& service, time_point now) const;
 
@@ -277,6 +282,8 @@
 
     std::size_t size() const;
     std::size_t usable_count(const std::string& service, time_point now) const;
+    // Endpoints of the service that control members list or have listed a moment ago.
+    std::size_t listed_count(const std::string& service, time_point now) const;
 
 private:
     struct endpoint_state {
@@ -348,6 +355,10 @@
     static milliseconds shortest_first_event(const dispatch_request& request);
     dispatch_result dispatch_to_free_slot(const dispatch_request& request,
                                           const std::vector<endpoint_state*>& found, time_point now);
+    // Whether no other process chooses endpoints, as far as this one has heard.
+    bool decides_alone(time_point now) const;
+    // The failure domain from which the request is sent.
+    const std::string& domain_of(const dispatch_request& request) const;
     // Slots of an endpoint that this entry may fill.
     std::uint32_t usable_slots(const endpoint_state& state, const route::engine_rule& engine,
                                time_point now) const;
@@ -390,7 +401,7 @@
     double slowdown_of(const endpoint_state& state, time_point now) const;
     double failure_rate_of(const endpoint_state& state, time_point now) const;
     std::vector<endpoint_state*> eligible_endpoints(const dispatch_request& request, time_point now);
-    policy::placement_candidate to_candidate(const endpoint_state& state, const route::engine_rule& engine,
+    policy::placement_candidate to_candidate(const endpoint_state& state, const dispatch_request& request,
                                              time_point now) const;
     policy::placement_options placement_options(const dispatch_request& request);
     void count_send(const endpoint_state& state, const dispatch_request& request);
@@ -454,6 +465,8 @@
     std::uint64_t m_even_sends_to_full = 0;
     policy::limit_shares m_limit_shares;
     bool m_scheduling = false;
+    bool m_sole_scheduler = false;
+    std::optional<time_point> m_others_chose; // when this entry last heard of another one's choice
     std::uint64_t m_limit_skips = 0;
     std::map<std::string, endpoint_limit> m_unlisted_limits; // of endpoints that are not listed yet
     std::map<std::string, time_point>
--- a/src/forward/fleet_demand.cpp
+++ b/src/forward/fleet_demand.cpp
@@ -31,7 +31,7 @@
 {
     if (!outcome.choice && outcome.wait == milliseconds::zero() && !request.alone &&
         shows_lack_of_room(outcome.refusal.why)) {
-        ++m_outcomes[{request.service->name, m_own_domain}].refused;
+        ++m_outcomes[{request.service->name, domain_of(request)}].refused;
     }
 }
 
--- a/src/forward/fleet_load.cpp
+++ b/src/forward/fleet_load.cpp
@@ -15,8 +15,28 @@
 // The longest time for which a scheduler collects notes before it sends them (load_exchange).
 constexpr std::chrono::microseconds note_interval{10'000};
 
+// A process that has heard of no other one's choice for this long takes itself for the only one that chooses.
+// Entries that lose their scheduler ask it again after 2 s, and choose without it meanwhile.
+constexpr milliseconds others_quiet{500};
+
 } // namespace
 
+void fleet::set_sole_scheduler(bool sole)
+{
+    const std::lock_guard lock(m_mutex);
+    m_sole_scheduler = sole;
+}
+
+bool fleet::decides_alone(time_point now) const
+{
+    return m_sole_scheduler && (!m_others_chose || now - *m_others_chose >= others_quiet);
+}
+
+const std::string& fleet::domain_of(const dispatch_request& request) const
+{
+    return request.failure_domain.empty() ? m_own_domain : request.failure_domain;
+}
+
 bool fleet::spreads_load(const route::engine_rule& engine) const
 {
     return m_parts.even_load && policy::slots_are_scarce(engine);
@@ -56,7 +76,7 @@
 {
     const std::uint32_t slots = state.info.slots;
     const std::string& domain = state.info.failure_domain;
-    if (domain == m_own_domain) {
+    if (domain == m_own_domain || decides_alone(now)) {
         return slots;
     }
     if (!spreads_load(engine)) {
@@ -66,14 +86,15 @@
     return policy::lent_slots(slots, unheard_sends(domain, engine, now) / size);
 }
 
-policy::placement_candidate fleet::to_candidate(const endpoint_state& state, const route::engine_rule& engine,
+policy::placement_candidate fleet::to_candidate(const endpoint_state& state, const dispatch_request& request,
                                                 time_point now) const
 {
+    const route::engine_rule& engine = *request.service->engine;
     policy::placement_candidate candidate;
     candidate.load = &state.load;
     candidate.slowdown = slowdown_of(state, now);
     candidate.failure_share = failure_rate_of(state, now);
-    candidate.other_domain = state.info.failure_domain != m_own_domain;
+    candidate.other_domain = state.info.failure_domain != domain_of(request);
     candidate.slots = usable_slots(state, engine, now);
     candidate.unheard = unheard_sends(state.info.failure_domain, engine, now);
     return candidate;
@@ -95,7 +116,7 @@
 void fleet::count_send(const endpoint_state& state, const dispatch_request& request)
 {
     const auto& engine = request.service->engine;
-    if (engine && spreads_load(*engine)) {
+    if (engine && policy::slots_are_scarce(*engine)) {
         ++m_even_sends;
         m_even_sends_to_full += state.load.requests() >= state.info.slots ? 1 : 0;
     }
--- a/src/forward/fleet_notes.cpp
+++ b/src/forward/fleet_notes.cpp
@@ -327,6 +327,7 @@
             // up.
             if (has_started && !notes.whole && endpoint != m_endpoints.end()) {
                 take_permit(endpoint->second, false, now);
+                m_others_chose = now;
                 m_unheard.record(notes.incarnation, endpoint->second.info.failure_domain, now);
             }
             const policy::work_key key{note->entry == 0 ? notes.incarnation : note->entry, note->number};
--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -197,6 +197,11 @@
     counters.gauge("verbena_forward_peers", {}, [self] {
         return static_cast<double>(self->m_load_exchange ? self->m_load_exchange->peers() : 0);
     });
+    counters.gauge("verbena_forward_deployment_scheduling", {}, [self] {
+        return self->m_scheduler->scope() == policy::scheduling_scope::deployment ? 1.0 : 0.0;
+    });
+    counters.gauge("verbena_forward_schedules", {},
+                   [self] { return self->m_scheduler->schedules(clock::now()) ? 1.0 : 0.0; });
     counters.gauge("verbena_forward_slot_waiters", {},
                    [self] { return static_cast<double>(self->m_fleet.slot_waiters()); });
     const auto limits = [self] { return self->m_fleet.summarize_limits(clock::now()); };
@@ -344,6 +349,7 @@
         const std::size_t known_entries = m_control->schedulers().entry_count(now);
         const std::size_t entries = std::max(known_entries, min_entries);
         m_budget.set_options(entry_retry_options(m_settings, entries));
+        update_scope(now);
         m_scheduler->refresh(now);
         if (listed && first_listed == time_point{}) {
             first_listed = now;
@@ -357,6 +363,21 @@
     m_process.set_ready(false);
 }
 
+void forward_service::update_scope(time_point now)
+{
+    const std::shared_ptr<const route::table> rules = update_rules();
+    if (m_settings.even_load != "deployment" || !rules) {
+        return;
+    }
+    policy::scheduling_load load;
+    for (const route::service_rule& service : rules->rules().services) {
+        load.add(service, m_fleet.listed_count(service.name, now));
+    }
+    const policy::scheduling_scope scope =
+        policy::choose_scope(load, m_scheduler->preferred_share(now), m_scheduler->scope());
+    m_scheduler->set_scope(scope);
+}
+
 net::task<void> forward_service::query_peers()
 {
     while (!m_stopping) {
--- a/src/forward/forward_service.h
+++ b/src/forward/forward_service.h
@@ -70,6 +70,8 @@
     net::task<void> forward_request(net::http_exchange& exchange, routed_request request);
     net::task<void> refuse_early(net::http_exchange& exchange, early_refusal refusal, const std::string& id);
     net::task<void> refresh();
+    // Sets whose scheduler this entry asks, by the load of one that chooses for all failure domains.
+    void update_scope(time_point now);
     net::task<void> query_peers();
     net::task<void> drain();
     // Sends the last usage counts to the member that collects them; waits a short time for its reply.
--- a/src/forward/load_exchange.cpp
+++ b/src/forward/load_exchange.cpp
@@ -16,6 +16,10 @@
 constexpr milliseconds connect_interval{100};
 constexpr milliseconds connect_timeout{500};
 
+// The work that a lost scheduler has reported counts for this long: meanwhile its entries, which are not
+// lost, report it to other schedulers.
+constexpr milliseconds takeover_time{500};
+
 // Maximum number of notes in one frame; a frame holds 256 KiB.
 constexpr std::size_t max_notes = 1'000;
 
@@ -249,13 +253,28 @@
     net::asio::post(m_strand, [self = shared_from_this()] { self->update_peers(); });
 }
 
-bool load_exchange::is_reporter(incarnation entry) const
+std::optional<std::string> load_exchange::domain_of(incarnation entry) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_reporters.find(entry);
+    return found == m_reporters.end() ? std::nullopt : std::optional(found->second.failure_domain);
+}
+
+bool load_exchange::has_entries() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_reporters.contains(entry);
+    return std::any_of(m_reporters.begin(), m_reporters.end(),
+                       [](const auto& item) { return !item.second.schedules; });
 }
 
-bool load_exchange::has_reporters(const std::string& failure_domain) const
+bool load_exchange::has_schedulers() const
+{
+    const std::lock_guard lock(m_mutex);
+    return std::any_of(m_reporters.begin(), m_reporters.end(),
+                       [](const auto& item) { return item.second.schedules; });
+}
+
+bool load_exchange::has_reporter_of(const std::string& failure_domain) const
 {
     const std::lock_guard lock(m_mutex);
     return std::any_of(m_reporters.begin(), m_reporters.end(), [&failure_domain](const auto& item) {
@@ -355,7 +374,8 @@
 void load_exchange::answer_placement(const std::shared_ptr<net::frame_stream>& stream,
                                      net::received_frame message)
 {
-    if (!is_reporter(message.frame->message_as_placement_request()->entry())) {
+    std::optional<std::string> from = domain_of(message.frame->message_as_placement_request()->entry());
+    if (!from) {
         wire::placement_replyT reply;
         reply.state = wire::placement_state::unavailable;
         stream->send(net::make_frame(std::move(reply)));
@@ -364,8 +384,8 @@
     }
     net::asio::co_spawn(
         m_strand,
-        [handler = m_placements, stream, ask = std::move(message)]() mutable {
-            return handler->on_request(stream, std::move(ask));
+        [handler = m_placements, stream, ask = std::move(message), domain = std::move(*from)]() mutable {
+            return handler->on_request(stream, std::move(ask), std::move(domain));
         },
         net::asio::detached);
 }
@@ -402,17 +422,22 @@
         }
     }
     bool last = false;
+    bool scheduled = false;
     {
         const std::lock_guard lock(m_mutex);
         const auto found = m_reporters.find(entry);
+        scheduled = found != m_reporters.end() && found->second.schedules;
         last = found != m_reporters.end() && found->second.streams.erase(stream) != 0 &&
                found->second.streams.empty();
         if (last) {
             m_reporters.erase(found);
         }
     }
+    if (last && scheduled) {
+        co_await net::sleep_for(takeover_time);
+    }
     // A newer stream of the same entry has replaced its work already.
-    if (last) {
+    if (last && !domain_of(entry)) {
         m_fleet.remove_entry(entry, clock::now());
     }
 }
--- a/src/forward/load_exchange.h
+++ b/src/forward/load_exchange.h
@@ -38,17 +38,18 @@
     placement_handler& operator=(const placement_handler&) = delete;
     virtual ~placement_handler() = default;
 
-    // `message` holds a placement request. Its entry reports its work to this one.
-    virtual net::task<void> on_request(std::shared_ptr<net::frame_stream> stream,
-                                       net::received_frame message) = 0;
+    // `message` holds a placement request. Its entry, of the failure domain `from`, reports its work to this
+    // one.
+    virtual net::task<void> on_request(std::shared_ptr<net::frame_stream> stream, net::received_frame message,
+                                       std::string from) = 0;
     virtual void on_backlog_query(const std::shared_ptr<net::frame_stream>& stream,
                                   const wire::backlog_query& query) = 0;
 };
 
 // Exchanges load notes between entries and schedulers. Each entry reports its work to the scheduler of its
-// failure domain, and each scheduler reports the work of its domain to the other schedulers. The notes count
-// until the connection of their sender ends. Entries also answer each other's queries for the newest
-// confirmed configuration.
+// failure domain or of the deployment, and each scheduler reports the work of its entries to the schedulers
+// of the other domains. The notes count until the connection of their sender ends. Entries also answer each
+// other's queries for the newest confirmed configuration.
 class load_exchange : public net::connection_handler, public std::enable_shared_from_this<load_exchange> {
 public:
     struct options {
@@ -85,9 +86,14 @@
     // Ends the connection to an entry that does not answer.
     void drop(const std::string& address, const std::string& reason);
 
-    // Whether entries of the failure domain report their work to this one, and whether its scheduler does.
-    bool has_reporters(const std::string& failure_domain) const;
+    // Whether entries report their work to this one as to their scheduler.
+    bool has_entries() const;
+    // Whether any process of the failure domain reports its work to this one, and whether a scheduler of it
+    // does.
+    bool has_reporter_of(const std::string& failure_domain) const;
     bool has_scheduler_of(const std::string& failure_domain) const;
+    // Whether another scheduler reports its work to this one.
+    bool has_schedulers() const;
 
     void on_stream(const std::shared_ptr<net::frame_stream>& stream, net::received_frame first) override;
 
@@ -121,7 +127,8 @@
     void send_to_all(const wire::frameT& frame);
     net::task<void> receive_notes(std::shared_ptr<net::frame_stream> stream, net::received_frame first);
     void answer_placement(const std::shared_ptr<net::frame_stream>& stream, net::received_frame message);
-    bool is_reporter(incarnation entry) const;
+    // The failure domain of an entry that reports its work to this one.
+    std::optional<std::string> domain_of(incarnation entry) const;
     void update_peers();
     // Ends the streams to entries that are no targets, and returns the targets to connect to.
     std::vector<report_target> take_unconnected(const std::vector<report_target>& targets);
--- a/src/forward/scheduler_client.cpp
+++ b/src/forward/scheduler_client.cpp
@@ -22,6 +22,9 @@
 
 constexpr milliseconds backlog_timeout{60};
 
+// An entry reports its work to this many schedulers at most while the first one is not connected.
+constexpr std::size_t reported_schedulers = 2;
+
 milliseconds since(time_point begin)
 {
     return std::chrono::duration_cast<milliseconds>(clock::now() - begin);
@@ -93,13 +96,41 @@
     return found;
 }
 
+std::vector<node::scheduler_candidate> scheduler_client::schedulers_in_order(time_point now) const
+{
+    if (scope() == policy::scheduling_scope::domain) {
+        return usable_candidates(m_own_domain, now);
+    }
+    // The one that has failed must not be replaced by another domain's before it is no longer listed: other
+    // entries may still reach it.
+    const auto usable = usable_candidates(std::string(), now);
+    auto order = node::deployment_order(m_schedulers.candidates(std::string(), now), m_own_domain);
+    std::erase_if(order, [&usable](const node::scheduler_candidate& value) {
+        return std::none_of(usable.begin(), usable.end(),
+                            [&value](const auto& other) { return other.address == value.address; });
+    });
+    return order;
+}
+
+// The next one in the order is used while there is no connection to the first one.
 std::string scheduler_client::scheduler(time_point now) const
 {
     if (!m_exchange) {
         return {};
     }
-    const auto candidates = usable_candidates(m_own_domain, now);
-    return candidates.empty() ? std::string() : candidates.front().address;
+    const auto candidates = schedulers_in_order(now);
+    if (candidates.empty()) {
+        return {};
+    }
+    if (scope() == policy::scheduling_scope::deployment) {
+        for (std::size_t i = 0; i < std::min(candidates.size(), reported_schedulers); ++i) {
+            const std::string& address = candidates[i].address;
+            if (address == m_own_address || m_exchange->connection_to(address)) {
+                return address;
+            }
+        }
+    }
+    return candidates.front().address;
 }
 
 bool scheduler_client::schedules(time_point now) const
@@ -107,21 +138,59 @@
     return scheduler(now) == m_own_address;
 }
 
+// An entry to which others report acts as a scheduler, whatever the control members list.
+bool scheduler_client::acts_as_scheduler(time_point now) const
+{
+    return schedules(now) || (m_exchange && m_exchange->has_entries());
+}
+
+void scheduler_client::set_scope(policy::scheduling_scope scope)
+{
+    const std::lock_guard lock(m_mutex);
+    m_scope = scope;
+}
+
+policy::scheduling_scope scheduler_client::scope() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_scope;
+}
+
+std::uint32_t scheduler_client::preferred_share(time_point now) const
+{
+    const auto candidates = m_schedulers.candidates(std::string(), now);
+    return candidates.empty() ? 0 : candidates.front().processor_share;
+}
+
 std::vector<report_target> scheduler_client::report_targets(time_point now) const
 {
     std::vector<report_target> targets;
     const std::string own_scheduler = scheduler(now);
-    if (!own_scheduler.empty() && own_scheduler != m_own_address) {
-        targets.push_back({own_scheduler, false});
+    // The schedulers up to the one in use: a connection to those before it is still to be made.
+    const auto order = m_exchange ? schedulers_in_order(now) : std::vector<node::scheduler_candidate>();
+    const bool deployment = scope() == policy::scheduling_scope::deployment;
+    const std::size_t most = std::min(order.size(), deployment ? reported_schedulers : 1);
+    for (std::size_t i = 0; i < most && order[i].address != m_own_address; ++i) {
+        targets.push_back({order[i].address, false});
+        if (m_exchange->connection_to(order[i].address)) {
+            break;
+        }
     }
-    // An entry to which others report acts as a scheduler, whatever the control members list.
-    if (own_scheduler != m_own_address && !(m_exchange && m_exchange->has_reporters(m_own_domain))) {
+    if (!acts_as_scheduler(now)) {
         return targets;
     }
     std::set<std::string> seen{m_own_domain};
     for (const node::scheduler_candidate& value : usable_candidates(std::string(), now)) {
-        if (seen.insert(value.failure_domain).second) {
+        if (!seen.insert(value.failure_domain).second) {
+            continue;
+        }
+        const auto known = std::find_if(targets.begin(), targets.end(), [&value](const auto& target) {
+            return target.address == value.address;
+        });
+        if (known == targets.end()) {
             targets.push_back({value.address, true});
+        } else {
+            known->as_scheduler = true;
         }
     }
     return targets;
@@ -133,8 +202,7 @@
     std::set<std::string> unknown;
     for (const node::scheduler_candidate& value : m_schedulers.candidates(std::string(), now)) {
         domains.insert(value.failure_domain);
-        const bool known = m_exchange && m_exchange->has_scheduler_of(value.failure_domain);
-        if (value.failure_domain != m_own_domain && !known) {
+        if (value.failure_domain != m_own_domain && !knows_work_of(value.failure_domain, now)) {
             unknown.insert(value.failure_domain);
         }
     }
@@ -148,22 +216,69 @@
         m_known_entries = entries == 0 ? m_known_entries : entries;
     }
     m_fleet.set_unknown_domains(std::move(unknown));
-    m_fleet.set_limit_shares(limit_shares());
-    m_fleet.set_scheduling(!m_exchange || schedules(now) || m_exchange->has_reporters(m_own_domain), now);
+    m_fleet.set_limit_shares(limit_shares(now));
+    m_fleet.set_scheduling(!m_exchange || acts_as_scheduler(now), now);
+    const bool sole = scope() == policy::scheduling_scope::deployment && m_exchange && schedules(now) &&
+                      !m_exchange->has_schedulers();
+    m_fleet.set_sole_scheduler(sole);
+    log_scheduler(now);
+}
+
+void scheduler_client::log_scheduler(time_point now)
+{
+    const std::string address = scheduler(now);
+    const std::string scope_name = policy::to_string(scope());
+    const std::string line = address.empty() ? std::string() : address + ' ' + scope_name;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (line == m_logged_scheduler) {
+            return;
+        }
+        m_logged_scheduler = line;
+    }
+    if (!address.empty()) {
+        event_log::write(event::dependencyT{{}, "scheduler " + address, "in_use", "scope " + scope_name});
+    }
+}
+
+// The scheduler of the deployment hears the entries of a domain themselves, and the other schedulers hear all
+// work from it.
+bool scheduler_client::knows_work_of(const std::string& failure_domain, time_point now) const
+{
+    if (!m_exchange) {
+        return false;
+    }
+    if (m_exchange->has_scheduler_of(failure_domain)) {
+        return true;
+    }
+    if (scope() == policy::scheduling_scope::domain) {
+        return false;
+    }
+    if (m_exchange->has_reporter_of(failure_domain)) {
+        return true;
+    }
+    const auto listed = m_schedulers.candidates(std::string(), now);
+    return !listed.empty() && listed.front().failure_domain != m_own_domain &&
+           m_exchange->has_scheduler_of(listed.front().failure_domain);
 }
 
 // Without any list the latest one counts: entries that are cut off from the control members must not all take
 // themselves for the only one.
-policy::limit_shares scheduler_client::limit_shares() const
+policy::limit_shares scheduler_client::limit_shares(time_point now) const
 {
-    const std::lock_guard lock(m_mutex);
+    std::set<std::string> known_domains;
+    std::size_t known_entries = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        known_domains = m_known_domains;
+        known_entries = m_known_entries;
+    }
     double reporting = 1;
-    for (const std::string& domain : m_known_domains) {
-        const bool known = m_exchange && m_exchange->has_scheduler_of(domain);
-        reporting += domain != m_own_domain && known ? 1 : 0;
+    for (const std::string& domain : known_domains) {
+        reporting += domain != m_own_domain && knows_work_of(domain, now) ? 1 : 0;
     }
-    const auto domains = static_cast<double>(std::max<std::size_t>(m_known_domains.size(), 1));
-    const auto entries = static_cast<double>(std::max<std::size_t>(m_known_entries, 1));
+    const auto domains = static_cast<double>(std::max<std::size_t>(known_domains.size(), 1));
+    const auto entries = static_cast<double>(std::max<std::size_t>(known_entries, 1));
     policy::limit_shares shares;
     shares.scheduled = shared_limit_fraction * reporting / domains;
     shares.alone = (1 - shared_limit_fraction) / entries;
--- a/src/forward/scheduler_client.h
+++ b/src/forward/scheduler_client.h
@@ -3,6 +3,7 @@
 #include "forward/dispatch_wait.h"
 #include "forward/load_exchange.h"
 #include "node/scheduler_list.h"
+#include "policy/scheduling_scope.h"
 
 namespace verbena::forward {
 
@@ -27,7 +28,9 @@
 // the messages for a request do not grow with the number of entries. The scheduler is the preferred candidate
 // that answers; the state is rebuilt from the reports of the entries when it changes. A scheduler only
 // advises: an entry checks each choice against what it knows itself, and chooses alone, with the knowledge of
-// its own work only, when no scheduler answers in time.
+// its own work only, when no scheduler answers in time. With policy::scheduling_scope::deployment the
+// preferred candidate of all domains chooses for all entries, and the schedulers of the other domains hear
+// its work.
 class scheduler_client : public report_target_source {
 public:
     scheduler_client(const node::scheduler_list& schedulers, std::string own_address, std::string own_domain,
@@ -50,13 +53,26 @@
     // intervals.
     void refresh(time_point now);
 
-    // Whether this entry schedules the requests of its failure domain.
+    // Sets whose scheduler this entry asks.
+    void set_scope(policy::scheduling_scope scope);
+    policy::scheduling_scope scope() const;
+
+    // Whether this entry schedules the requests of its failure domain or of all.
     bool schedules(time_point now) const;
 
+    // Processor time of the candidate that is preferred of all, in thousandths of a core; 0 = not known.
+    std::uint32_t preferred_share(time_point now) const;
+
 private:
     std::string scheduler(time_point now) const;
+    // The schedulers that this entry would ask, in this order, without those that have just failed.
+    std::vector<node::scheduler_candidate> schedulers_in_order(time_point now) const;
+    // Whether this entry knows the work of another failure domain.
+    bool knows_work_of(const std::string& failure_domain, time_point now) const;
+    bool acts_as_scheduler(time_point now) const;
+    void log_scheduler(time_point now);
     // This entry's part of the limits of endpoints.
-    policy::limit_shares limit_shares() const;
+    policy::limit_shares limit_shares(time_point now) const;
     // The entries that control members list, or have listed last.
     std::size_t known_entries(time_point now) const;
     std::vector<node::scheduler_candidate> usable_candidates(const std::string& domain, time_point now) const;
@@ -74,6 +90,8 @@
     std::map<std::string, time_point> m_suspected_until;
     std::set<std::string> m_known_domains; // with entries, from the latest list, and the own one
     std::size_t m_known_entries = 0;       // from the latest list
+    policy::scheduling_scope m_scope = policy::scheduling_scope::domain;
+    std::string m_logged_scheduler;
 };
 
 } // namespace verbena::forward
--- a/src/forward/scheduler_service.cpp
+++ b/src/forward/scheduler_service.cpp
@@ -44,7 +44,7 @@
 }
 
 net::task<void> scheduler_service::on_request(std::shared_ptr<net::frame_stream> stream,
-                                              net::received_frame message)
+                                              net::received_frame message, std::string from)
 {
     const net::stream_guard guard(stream);
     const wire::placement_request* ask = message.frame->message_as_placement_request();
@@ -56,6 +56,7 @@
         co_return;
     }
     dispatch_request request = to_request(*ask, *service);
+    request.failure_domain = std::move(from);
     const policy::work_key key = *request.key;
     auto observer = std::make_shared<remote_wait>(stream);
     const dispatch_result found = co_await dispatch_with_wait(
--- a/src/forward/scheduler_service.h
+++ b/src/forward/scheduler_service.h
@@ -6,7 +6,7 @@
 
 namespace verbena::forward {
 
-// Chooses endpoints for the entries of this failure domain; see scheduler_client.
+// Chooses endpoints for the entries that report to this one; see scheduler_client.
 class scheduler_service : public placement_handler, public std::enable_shared_from_this<scheduler_service> {
 public:
     // Returns the routing table in force.
@@ -14,8 +14,8 @@
 
     scheduler_service(fleet& endpoints, rules_source rules);
 
-    net::task<void> on_request(std::shared_ptr<net::frame_stream> stream,
-                               net::received_frame message) override;
+    net::task<void> on_request(std::shared_ptr<net::frame_stream> stream, net::received_frame message,
+                               std::string from) override;
     void on_backlog_query(const std::shared_ptr<net::frame_stream>& stream,
                           const wire::backlog_query& query) override;
 
--- a/src/node/scheduler_list.cpp
+++ b/src/node/scheduler_list.cpp
@@ -18,6 +18,34 @@
                                                   : a.address < b.address;
 }
 
+std::vector<scheduler_candidate> deployment_order(std::vector<scheduler_candidate> candidates,
+                                                  const std::string& own_domain)
+{
+    if (candidates.empty()) {
+        return {};
+    }
+    std::vector<scheduler_candidate> order{std::move(candidates.front())};
+    std::map<std::string, std::vector<scheduler_candidate>> by_domain;
+    std::vector<std::string> domains{own_domain};
+    for (std::size_t i = 1; i < candidates.size(); ++i) {
+        const std::string domain = candidates[i].failure_domain;
+        if (std::find(domains.begin(), domains.end(), domain) == domains.end()) {
+            domains.push_back(domain);
+        }
+        by_domain[domain].push_back(std::move(candidates[i]));
+    }
+    const std::size_t count = candidates.size();
+    for (std::size_t round = 0; order.size() < count; ++round) {
+        for (const std::string& domain : domains) {
+            std::vector<scheduler_candidate>& found = by_domain[domain];
+            if (round < found.size()) {
+                order.push_back(std::move(found[round]));
+            }
+        }
+    }
+    return order;
+}
+
 std::uint64_t digest_of(const std::vector<scheduler_candidate>& candidates)
 {
     std::string text;
--- a/src/node/scheduler_list.h
+++ b/src/node/scheduler_list.h
@@ -21,6 +21,13 @@
 // so that all processes that know the same candidates agree.
 bool is_preferred(const scheduler_candidate& a, const scheduler_candidate& b);
 
+// The order in which an entry of the failure domain asks schedulers when one of them schedules all domains:
+// the preferred one of all, then domain by domain, beginning with the own one. Neighbours lie in different
+// domains as long as there are several, so that a lost domain costs one timeout. `candidates` holds the
+// preferred ones first.
+std::vector<scheduler_candidate> deployment_order(std::vector<scheduler_candidate> candidates,
+                                                  const std::string& own_domain);
+
 // Candidates as the control members list them. Each member lists the candidates that poll it, and a process
 // uses those of all members. Thread-safe; its mutex is held alone.
 class scheduler_list {
--- a/test/forward_even_load_test.cpp
+++ b/test/forward_even_load_test.cpp
@@ -23,18 +23,22 @@
         model.engine->usual_prompt_tokens = 11'702;
         model.engine->usual_answer_tokens = 1'310;
         model.engine->domain_delay = 3'400us;
+        add("e", "b", 1);
+    }
+
+    void add(const std::string& name, const std::string& domain, std::uint16_t port)
+    {
         wire::announcementT value;
-        value.endpoint = "e";
-        value.address = "127.0.0.1:1";
-        value.failure_domain = "b";
+        value.endpoint = name;
+        value.address = "127.0.0.1:" + std::to_string(port);
+        value.failure_domain = domain;
         value.service = "model";
         value.born_ms = 1;
         value.slots = slots;
         fleet.on_endpoint(value.endpoint, &value);
     }
 
-    // Number of requests that the endpoint takes before the next one has to wait.
-    std::size_t fill()
+    forward::dispatch_request request() const
     {
         forward::dispatch_request request;
         request.service = &model;
@@ -43,8 +47,14 @@
         request.model.output_tokens = 1'368;
         request.model.objective = 10s;
         request.model.disconnect_after = 10s;
+        return request;
+    }
+
+    // Number of requests that the endpoint takes before the next one has to wait.
+    std::size_t fill()
+    {
         std::size_t count = 0;
-        while (count <= slots && fleet.dispatch(request, now).choice) {
+        while (count <= slots && fleet.dispatch(request(), now).choice) {
             ++count;
         }
         return count;
@@ -119,4 +129,54 @@
     BOOST_TEST(spread.sends_to_full == 0U);
 }
 
+// Load: entries of two domains fill all slots of the endpoints of both. Guards against slots that the one
+// scheduler of all domains leaves free for others, while it sends requests to full endpoints.
+BOOST_AUTO_TEST_CASE(one_scheduler_fills_the_endpoints_of_all_domains)
+{
+    lone_endpoint service;
+    service.fleet.set_placement_parts({});
+    service.add("e2", "a", 2);
+    const auto fill = [&service](std::size_t count) {
+        for (std::size_t i = 0; i < count; ++i) {
+            forward::dispatch_request request = service.request();
+            request.failure_domain = i % 2 == 0 ? "a" : "b";
+            BOOST_TEST(service.fleet.dispatch(request, service.now).choice.has_value());
+        }
+    };
+    service.fleet.set_sole_scheduler(true);
+    fill(std::size_t{slots} * 2);
+    const forward::load_spread spread = service.fleet.summarize_load(service.now);
+    BOOST_TEST(spread.sends == std::size_t{slots} * 2);
+    BOOST_TEST(spread.sends_to_full == 0U);
+    BOOST_TEST(spread.over == 0U);
+}
+
+// The endpoint in the domain of the entry that asks is preferred, not the one beside the scheduler.
+BOOST_AUTO_TEST_CASE(prefers_the_domain_of_the_entry)
+{
+    lone_endpoint service;
+    service.add("e2", "a", 2);
+    for (const auto& [domain, endpoint] : {std::pair("a", "e2"), std::pair("b", "e"), std::pair("", "e2")}) {
+        forward::dispatch_request request = service.request();
+        request.failure_domain = domain;
+        const auto found = service.fleet.dispatch(request, service.now);
+        BOOST_TEST_REQUIRE(found.choice.has_value());
+        BOOST_TEST(found.choice->endpoints.front().name == endpoint);
+        service.fleet.record_end(found.choice->number, service.now);
+    }
+}
+
+// Guards against a scheduler that fills the endpoints of other domains while another process chooses too.
+BOOST_AUTO_TEST_CASE(leaves_slots_free_while_others_choose)
+{
+    lone_endpoint service;
+    service.fleet.set_placement_parts({.slot_queue = true});
+    service.fleet.set_sole_scheduler(true);
+    service.hear_send(1);
+    const std::size_t taken = service.fill();
+    BOOST_TEST(taken == slots - 3U);
+    service.now += 1s;
+    BOOST_TEST(taken + service.fill() == slots);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/forward_scheduler_test.cpp
+++ b/test/forward_scheduler_test.cpp
@@ -26,7 +26,8 @@
 // A scheduler that never replies, like a process that is suspended.
 class silent_handler : public forward::placement_handler {
 public:
-    net::task<void> on_request(std::shared_ptr<net::frame_stream> stream, net::received_frame) override
+    net::task<void> on_request(std::shared_ptr<net::frame_stream> stream, net::received_frame,
+                               std::string) override
     {
         const result<net::received_frame> end = co_await stream->receive();
         (void)end;
@@ -34,7 +35,8 @@
     void on_backlog_query(const std::shared_ptr<net::frame_stream>&, const wire::backlog_query&) override {}
 };
 
-// One entry of failure domain "a": fleet, exchange and client, as forward_service connects them.
+// One entry, of failure domain "a" if no other is named: fleet, exchange and client, as forward_service
+// connects them.
 struct entry_process {
     forward::fleet fleet;
     node::config_view config{4'000ms};
@@ -43,8 +45,9 @@
     std::shared_ptr<forward::load_exchange> exchange;
     std::shared_ptr<const route::table> rules;
 
-    entry_process(net_threads& threads, incarnation self, std::uint16_t port, bool silent = false)
-        : fleet(self, document_domain, 1.0, [this](wire::dispatch_noteT note) {
+    entry_process(net_threads& threads, incarnation self, std::uint16_t port, bool silent = false,
+                  const std::string& domain = document_domain)
+        : fleet(self, domain, 1.0, [this](wire::dispatch_noteT note) {
               if (exchange) {
                   exchange->add(std::move(note));
               }
@@ -65,10 +68,10 @@
         document.services.push_back(model);
         rules = route::table::create(std::move(document)).value();
         const std::string address = "127.0.0.1:" + std::to_string(port);
-        client = std::make_unique<forward::scheduler_client>(schedulers, address, document_domain, fleet);
+        client = std::make_unique<forward::scheduler_client>(schedulers, address, domain, fleet);
         forward::load_exchange::options options;
         options.listen = {"127.0.0.1", port};
-        options.failure_domain = document_domain;
+        options.failure_domain = domain;
         options.connections.self =
             net::peer_info{wire::role::entry, "entry-" + std::to_string(self), "c", self};
         std::shared_ptr<forward::placement_handler> handler;
@@ -96,7 +99,9 @@
         for (std::size_t i = 0; i < addresses.size(); ++i) {
             reply.schedulers.push_back(std::make_unique<wire::scheduler_candidateT>());
             reply.schedulers.back()->address = addresses[i];
-            reply.schedulers.back()->failure_domain = document_domain;
+            const auto domain = domains.find(addresses[i]);
+            reply.schedulers.back()->failure_domain =
+                domain == domains.end() ? document_domain : domain->second;
             reply.schedulers.back()->processor_share = static_cast<std::uint32_t>(1'000 - i);
         }
         flatbuffers::FlatBufferBuilder builder;
@@ -129,6 +134,7 @@
     }
 
     std::uint64_t digest = 0;
+    std::map<std::string, std::string> domains; // of addresses that list() lists; "a" for others
 };
 
 // Keeps an object until the test program exits. Suspended coroutines refer to the objects and to each other,
@@ -235,6 +241,43 @@
     BOOST_TEST(result.chosen_by == "self");
 }
 
+// Two failure domains with one scheduler: an entry asks that of the other domain, whose work the own domain's
+// candidate hears. Guards against a takeover that begins with an empty picture, and against entries that
+// choose alone then.
+BOOST_AUTO_TEST_CASE(another_domain_takes_over_the_scheduling_of_a_deployment)
+{
+    auto& threads = keep<net_threads>(1);
+    const std::uint16_t first_port = free_port();
+    const std::uint16_t second_port = free_port();
+    const std::string first_address = "127.0.0.1:" + std::to_string(first_port);
+    const std::string second_address = "127.0.0.1:" + std::to_string(second_port);
+    auto& first = keep<entry_process>(threads, 11, first_port);
+    auto& second = keep<entry_process>(threads, 12, second_port, false, "b");
+    for (entry_process* entry : {&first, &second}) {
+        entry->domains[second_address] = "b";
+        entry->client->set_scope(policy::scheduling_scope::deployment);
+        entry->list({first_address, second_address});
+        entry->exchange->start();
+    }
+    BOOST_TEST(eventually([&] {
+        return second.exchange->connection_to(first_address) && first.exchange->connection_to(second_address);
+    }));
+    BOOST_TEST(eventually([&] { return !second.client->schedules(clock::now()); }));
+    const forward::dispatch_result found = second.choose(threads);
+    BOOST_TEST_REQUIRE(found.choice.has_value());
+    BOOST_TEST(found.chosen_by == first_address);
+    const forward::dispatch_result own = first.choose(threads);
+    BOOST_TEST_REQUIRE(own.choice.has_value());
+    BOOST_TEST(own.chosen_by == "self");
+    BOOST_TEST(eventually([&] { return second.fleet.notes_of({11, own.choice->number}).size() == 1U; }));
+    // The connection fails while the first one goes on reporting.
+    second.client->on_unreachable(first_address, "the link has failed");
+    BOOST_TEST(second.client->schedules(clock::now()));
+    BOOST_TEST(second.choose(threads).chosen_by == "self");
+    BOOST_TEST(second.fleet.notes_of({11, own.choice->number}).size() == 1U);
+    threads.stop();
+}
+
 // A scheduler that does not answer, such as a suspended process, holds up a request for a moment only.
 BOOST_AUTO_TEST_CASE(chooses_alone_when_the_scheduler_is_silent)
 {
--- a/test/node_scheduler_list_test.cpp
+++ b/test/node_scheduler_list_test.cpp
@@ -50,6 +50,26 @@
     BOOST_TEST(list.digest_of("m2") == 6U);
 }
 
+// Guards against entries that wait for several candidates of a lost failure domain in a row, and against some
+// that ask another domain first although the preferred one of all answers.
+BOOST_AUTO_TEST_CASE(orders_the_schedulers_of_a_deployment_by_domain)
+{
+    const std::vector<node::scheduler_candidate> listed{
+        {"1", "a", 320}, {"2", "a", 320}, {"3", "b", 320}, {"4", "b", 320}, {"5", "c", 90}};
+    const auto order = [&listed](const std::string& domain) {
+        std::string text;
+        for (const node::scheduler_candidate& value : node::deployment_order(listed, domain)) {
+            text += value.address;
+        }
+        return text;
+    };
+    BOOST_TEST(order("a") == "12354");
+    BOOST_TEST(order("b") == "13254");
+    BOOST_TEST(order("c") == "15234");
+    BOOST_TEST(order("d") == "12354");
+    BOOST_TEST(node::deployment_order({}, "a").empty());
+}
+
 // A reply without a list means that the list is unchanged; the list of a silent member is dropped.
 BOOST_AUTO_TEST_CASE(keeps_a_list_while_its_member_replies)
 {
