--- a/src/forward/forward_service.cpp
+++ b/src/forward/forward_service.cpp
@@ -44,6 +44,9 @@
 // control member has first sent a list. The connection between two entries is made within 100 ms.
 constexpr milliseconds crash_records_time{1'500};
 
+// Entries that lose the scheduler of the deployment report to another one within this time.
+constexpr milliseconds takeover_time{500};
+
 // Longest time that a caller is kept waiting when neither the route nor the caller bounds it.
 constexpr milliseconds max_wait{3'600'000};
 
@@ -155,6 +158,8 @@
         BOOST_OUTCOME_TRY(load_options.listen, parse_host_port(m_settings.peer_listen));
         load_options.failure_domain = m_process.settings().failure_domain;
         load_options.connections = connections;
+        load_options.takeover_time =
+            m_settings.even_load == "deployment" ? takeover_time : milliseconds::zero();
         auto placements = std::make_shared<scheduler_service>(m_fleet, [this] { return update_rules(); });
         BOOST_OUTCOME_TRY(m_load_exchange,
                           load_exchange::create(m_process.io(), std::move(load_options), m_fleet, m_config,
--- a/src/forward/load_exchange.cpp
+++ b/src/forward/load_exchange.cpp
@@ -16,10 +16,6 @@
 constexpr milliseconds connect_interval{100};
 constexpr milliseconds connect_timeout{500};
 
-// The work that a lost scheduler has reported counts for this long: meanwhile its entries, which are not
-// lost, report it to other schedulers.
-constexpr milliseconds takeover_time{500};
-
 // Maximum number of notes in one frame; a frame holds 256 KiB.
 constexpr std::size_t max_notes = 1'000;
 
@@ -433,8 +429,8 @@
             m_reporters.erase(found);
         }
     }
-    if (last && scheduled) {
-        co_await net::sleep_for(takeover_time);
+    if (last && scheduled && m_options.takeover_time > milliseconds::zero()) {
+        co_await net::sleep_for(m_options.takeover_time);
     }
     // A newer stream of the same entry has replaced its work already.
     if (last && !domain_of(entry)) {
--- a/src/forward/load_exchange.h
+++ b/src/forward/load_exchange.h
@@ -56,6 +56,9 @@
         host_port listen;
         std::string failure_domain;
         net::connection_options connections;
+        // The work that a lost scheduler has reported counts for this long: meanwhile its entries, which are
+        // not lost, report it to other schedulers.
+        milliseconds takeover_time{};
     };
 
     static result<std::shared_ptr<load_exchange>> create(net::asio::io_context& io, options settings,
