--- a/src/forward/load_exchange.cpp
+++ b/src/forward/load_exchange.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds connect_interval{100};
 constexpr milliseconds connect_timeout{500};
 
+// An entry that goes on is connected again within this time after a loss of its connection, unless its links are cut.
+constexpr milliseconds reconnect_time{1'500};
+
 // Maximum number of notes in one frame; a frame holds 256 KiB.
 constexpr std::size_t max_notes = 1'000;
 
@@ -412,9 +415,19 @@
         }
     }
     // A newer stream of the same entry has replaced its work already.
-    if (last) {
-        m_fleet.remove_entry(entry, clock::now());
+    if (!last) {
+        co_return;
+    }
+    // Requests of an entry that has lost its connection go on at their endpoints, and it reports them again as soon as
+    // it is connected. Without them the endpoints would look free, and be overrun, in the meantime.
+    co_await net::sleep_for(reconnect_time);
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_reporters.contains(entry)) {
+            co_return;
+        }
     }
+    m_fleet.remove_entry(entry, clock::now());
 }
 
 } // namespace verbena::forward
