--- a/test/forward_scheduler_test.cpp
+++ b/test/forward_scheduler_test.cpp
@@ -136,7 +136,7 @@
         request.model.value = 1;
         request.attempt = wire::attempt_kind::repeat_silent;
         request.recent = {100, 0};
-        const auto found = threads.run<forward::dispatch_result>([this, request] {
+        auto found = threads.run<forward::dispatch_result>([this, request] {
             return client->choose(request, 300ms, std::make_shared<forward::choice_call>());
         });
         if (found.choice) {
