--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, ".."))
 from harness_2 import BOUNDS, CaseError, Consumers, Machine, Runner, await_ready, configuration, final_fault_rules, \
-    leader_of, operate, run_case  # noqa: E402
+    leader_of, operate, record_traffic, run_case  # noqa: E402
 
 SIGTERM_AT_S = float(os.environ.get("SIGTERM_AT", "2.0"))  # after the start of the new machine; the site's largest x of replace_core
 FAULT_AT_S = float(os.environ.get("FAULT_AT", "4.15"))  # later than catchup_s after that start
@@ -27,8 +27,9 @@
 
 
 async def play(deployment, record, trouble):
-    for number, zone in ((50, "a"), (51, "b")):
-        await Runner(deployment, number, zone).start()
+    runners = [Runner(deployment, number, zone) for number, zone in ((50, "a"), (51, "b"))]
+    for runner in runners:
+        await runner.start()
     if (await operate(deployment, "POST", "/verbenaproxy/Config.Put", configuration(1), limit=15))[0] != 200:
         raise CaseError("the first configuration was not acknowledged")
     await await_ready(deployment)
@@ -74,8 +75,7 @@
     await asyncio.sleep(4.6)
     if trouble:
         await stopping
-    for sent, request, path, answer in sorted(consumers.answers):
-        record.line("%s %s answered %d" % (request, path, answer), at=sent)
+    record_traffic(record, consumers, runners)
     return final_fault_rules(record, consumers.answers, fault_at, back_at, 3, read_back)
 
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10. They are Python scripts that need the standard library only, so nothing is
+# Builds the stand-ins of the cases 6 to 8. They are Python scripts that need the standard library only, so nothing is
 # compiled; this checks that the interpreter can read them and that the build of the deploy file is there.
 set -euo pipefail
 cd "$(dirname "$0")"
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -1,4 +1,4 @@
-"""A small deployment for the cases 6 to 10: control and entry processes with the settings templates of deploy/, stand-in
+"""A small deployment for the cases 6 to 8: control and entry processes with the settings templates of deploy/, stand-in
 runners, an operator and consumers, all on loopback addresses. Only Python's standard library is used."""
 
 import asyncio
@@ -8,6 +8,7 @@
 import re
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -99,12 +100,25 @@
             raise CaseError("target/verbenaproxy is missing: run the build of deploy/system.toml")
         self.folder = tempfile.mkdtemp(prefix="verbena-review-")
         draw = random.SystemRandom()
-        self.network = "127.%d.%d" % (draw.randint(20, 120), draw.randint(1, 250))
-        self.port = draw.randint(11000, 29000)  # below the range of outgoing connections
+        while True:
+            self.network = "127.%d.%d" % (draw.randint(20, 120), draw.randint(1, 250))
+            self.port = draw.randint(11000, 29000)  # below the range of outgoing connections
+            if self.is_free():
+                break
         self.started = []
         self.machines = [Machine(self, i + 1, "abc"[i % 3], True) for i in range(machines)]
         self.seeds = [self.control_of(machine) for machine in self.machines[:3]]
 
+    def is_free(self):
+        """Whether no other process listens on the ports of the first machines and runners."""
+        for number, offset in [(n, o) for n in (1, 2, 3, 10) for o in (1, 2, 3, 10, 11)] + [(50, 20), (51, 20), (101, 10)]:
+            with socket.socket() as probe:
+                try:
+                    probe.bind((self.address(number), self.port + offset))
+                except OSError:
+                    return False
+        return True
+
     def address(self, number):
         return "%s.%d" % (self.network, number)
 
@@ -232,7 +246,7 @@
         self.id = "i-%08x" % random.getrandbits(32)
         self.born = int(time.time() * 1000)
         self.sequence = 0
-        self.runs = []  # (id, method, path, body)
+        self.runs = []  # (time, id, method, path, body)
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, self.port)
@@ -272,7 +286,7 @@
         if headers.get("expect-runner", self.id) != self.id:
             return ("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
                     % request).encode()
-        self.runs.append((request, method, path, body))
+        self.runs.append((time.time(), request, method, path, body))
         await asyncio.sleep(self.work_s)
         text = ("done " + request).encode()
         return ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nRunner-Seal: s.%s\r\nContent-Length: %d\r\n\r\n"
@@ -320,6 +334,15 @@
         print("%8.3f  %s" % ((at or time.time()) - self.begin, text), file=self.file, flush=True)
 
 
+def record_traffic(record, consumers, runners):
+    """Writes what was sent, answered and run, in the order of time."""
+    lines = [(sent, "%s %s sent, answered %d" % (request, path, status)) for sent, request, path, status in consumers.answers]
+    lines += [(at, "%s %s %s runs at %s" % (request, method, path, runner.id))
+              for runner in runners for at, request, method, path, _ in runner.runs]
+    for at, text in sorted(lines):
+        record.line(text, at=at)
+
+
 def final_fault_rules(record, answers, fault_at, back_at, version, read_back):
     """Checks RECOVER and the read-back of CONFIG after a final fault. Returns whether both held."""
     before = [status for sent, _, _, status in answers if sent < fault_at]
