Do not take a reset for the end of an answer without a length

What callers saw: an endpoint answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was still being written. Callers got the part as a complete answer.

Cause: the kernel reports a reset to one operation only. The pending write of the request took the report, and endpoint_call ignored how the write ended. The read that followed returned the bytes that had arrived and then the end of the stream, which ends an answer without a length. The question whether the endpoint still runs is answered with yes, rightly.

Change: before an answer ends with its connection, endpoint_call closes the socket, waits for the end of the write, and fails if the write has failed. The socket is closed first, so the write ends at once, and an error that the kernel has already reported to it is kept. A broken pipe is no such failure: that is the error of a write after the endpoint has closed the connection in order, also if a reset follows. Answers that state their end are not affected.

--- a/src/forward/endpoint_call.cpp
+++ b/src/forward/endpoint_call.cpp
@@ -27,10 +27,20 @@
 constexpr milliseconds unread_data_time{10};
 constexpr int max_unread_waits = 10;
 
+// Whether a write of the request has failed because the connection was lost. The kernel reports a reset to
+// one operation only, so a read that follows sees a connection that was closed. A write to a connection that
+// the endpoint has closed before fails with a broken pipe, also after a reset.
+bool is_connection_failure(const error_code& write_failure)
+{
+    return write_failure && write_failure != net::asio::error::broken_pipe &&
+           write_failure != net::asio::error::operation_aborted &&
+           write_failure != net::asio::error::bad_descriptor;
+}
+
 } // namespace
 
 endpoint_call::endpoint_call(const net::asio::any_io_executor& executor)
-    : m_socket(executor), m_timer(executor)
+    : m_socket(executor), m_timer(executor), m_write_end(executor, time_point::max())
 {
 }
 
@@ -99,6 +109,7 @@
 
 void endpoint_call::send(std::string head, std::string body)
 {
+    m_writing = true;
     net::asio::co_spawn(m_socket.get_executor(), write(shared_from_this(), std::move(head), std::move(body)),
                         net::asio::detached);
 }
@@ -107,8 +118,20 @@
 {
     head += "\r\n";
     const std::array<net::asio::const_buffer, 2> parts{net::asio::buffer(head), net::asio::buffer(body)};
-    // The result is ignored: a failure shows when the answer is read.
-    co_await net::asio::async_write(self->m_socket, parts, no_throw);
+    auto [failure, size] = co_await net::asio::async_write(self->m_socket, parts, no_throw);
+    self->m_write_failure = failure;
+    self->m_writing = false;
+    self->m_write_end.cancel();
+}
+
+net::task<error_code> endpoint_call::end_write()
+{
+    error_code ignored;
+    m_socket.close(ignored);
+    while (m_writing) {
+        co_await m_write_end.async_wait(no_throw);
+    }
+    co_return m_write_failure;
 }
 
 net::task<result<answer_metadata>> endpoint_call::read_head(const protocol_adapter& protocol,
@@ -141,6 +164,12 @@
         chunk.resize(chunk.size() - m_parser->get().body().size);
     }
     disarm();
+    if (chunk.empty() && ends_with_connection()) {
+        const error_code failure = co_await end_write();
+        if (is_connection_failure(failure)) {
+            co_return net::io_error("send request", failure);
+        }
+    }
     co_return chunk;
 }
 
--- a/src/forward/endpoint_call.h
+++ b/src/forward/endpoint_call.h
@@ -31,7 +31,8 @@
                                                  deadline_extension extend = nullptr);
 
     // The next bytes of the body; empty when it is complete. An answer without a length is complete when the
-    // endpoint closes the connection cleanly.
+    // endpoint closes the connection cleanly; a reset that ends it is an error, whichever operation the
+    // kernel has reported it to.
     net::task<result<std::string>> read_some(time_point deadline, deadline_extension extend = nullptr);
 
     // Whether bytes of an answer have arrived.
@@ -45,12 +46,19 @@
 
 private:
     static net::task<void> write(std::shared_ptr<endpoint_call> self, std::string head, std::string body);
+
+    // Ends the write of the request, and returns how it ended.
+    net::task<net::error_code> end_write();
+
     void disarm();
     // `unread_waits`: how often the deadline was put off for data that had arrived.
     void arm(time_point deadline, deadline_extension extend = nullptr, int unread_waits = 0);
 
     net::tcp::socket m_socket;
     net::steady_timer m_timer;
+    net::steady_timer m_write_end; // cancelled when the write of the request has ended
+    bool m_writing = false;
+    net::error_code m_write_failure;
     bool m_expired = false;
     // Number of the current operation; identifies a timer handler that was already queued when it was
     // cancelled.
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "net/address.h"
 #include "net/http_client.h"
+#include "net/receive_buffer.h"
 #include "platform/names.h"
 
 #include <boost/asio/write.hpp>
@@ -293,6 +294,9 @@
         if (failure) {
             co_return;
         }
+        if (m_answers_early) {
+            net::set_receive_buffer(*socket, net::http_receive_buffer);
+        }
         {
             const std::lock_guard lock(m_mutex);
             m_open.insert(socket);
@@ -404,11 +408,19 @@
 {
     net::tcp::socket& socket = *open;
     boost::beast::flat_buffer buffer;
-    http::request<http::string_body> message;
-    auto [failure, size] = co_await http::async_read(socket, buffer, message, no_throw);
-    if (failure) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    auto [head_failure, head_size] = co_await http::async_read_header(socket, buffer, parser, no_throw);
+    if (head_failure) {
         co_return;
     }
+    if (!m_answers_early || parser.get().target() == names::order) {
+        auto [failure, size] = co_await http::async_read(socket, buffer, parser, no_throw);
+        if (failure) {
+            co_return;
+        }
+    }
+    const http::request<http::string_body>& message = parser.get();
     runner_request request;
     request.id = header_text(message, names::request_id);
     request.method = std::string(message.method_string());
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -150,6 +150,9 @@
     // id of the request.
     void set_head(std::string head, std::size_t bytes);
 
+    // Answers requests before it reads their bodies, of which the kernel then takes a part only.
+    void answer_early(bool early) { m_answers_early = early; }
+
     // Crashes under requests with a prompt part. The process is back after a while, with a new id.
     void set_crash(runner_crash crash);
 
@@ -216,6 +219,7 @@
     std::atomic<identity_calls> m_identity_calls{identity_calls::report_and_health};
     std::atomic<bool> m_keeps_id{false};
     std::atomic<bool> m_endless_orders{false};
+    std::atomic<bool> m_answers_early{false};
     std::atomic<int> m_refused_health_calls{0};
     std::atomic<std::size_t> m_probes{0};
     runner_fault m_resume_fault = runner_fault::none;
--- /dev/null
+++ b/test/platform_early_answer_test.cpp
@@ -0,0 +1,104 @@
+#include "platform/names.h"
+#include "platform_fixture.h"
+
+#include <boost/algorithm/string/replace.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+
+using namespace verbena;
+using namespace std::chrono_literals;
+using standin::runner_fault;
+
+namespace {
+
+// More than the kernel buffers for one connection whose receiver reads nothing: it sizes send buffers up to
+// 4 MB unless told otherwise.
+constexpr std::size_t upload = 8'000'000;
+
+constexpr std::array<const char*, 4> runner_ids{"model-a", "model-b", "desk-a", "desk-b"};
+constexpr std::array<const char*, 3> paths{"/once/1", "/safe/1", "/model/1"};
+
+const std::string head = " Status\r\nRequest-Id: ID\r\nRunner-Seal: s1.standin\r\nContent-Type: ";
+
+// A deployment that takes long uploads, and whose runners answer them before they read the body and then
+// reset the connection.
+struct early_fixture {
+    platform_deployment system;
+
+    early_fixture()
+    {
+        system.start_serving();
+        std::string configuration = platform_deployment::configuration(2);
+        boost::replace_first(configuration, R"("max_body_bytes":100000)", R"("max_body_bytes":10000000)");
+        BOOST_TEST_REQUIRE(eventually([&] {
+            return system.control("POST", std::string(platform::names::publish), configuration).status == 200;
+        }));
+        for (const char* path : paths) {
+            BOOST_TEST_REQUIRE(eventually([&] { return ask(path).status == 200; }));
+        }
+    }
+
+    platform_deployment::answer ask(const std::string& path)
+    {
+        platform_deployment::call spec;
+        spec.path = path;
+        spec.body = std::string(upload, 'x');
+        return system.request(spec);
+    }
+
+    // What a caller gets while all runners answer with this text.
+    platform_deployment::answer answer_to(const std::string& path, const std::string& text)
+    {
+        std::size_t runs = 0;
+        for (const char* id : runner_ids) {
+            runs += system.requests_at(id);
+            system.runner(id).set_head(text, std::string::npos);
+            system.runner(id).answer_early(true);
+            system.runner(id).set_faults(std::vector(3, runner_fault::cut_head_reset));
+        }
+        const platform_deployment::answer found = ask(path);
+        for (const char* id : runner_ids) {
+            runs -= system.requests_at(id);
+        }
+        BOOST_TEST(runs != 0U);
+        return found;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_early_answer)
+
+// Guards against a part of an answer without a length that reaches callers as the whole when its connection
+// is reset while the request is being written.
+BOOST_FIXTURE_TEST_CASE(early_answer_that_is_reset_is_not_whole, early_fixture)
+{
+    for (const std::string status : {"200", "404", "500"}) {
+        for (const std::string rest :
+             {"text/plain\r\n\r\na part of the answer", "text/event-stream\r\n\r\nid: 1\ndata: a\n\n"}) {
+            for (const std::string path : paths) {
+                const auto answer = answer_to(path, "HTTP/1.1 " + status + head + rest);
+                BOOST_TEST((answer.status == 502 || answer.status == 0),
+                           path << ", " << status << " " << rest << ": " << answer.status);
+            }
+        }
+    }
+}
+
+// Guards against answers that are lost because the rest of the request can't be written.
+BOOST_FIXTURE_TEST_CASE(early_answer_that_states_its_end_is_whole, early_fixture)
+{
+    for (const std::string rest :
+         {"text/plain\r\nContent-Length: 4\r\n\r\ntext",
+          "text/plain\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n",
+          "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"}) {
+        for (const std::string path : paths) {
+            const auto answer = answer_to(path, "HTTP/1.1 200" + head + rest);
+            BOOST_TEST(answer.status == 200U, path << ", " << rest << ": " << answer.failure);
+            BOOST_TEST((answer.body == "text" || answer.body == "id: 1\ndata: a\n\n"));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
