Test more statuses that end no request, on all kinds of answers

Nothing is changed for them: an answer with a status of 000 and the like was refused already. The lists of three suites become one, which has more statuses, statuses without a reason, and all kinds of answers: with a length, in chunks, with neither, as text and as events.

--- a/test/agent_heads_test.cpp
+++ b/test/agent_heads_test.cpp
@@ -1,3 +1,4 @@
+#include "broken_heads.h"
 #include "chat_fixture.h"
 #include "raw_engine.h"
 
@@ -104,11 +105,14 @@
 BOOST_AUTO_TEST_CASE(head_without_a_final_status_is_no_answer)
 {
     for_each_kind([](raw_deployment& system, request_kind kind) {
-        for (const char* status : {"000", "099", "100", "101", "600"}) {
-            BOOST_TEST_CONTEXT("status " << status)
-            {
-                check_unknown(system.ask(
-                    kind, {"HTTP/1.1 " + std::string(status) + " Odd\r\nContent-Length: 2\r\n\r\nno"}));
+        for (const std::string& status : broken_heads::statuses) {
+            for (const broken_heads::form& form : broken_heads::forms) {
+                const std::string answer =
+                    "HTTP/1.1 " + status + "\r\n" + form.type + form.framing + "\r\n" + form.body;
+                BOOST_TEST_CONTEXT(answer)
+                {
+                    check_unknown(system.ask(kind, {answer}));
+                }
             }
         }
     });
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -1,3 +1,4 @@
+#include "broken_heads.h"
 #include "net/http_client.h"
 #include "net_fixture.h"
 
@@ -112,8 +113,8 @@
 // Guards against an engine in trouble whose status is none, and that passes for an answer.
 BOOST_AUTO_TEST_CASE(head_without_a_final_status_is_no_answer)
 {
-    for (const char* status : {"000", "001", "099", "100", "101", "199", "600", "999"}) {
-        const std::string text = "HTTP/1.1 " + std::string(status) + " Odd\r\nContent-Length: 2\r\n\r\nno";
+    for (const std::string& status : broken_heads::statuses) {
+        const std::string text = "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nno";
         BOOST_TEST(status_from(text, 0, whole_request, false) == 0U, status);
     }
 }
--- a/test/platform_heads_test.cpp
+++ b/test/platform_heads_test.cpp
@@ -1,3 +1,4 @@
+#include "broken_heads.h"
 #include "platform_fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -17,6 +18,10 @@
     "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: ID\r\nRunner-Seal: "
     "s1.standin\r\n\r\n"};
 
+const std::string identity = "Request-Id: ID\r\nRunner-Seal: s1.standin\r\n";
+
+constexpr std::array<const char*, 3> paths{"/once/1", "/safe/1", "/model/1"};
+
 struct heads_fixture {
     platform_deployment system;
 
@@ -88,13 +93,14 @@
 // Guards against an endpoint in trouble whose status is none, and that reaches callers as an answer.
 BOOST_FIXTURE_TEST_CASE(head_without_a_final_status_is_no_answer, heads_fixture)
 {
-    for (const char* status : {"000", "001", "099", "100", "101", "199", "600", "999"}) {
-        const std::string head =
-            "HTTP/1.1 " + std::string(status) +
-            " Odd\r\nRequest-Id: ID\r\nRunner-Seal: s1.standin\r\nContent-Length: 2\r\n\r\nno";
-        for (const std::string path : {"/once/1", "/safe/1", "/model/1"}) {
-            BOOST_TEST(status_of(path, head, std::string::npos, runner_fault::cut_head) == 502U,
-                       path << ", status " << status);
+    for (const std::string& status : broken_heads::statuses) {
+        for (const broken_heads::form& form : broken_heads::forms) {
+            const std::string head =
+                "HTTP/1.1 " + status + "\r\n" + identity + form.type + form.framing + "\r\n" + form.body;
+            for (const std::string path : paths) {
+                BOOST_TEST(status_of(path, head, std::string::npos, runner_fault::cut_head) == 502U,
+                           path << ", " << head);
+            }
         }
     }
 }
