--- a/src/forward/endpoint_call.cpp
+++ b/src/forward/endpoint_call.cpp
@@ -5,6 +5,7 @@
 #include "net/receive_buffer.h"
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
 
 #include <array>
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
 
 #include <algorithm>
 
--- a/test/agent_heads_test.cpp
+++ b/test/agent_heads_test.cpp
@@ -84,6 +84,18 @@
     }
 }
 
+void check_no_answers(const std::vector<std::string>& answers)
+{
+    for_each_kind([&](raw_deployment& system, request_kind kind) {
+        for (const std::string& answer : answers) {
+            BOOST_TEST_CONTEXT(answer)
+            {
+                check_unknown(system.ask(kind, {answer}));
+            }
+        }
+    });
+}
+
 std::string repeated(const std::string& text, int count)
 {
     std::string all;
@@ -118,6 +130,12 @@
     });
 }
 
+// Guards against an engine in trouble whose field names are none, and that reaches callers as an answer.
+BOOST_AUTO_TEST_CASE(head_with_a_broken_field_name_is_no_answer)
+{
+    check_no_answers(broken_heads::answers_with_lines(""));
+}
+
 // Guards against an interim head that is taken for the answer.
 BOOST_AUTO_TEST_CASE(interim_heads_are_skipped)
 {
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -119,6 +119,14 @@
     }
 }
 
+// Guards against a peer in trouble whose field names are none, and that passes for an answer.
+BOOST_AUTO_TEST_CASE(head_with_a_broken_field_name_is_no_answer)
+{
+    for (const std::string& answer : broken_heads::answers_with_lines("")) {
+        BOOST_TEST(status_from(answer, 0, whole_request, false) == 0U, answer);
+    }
+}
+
 // Guards against an interim head that is taken for the answer.
 BOOST_AUTO_TEST_CASE(interim_head_is_skipped)
 {
--- a/test/platform_heads_test.cpp
+++ b/test/platform_heads_test.cpp
@@ -105,6 +105,18 @@
     }
 }
 
+// Guards against an endpoint in trouble whose field names are none, and that reaches callers as an answer: a
+// line that begins with a blank continues the field before it.
+BOOST_FIXTURE_TEST_CASE(head_with_a_broken_field_name_is_no_answer, heads_fixture)
+{
+    for (const std::string& answer : broken_heads::answers_with_lines(identity)) {
+        for (const std::string path : paths) {
+            BOOST_TEST(status_of(path, answer, std::string::npos, runner_fault::cut_head) == 502U,
+                       path << ", " << answer);
+        }
+    }
+}
+
 // Guards against an interim head that is taken for the answer, and against interim heads without end.
 BOOST_FIXTURE_TEST_CASE(interim_heads_are_skipped_up_to_a_bound, heads_fixture)
 {
