Refuse answers with a transfer coding other than chunked

What callers saw: answers with `Transfer-Encoding: gzip`, `identity` or `chunked, gzip` were delivered as complete, with and without a length. The head was passed on without the coding, the body as it was, or as much of it as the length said.

Cause: Beast ignores codings that it does not know. Nobody here asks for one or removes one, and where `chunked` does not stand last a length does not tell the end of the body (RFC 9112, 6.3).

Change: read_answer_head() refuses a head with a transfer coding that is not `chunked` alone, for all who read answers over HTTP.

--- a/src/net/answer_head.cpp
+++ b/src/net/answer_head.cpp
@@ -1,6 +1,9 @@
 #include "net/answer_head.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 
 namespace verbena::net {
@@ -23,6 +26,15 @@
     return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
 }
 
+// Whether the body is transferred as it is or in chunks. Callers ask for no other coding and nobody here
+// removes one, and where `chunked` does not stand last, a length does not tell the end of the body (RFC 9112,
+// 6.3). Beast ignores other codings.
+bool has_known_coding(const http::fields& fields)
+{
+    const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
+    return first == last || (std::next(first) == last && boost::beast::iequals(first->value(), "chunked"));
+}
+
 } // namespace
 
 std::size_t find_head_size(const boost::beast::flat_buffer& buffer, std::size_t searched)
@@ -40,6 +52,9 @@
     }
     error_code failure;
     buffer.consume(parser.put(buffer.data(), failure));
+    if (!failure && !has_known_coding(parser.get().base())) {
+        failure = http::error::bad_transfer_encoding;
+    }
     return failure;
 }
 
--- a/test/agent_heads_test.cpp
+++ b/test/agent_heads_test.cpp
@@ -136,6 +136,13 @@
     check_no_answers(broken_heads::answers_with_lines(""));
 }
 
+// Guards against a body that is not the engine's: nobody removes its coding, or its end is not where the
+// length says.
+BOOST_AUTO_TEST_CASE(answer_with_an_unknown_transfer_coding_is_no_answer)
+{
+    check_no_answers(broken_heads::answers_with_codings(""));
+}
+
 // Guards against an interim head that is taken for the answer.
 BOOST_AUTO_TEST_CASE(interim_heads_are_skipped)
 {
--- a/test/broken_heads.h
+++ b/test/broken_heads.h
@@ -39,6 +39,16 @@
                                             " Transfer-Encoding: chunked",
                                             " "};
 
+// Codings of a body that nobody has asked for, or that are none.
+inline const std::vector<std::string> codings{"gzip",
+                                              "identity",
+                                              "chunked, gzip",
+                                              "gzip, chunked",
+                                              "x",
+                                              "",
+                                              "gzip\r\nTransfer-Encoding: chunked",
+                                              "chunked\r\nTransfer-Encoding: chunked"};
+
 inline const std::string plain_type = "Content-Type: text/plain\r\n";
 inline const std::string event_type = "Content-Type: text/event-stream\r\n";
 
@@ -71,4 +81,21 @@
     return answers;
 }
 
+// Answers with each of the codings: without a length, and before and after one.
+inline std::vector<std::string> answers_with_codings(const std::string& fields)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n" + fields;
+    const std::string length = "Content-Length: 2\r\n";
+    std::vector<std::string> answers;
+    for (const std::string& type : {plain_type, event_type}) {
+        for (const std::string& coding : codings) {
+            const std::string field = "Transfer-Encoding: " + coding + "\r\n";
+            for (const std::string& framing : {field, field + length, length + field}) {
+                answers.push_back(head + type + framing + "\r\nok");
+            }
+        }
+    }
+    return answers;
+}
+
 } // namespace broken_heads
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -127,6 +127,14 @@
     }
 }
 
+// Guards against a body whose coding nobody removes, or whose end is not where the length says.
+BOOST_AUTO_TEST_CASE(answer_with_an_unknown_transfer_coding_is_no_answer)
+{
+    for (const std::string& answer : broken_heads::answers_with_codings("")) {
+        BOOST_TEST(status_from(answer, 0, whole_request, false) == 0U, answer);
+    }
+}
+
 // Guards against an interim head that is taken for the answer.
 BOOST_AUTO_TEST_CASE(interim_head_is_skipped)
 {
--- a/test/platform_early_answer_test.cpp
+++ b/test/platform_early_answer_test.cpp
@@ -86,6 +86,26 @@
     }
 }
 
+// Guards against a stream that ends at the reset although another endpoint can go on with it.
+BOOST_FIXTURE_TEST_CASE(stream_that_is_reset_goes_on_elsewhere, early_fixture)
+{
+    standin::platform_runner& runner = system.runner("model-a");
+    runner.set_head("HTTP/1.1 200" + head + "text/event-stream\r\n\r\nid: 1\ndata: model-a\n\n",
+                    std::string::npos);
+    runner.answer_early(true);
+    const std::size_t before = system.requests_at("model-a");
+    for (int i = 0; i < 40 && system.requests_at("model-a") == before; ++i) {
+        runner.set_faults({runner_fault::cut_head_reset});
+        const auto answer = ask("/model/1");
+        const std::string first = system.requests_at("model-a") == before ? "model-b" : "model-a";
+        BOOST_TEST(answer.status == 200U);
+        BOOST_TEST(answer.body ==
+                   "id: 1\ndata: " + first +
+                       "\n\nid: 2\ndata: model-b\n\nid: 3\ndata: model-b\n\nid: 4\ndata: model-b\n\n");
+    }
+    BOOST_TEST(system.requests_at("model-a") == before + 1);
+}
+
 // Guards against answers that are lost because the rest of the request can't be written.
 BOOST_FIXTURE_TEST_CASE(early_answer_that_states_its_end_is_whole, early_fixture)
 {
--- a/test/platform_heads_test.cpp
+++ b/test/platform_heads_test.cpp
@@ -117,6 +117,18 @@
     }
 }
 
+// Guards against a body that is not the endpoint's: its coding is removed from the head but not from the
+// body, or its end is not where the length says.
+BOOST_FIXTURE_TEST_CASE(answer_with_an_unknown_transfer_coding_is_no_answer, heads_fixture)
+{
+    for (const std::string& answer : broken_heads::answers_with_codings(identity)) {
+        for (const std::string path : paths) {
+            BOOST_TEST(status_of(path, answer, std::string::npos, runner_fault::cut_head) == 502U,
+                       path << ", " << answer);
+        }
+    }
+}
+
 // Guards against an interim head that is taken for the answer, and against interim heads without end.
 BOOST_FIXTURE_TEST_CASE(interim_heads_are_skipped_up_to_a_bound, heads_fixture)
 {
