Send whole bodies in the tests of heads that break HTTP

The answers with a transfer coding that ends in `chunked` had a body that is no chunk, and those with events a body that is no event, so some were refused for another reason than the one that is tested. Event streams with a length are added, and each kind of answer sees each place of a broken line.

--- a/src/forward/endpoint_call.h
+++ b/src/forward/endpoint_call.h
@@ -47,7 +47,7 @@
 private:
     static net::task<void> write(std::shared_ptr<endpoint_call> self, std::string head, std::string body);
 
-    // Ends the write of the request, and returns how it ended.
+    // Closes the socket, which ends the write of the request, and returns how the write has ended.
     net::task<net::error_code> end_write();
 
     void disarm();
--- a/test/agent_heads_test.cpp
+++ b/test/agent_heads_test.cpp
@@ -130,7 +130,8 @@
     });
 }
 
-// Guards against an engine in trouble whose field names are none, and that reaches callers as an answer.
+// Guards against the answer of an engine in trouble whose head has lines that are no fields, and that reaches
+// callers.
 BOOST_AUTO_TEST_CASE(head_with_a_broken_field_name_is_no_answer)
 {
     check_no_answers(broken_heads::answers_with_lines(""));
--- a/test/broken_heads.h
+++ b/test/broken_heads.h
@@ -59,39 +59,49 @@
     std::string body;
 };
 
-inline const std::vector<form> forms{
-    {plain_type, "Content-Length: 2\r\n", "ok"},
-    {plain_type, "Transfer-Encoding: chunked\r\n", "2\r\nok\r\n0\r\n\r\n"},
-    {plain_type, "", "ok"},
-    {event_type, "Transfer-Encoding: chunked\r\n", "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"},
-    {event_type, "", "id: 1\ndata: a\n\n"}};
+inline const std::string plain_body = "ok";
+inline const std::string plain_chunks = "2\r\nok\r\n0\r\n\r\n";
+inline const std::string event_body = "id: 1\ndata: a\n\n";
+inline const std::string event_chunks = "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
+
+inline const std::vector<form> forms{{plain_type, "Content-Length: 2\r\n", plain_body},
+                                     {plain_type, "Transfer-Encoding: chunked\r\n", plain_chunks},
+                                     {plain_type, "", plain_body},
+                                     {event_type, "Content-Length: 15\r\n", event_body},
+                                     {event_type, "Transfer-Encoding: chunked\r\n", event_chunks},
+                                     {event_type, "", event_body}};
 
 // Answers of all forms with each of the lines: at the beginning of the head, between its fields or at its
 // end. `fields`: the other fields, each with its line end.
 inline std::vector<std::string> answers_with_lines(const std::string& fields)
 {
     std::vector<std::string> answers;
-    for (const std::string& line : lines) {
-        for (const form& kind : forms) {
-            std::vector<std::string> parts{"HTTP/1.1 200 OK\r\n", fields + kind.type, kind.framing};
-            parts[answers.size() % parts.size()] += line + "\r\n";
-            answers.push_back(parts[0] + parts[1] + parts[2] + "\r\n" + kind.body);
+    for (std::size_t line = 0; line < lines.size(); ++line) {
+        for (std::size_t kind = 0; kind < forms.size(); ++kind) {
+            std::vector<std::string> parts{"HTTP/1.1 200 OK\r\n", fields + forms[kind].type,
+                                           forms[kind].framing};
+            parts[(line + kind) % parts.size()] += lines[line] + "\r\n";
+            answers.push_back(parts[0] + parts[1] + parts[2] + "\r\n" + forms[kind].body);
         }
     }
     return answers;
 }
 
-// Answers with each of the codings: without a length, and before and after one.
+// Whole answers with each of the codings: without a length, and before and after one. Where `chunked` stands
+// last, the body is sent in chunks.
 inline std::vector<std::string> answers_with_codings(const std::string& fields)
 {
-    const std::string head = "HTTP/1.1 200 OK\r\n" + fields;
-    const std::string length = "Content-Length: 2\r\n";
     std::vector<std::string> answers;
-    for (const std::string& type : {plain_type, event_type}) {
+    for (const bool events : {false, true}) {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + fields + (events ? event_type : plain_type);
+        const std::string& plain = events ? event_body : plain_body;
+        const std::string& chunks = events ? event_chunks : plain_chunks;
+        const std::string length = "Content-Length: " + std::to_string(plain.size()) + "\r\n";
         for (const std::string& coding : codings) {
             const std::string field = "Transfer-Encoding: " + coding + "\r\n";
+            const std::string& body = coding.ends_with("chunked") ? chunks : plain;
             for (const std::string& framing : {field, field + length, length + field}) {
-                answers.push_back(head + type + framing + "\r\nok");
+                answers.push_back(head + framing + "\r\n" + body);
             }
         }
     }
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -119,7 +119,7 @@
     }
 }
 
-// Guards against a peer in trouble whose field names are none, and that passes for an answer.
+// Guards against the answer of a peer in trouble whose head has lines that are no fields.
 BOOST_AUTO_TEST_CASE(head_with_a_broken_field_name_is_no_answer)
 {
     for (const std::string& answer : broken_heads::answers_with_lines("")) {
--- a/test/platform_heads_test.cpp
+++ b/test/platform_heads_test.cpp
@@ -105,8 +105,8 @@
     }
 }
 
-// Guards against an endpoint in trouble whose field names are none, and that reaches callers as an answer: a
-// line that begins with a blank continues the field before it.
+// Guards against the answer of an endpoint in trouble whose head has lines that are no fields, and that
+// reaches callers. A line that begins with a blank is taken for a part of the field before it.
 BOOST_FIXTURE_TEST_CASE(head_with_a_broken_field_name_is_no_answer, heads_fixture)
 {
     for (const std::string& answer : broken_heads::answers_with_lines(identity)) {
