--- a/test/platform_early_answer_test.cpp
+++ b/test/platform_early_answer_test.cpp
@@ -57,7 +57,7 @@
             system.runner(id).answer_early(true);
             system.runner(id).set_faults(std::vector(3, runner_fault::cut_head_reset));
         }
-        const platform_deployment::answer found = ask(path);
+        platform_deployment::answer found = ask(path);
         for (const char* id : runner_ids) {
             runs -= system.requests_at(id);
         }
