Elect a leader beside voters that have lost their disks

Cause: 2f + 2 voters have a majority of f + 2. With one gone for good and f without their disks, f + 1 are left, and only a leader could remove the others. The removal of lost voters trusted join requests, however old.

Change: - In a membership with an even number of voters, half of them are enough beside a voter that is known to have lost its folder (raft/electorate). - That is known from the answer of the process at the voter's address only (folder_query); a join request leads to the question and proves nothing. - A change of the voters needs a majority of those before it as well, until a second copy of the membership says that it is complete.

Why it is safe: any half of 2f + 2 voters meets each earlier majority, and two halves without the lost voter meet each other. The loss has to be known before the election begins, since the lost voter may have voted before.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -368,6 +368,8 @@
         handle_freshness_query(stream, *query);
     } else if (const wire::join_request* join = frame.message_as_join_request()) {
         stream->send(net::make_frame(m_raft->join(*join)));
+    } else if (const wire::folder_query* folder = frame.message_as_folder_query()) {
+        stream->send(net::make_frame(m_raft->answer(*folder)));
     } else if (const wire::key_bind* bind = frame.message_as_key_bind()) {
         wire::key_bindT request;
         bind->UnPackTo(&request);
--- a/src/control/group_log.cpp
+++ b/src/control/group_log.cpp
@@ -65,6 +65,7 @@
                                              joined(failed->granted),
                                              joined(failed->denied),
                                              joined(failed->unanswered),
+                                             joined(failed->lost),
                                              m_replica->consensus().status(now).last});
 }
 
--- a/src/control/group_membership.cpp
+++ b/src/control/group_membership.cpp
@@ -8,15 +8,13 @@
 #include <algorithm>
 
 // Membership without an operator: how a member without a configured id forms or joins a group, and how the
-// leader removes members that stopped answering.
+// decisions of the membership policy are carried out.
 namespace verbena::control {
 
 namespace {
 
-constexpr milliseconds join_request_timeout{500};
-
-// Members beyond this number add messages and no safety; further processes wait until one is removed.
-constexpr std::size_t max_members = 9;
+// Time to wait for the reply of another control process.
+constexpr milliseconds reply_timeout{500};
 
 // Interval between join requests.
 constexpr milliseconds join_request_interval{150};
@@ -27,10 +25,11 @@
 }
 
 // Logs the outcome of a membership change.
-std::function<void(const result<void>&)> change_logger(const char* action, const raft::member& member,
-                                                       const char* reason)
+std::function<void(const result<void>&)> change_logger(const membership_step& step)
 {
-    return [action, id = member.id, address = member.address, reason](const result<void>& outcome) {
+    const char* action = step.change.action == raft::membership_change::kind::add ? "add" : "remove";
+    return [action, id = step.subject.id, address = step.subject.address,
+            reason = step.reason](const result<void>& outcome) {
         event_log::write(event::membership_changedT{
             {}, action, id, address, reason, outcome ? "committed" : describe(outcome.error())});
     };
@@ -158,22 +157,12 @@
 net::task<std::optional<wire::join_replyT>> raft_host::send_join_request(host_port address,
                                                                          std::uint64_t folder)
 {
-    auto opened = co_await m_pool->open_stream(std::move(address), join_request_timeout);
-    if (!opened) {
-        co_return std::nullopt;
-    }
-    const std::shared_ptr<net::frame_stream> stream = opened.value();
-    const net::stream_guard guard(stream);
     wire::join_requestT request;
     request.address = text_of(m_options.address);
     request.folder = folder;
     request.member_id = m_options.member_id;
-    stream->send(net::make_frame(std::move(request)));
-    net::steady_timer timer(m_strand);
-    node::close_after(timer, stream, join_request_timeout);
-    const result<net::received_frame> answer = co_await stream->receive();
-    timer.cancel();
-    const wire::join_reply* reply = answer ? answer.value().frame->message_as_join_reply() : nullptr;
+    const auto answer = co_await ask(std::move(address), net::make_frame(std::move(request)));
+    const wire::join_reply* reply = answer ? answer->frame->message_as_join_reply() : nullptr;
     if (reply == nullptr) {
         co_return std::nullopt;
     }
@@ -182,6 +171,25 @@
     co_return unpacked;
 }
 
+net::task<std::optional<net::received_frame>> raft_host::ask(host_port address, wire::frameT question)
+{
+    auto opened = co_await m_pool->open_stream(std::move(address), reply_timeout);
+    if (!opened) {
+        co_return std::nullopt;
+    }
+    const std::shared_ptr<net::frame_stream> stream = opened.value();
+    const net::stream_guard guard(stream);
+    stream->send(question);
+    net::steady_timer timer(m_strand);
+    node::close_after(timer, stream, reply_timeout);
+    result<net::received_frame> answer = co_await stream->receive();
+    timer.cancel();
+    if (!answer) {
+        co_return std::nullopt;
+    }
+    co_return std::move(answer.value());
+}
+
 // Discards the data folder: the group has removed the former member, or there was none, so the contents are
 // obsolete.
 result<void> raft_host::become_member(raft::member_id id, raft::folder_id folder)
@@ -203,34 +211,58 @@
     wire::join_replyT reply;
     reply.leader = leader_address();
     const std::string address = request.address() == nullptr ? std::string() : request.address()->str();
-    if (!is_leader() || !parse_host_port(address)) {
+    if (!m_replica || !parse_host_port(address)) {
         return reply;
     }
-    const raft::membership& group = m_replica->consensus().membership();
-    for (const raft::member& member : group.members) {
-        if (member.address != address) {
-            continue;
-        }
-        const bool same = member.id == request.member_id() && member.folder == request.folder();
-        if (!member.voter || same) {
-            reply.member_id = member.id;
-            return reply;
-        }
-        // The process at this address has lost the data folder with which this member voted.
-        remove_member(member.id, change_logger("remove", member, "it lost its data folder"));
-        return reply;
+    const join_decision decision =
+        m_policy.join(m_replica->consensus(), {address, {request.member_id(), request.folder()}});
+    if (decision.step) {
+        make(*decision.step);
     }
-    const auto answering = static_cast<std::size_t>(
-        std::count_if(group.members.begin(), group.members.end(),
-                      [this](const raft::member& member) { return !m_silent_since.contains(member.id); }));
-    if (answering >= max_members) {
-        return reply;
+    reply.member_id = decision.assigned;
+    return reply;
+}
+
+wire::folder_replyT raft_host::answer(const wire::folder_query& query) const
+{
+    wire::folder_replyT reply;
+    reply.nonce = query.nonce();
+    // A process without a data folder, or at another address, knows nothing about the folder of the member.
+    const bool concerned = m_disk && !m_faulted && query.address() != nullptr &&
+                           query.address()->str() == text_of(m_options.address);
+    const raft::member_folder asked{query.member_id(), query.folder()};
+    if (concerned && m_replica) {
+        const raft::core& own = m_replica->consensus();
+        reply.lost = asked != raft::member_folder{own.self(), own.folder()};
+    } else if (concerned) {
+        reply.lost = m_options.member_id == 0;
     }
-    const raft::member added{group.highest_id + 1, 0, false, address};
-    add_member(added.id, address, change_logger("add", added, "it requested membership"));
     return reply;
 }
 
+net::task<void> raft_host::ask_for_folder(raft::member voter)
+{
+    const result<host_port> address = parse_host_port(voter.address);
+    if (!address || !m_asked.insert(voter.id).second) {
+        co_return;
+    }
+    wire::folder_queryT query;
+    query.nonce = make_incarnation();
+    query.address = voter.address;
+    query.member_id = voter.id;
+    query.folder = voter.folder;
+    const std::uint64_t nonce = query.nonce;
+    const auto answer = co_await ask(address.value(), net::make_frame(std::move(query)));
+    m_asked.erase(voter.id);
+    const wire::folder_reply* reply = answer ? answer->frame->message_as_folder_reply() : nullptr;
+    const raft::member_folder folder{voter.id, voter.folder};
+    if (reply != nullptr && reply->nonce() == nonce && reply->lost() && m_replica &&
+        !m_replica->consensus().known_lost_folders().contains(folder)) {
+        event_log::write(event::folder_lostT{{}, m_options.member_id, voter.id, voter.address});
+        m_replica->report_lost_folder(folder);
+    }
+}
+
 std::optional<host_port> raft_host::leader_query_target()
 {
     const result<host_port> leader = parse_host_port(leader_address());
@@ -323,38 +355,22 @@
     return true;
 }
 
-// A voter that was replaced or has been unreachable for long makes the quorum larger than necessary. It is
-// removed once enough other voters exist. If it returns, it requests membership again.
-void raft_host::remove_silent_members(time_point now)
+void raft_host::maintain_membership(time_point now)
 {
-    if (!is_leader()) {
-        m_silent_since.clear();
-        return;
-    }
-    const raft::core_status state = m_replica->consensus().status(now);
-    raft::member_id silent = 0;
-    for (const raft::member_status& status : state.members) {
-        if (status.active || status.member.id == m_options.member_id) {
-            m_silent_since.erase(status.member.id);
-            continue;
-        }
-        const time_point since = m_silent_since.try_emplace(status.member.id, now).first->second;
-        const milliseconds timeout = status.member.voter ? silent_voter_timeout : silent_learner_timeout;
-        const bool longest_silent = silent == 0 || since < m_silent_since.at(silent);
-        if (now - since > timeout && longest_silent) {
-            silent = status.member.id;
-        }
-    }
-    if (silent == 0) {
-        return;
+    const raft::core& state = m_replica->consensus();
+    for (const raft::member& voter : m_policy.voters_to_ask(state, now)) {
+        net::asio::co_spawn(
+            m_strand, [self = shared_from_this(), voter] { return self->ask_for_folder(voter); },
+            net::asio::detached);
     }
-    const raft::membership& group = m_replica->consensus().membership();
-    const raft::member* member = group.find(silent);
-    if (member == nullptr || (member->voter && group.voter_count() <= needed_voters())) {
-        return;
+    if (const std::optional<membership_step> step = m_policy.next_removal(state, now)) {
+        make(*step);
     }
-    m_silent_since[silent] = now;
-    remove_member(silent, change_logger("remove", *member, "it does not answer"));
+}
+
+void raft_host::make(const membership_step& step)
+{
+    change_membership(step.change, change_logger(step));
 }
 
 } // namespace verbena::control
--- a/src/control/raft_host.cpp
+++ b/src/control/raft_host.cpp
@@ -62,7 +62,7 @@
 raft_host::raft_host(net::asio::io_context& io, const options& settings, control::state_machine& machine,
                      std::shared_ptr<net::peer_pool> pool, std::function<void(const error&)> on_fault)
     : m_io(io), m_strand(net::asio::make_strand(io)), m_options(settings), m_machine(machine),
-      m_pool(std::move(pool)), m_on_fault(std::move(on_fault))
+      m_pool(std::move(pool)), m_on_fault(std::move(on_fault)), m_policy(settings.tolerated_losses)
 {
 }
 
@@ -143,7 +143,7 @@
         if (m_replica) {
             stop_on_error(m_replica->tick(now));
             connect_members(now);
-            remove_silent_members(now);
+            maintain_membership(now);
             log_group(now);
             log_failed_election(now);
         }
@@ -193,7 +193,7 @@
 
 std::string raft_host::address_of(raft::member_id id) const
 {
-    const raft::member* found = m_replica ? m_replica->consensus().membership().find(id) : nullptr;
+    const raft::member* found = m_replica ? m_replica->consensus().find_member(id) : nullptr;
     return found == nullptr ? std::string() : found->address;
 }
 
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/settings.h"
+#include "control/membership_policy.h"
 #include "control/operator_service.h"
 #include "control/state_machine.h"
 #include "net/peer_pool.h"
@@ -23,12 +24,6 @@
 // than an election, and a join and a promotion of each further member.
 inline constexpr milliseconds formation_timeout{5'000};
 
-// A surplus voter that has not answered for this long is removed. Longer than an election and a restart.
-inline constexpr milliseconds silent_voter_timeout{2'500};
-
-// A learner that has not answered for this long is removed.
-inline constexpr milliseconds silent_learner_timeout{10'000};
-
 // Runs the Raft member of this process: storage, timer and messages to the other members. Everything runs on
 // one strand, which serialises the member with the users of its state.
 class raft_host : public replicated_log,
@@ -96,6 +91,9 @@
     // here or at the leader.
     wire::join_replyT join(const wire::join_request& request);
 
+    // Says whether this process still holds the data folder of a voter that is listed with its address.
+    wire::folder_replyT answer(const wire::folder_query& query) const;
+
     // Sends a message to all connected members, without waiting for delivery.
     void broadcast(const wire::frameT& message);
 
@@ -171,15 +169,20 @@
     std::vector<host_port> contacts() const;
     net::task<void> request_membership();
     net::task<std::optional<wire::join_replyT>> send_join_request(host_port address, std::uint64_t folder);
+    // Sends one frame over a stream of its own and returns the reply, if there is one in time.
+    net::task<std::optional<net::received_frame>> ask(host_port address, wire::frameT question);
     void log_join_outcome(const host_port& target, const std::optional<wire::join_replyT>& reply);
     result<void> become_member(raft::member_id id, raft::folder_id folder);
     // Whether this leader may accept changes. A group that forms itself from the initial members accepts none
     // before it has needed_voters(): a change acknowledged by fewer could be lost with as many disks as the
     // settings tolerate. Members that have not joined after formation_timeout count as lost.
     bool accepts_changes(time_point now);
-    void remove_silent_members(time_point now);
+    // Asks voters whether they still hold their folders and removes members, as the policy decides.
+    void maintain_membership(time_point now);
+    void make(const membership_step& step);
+    net::task<void> ask_for_folder(raft::member voter);
     // Voters with which the group keeps a majority after losing as many members as the settings tolerate.
-    std::size_t needed_voters() const { return 2 * m_options.tolerated_losses + 1; }
+    std::size_t needed_voters() const { return m_policy.needed_voters(); }
     result<void> initialise_folder(const options& settings);
     net::task<void> run_timer();
     // Logs the group when its members or its leader have changed, and elections that fail.
@@ -205,8 +208,8 @@
     std::unique_ptr<raft::posix_disk> m_disk;
     std::unique_ptr<raft::replica> m_replica;
     std::map<raft::member_id, link> m_links;
-    // On the leader: time at which each unresponsive member stopped answering.
-    std::map<raft::member_id, time_point> m_silent_since;
+    membership_policy m_policy;
+    std::set<raft::member_id> m_asked; // voters with an open question about their folder
     time_point m_last_leader_contact;
     std::size_t m_next_join_target = 0;
     std::size_t m_next_query_target = 0;
--- a/src/raft/core.cpp
+++ b/src/raft/core.cpp
@@ -275,6 +275,27 @@
     }
 }
 
+// The membership that has to agree beside the newest one: the one before, unless the newest one is known to
+// be committed. An appended membership takes effect at once, and members that do not have it yet still decide
+// with the one before.
+const membership* core::previous_membership() const
+{
+    const bool in_progress = m_memberships.size() > 1 && m_memberships.back().index > m_commit;
+    return in_progress ? &m_memberships[m_memberships.size() - 2].value : nullptr;
+}
+
+electorate core::make_electorate(const lost_folders& lost) const
+{
+    return {membership(), previous_membership(), lost};
+}
+
+const member* core::find_member(member_id id) const
+{
+    const member* found = membership().find(id);
+    const raft::membership* previous = previous_membership();
+    return found == nullptr && previous != nullptr ? previous->find(id) : found;
+}
+
 const membership& core::membership_at(log_index index) const
 {
     auto found = std::find_if(m_memberships.rbegin(), m_memberships.rend(),
--- a/src/raft/core.h
+++ b/src/raft/core.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/random.h"
+#include "raft/electorate.h"
 #include "raft/membership.h"
 #include "raft/memory_log.h"
 #include "raft/progress.h"
@@ -37,6 +38,7 @@
     std::vector<member_id> granted; // own vote included
     std::vector<member_id> denied;
     std::vector<member_id> unanswered;
+    std::vector<member_id> lost; // known to have lost their folders; they count as no voters
 };
 
 // State that a member loads from its data folder at start.
@@ -112,6 +114,13 @@
     // too_large) the command is not run; an accepted proposal is reported once in ready::outcomes.
     result<proposal_token> propose(bytes data);
 
+    // Records that a voter's folder no longer exists. Elections that begin afterwards need fewer votes if the
+    // number of voters is even; see electorate. The statement must be certain: it has to come from the
+    // process that holds the member's address, in reply to a question that was sent after the folder had
+    // become that of a voter.
+    void report_lost_folder(const member_folder& lost) { m_lost_folders.insert(lost); }
+    const lost_folders& known_lost_folders() const { return m_lost_folders; }
+
     // Adds a learner or removes a member; one change at a time.
     result<proposal_token> change_membership(const membership_change& change, time_point now);
 
@@ -156,6 +165,16 @@
 
     const raft::membership& membership() const { return m_memberships.back().value; }
 
+    // Member `id` of the newest membership, or of the one before while that still has to agree; null if
+    // unknown.
+    const member* find_member(member_id id) const;
+
+    // Voters that decide the next election of this member.
+    electorate next_electorate() const { return make_electorate(m_lost_folders); }
+
+    member_id self() const { return m_self; }
+    folder_id folder() const { return m_folder; }
+
     // Membership as of `index`, for a snapshot.
     const raft::membership& membership_at(log_index index) const;
 
@@ -191,6 +210,10 @@
     void track_membership(const entry& value);
     void append_to_log(entry value);
     void commit_to(log_index index);
+    const raft::membership* previous_membership() const;
+    electorate make_electorate(const lost_folders& lost) const;
+    // Voters that decide in the current term.
+    electorate voters() const { return make_electorate(m_lost_before_election); }
 
     // core_election.cpp
     void start_pre_vote(time_point now);
@@ -198,6 +221,7 @@
     void request_votes(message_kind kind, term_number term);
     void record_failed_election();
     void on_vote_request(const message& input, time_point now);
+    bool votes_suffice() const;
     void on_vote_reply(const message& input, time_point now);
     void become_leader(time_point now);
     bool may_vote() const;
@@ -237,6 +261,7 @@
     proposal_token append_new_entry(entry_kind kind, bytes data);
     result<void> check_change(const membership_change& change, time_point now) const;
     void sync_progress();
+    void complete_membership_change();
     void promote_caught_up(time_point now);
     void continue_transfer(time_point now);
 
@@ -266,6 +291,8 @@
     time_point m_election_deadline;
     std::map<member_id, bool> m_votes;
     std::optional<failed_election> m_failed_election;
+    lost_folders m_lost_folders;
+    lost_folders m_lost_before_election; // those known when this member last became a candidate
 
     std::map<member_id, progress> m_peers;
     time_point m_next_heartbeat;
--- a/src/raft/core_election.cpp
+++ b/src/raft/core_election.cpp
@@ -19,10 +19,11 @@
 }
 
 // A member may vote once its own log lists it as a learner, or as a voter with this folder id. A folder that
-// replaced a lost one under the same member id does not match the listed folder id and never votes.
+// replaced a lost one under the same member id does not match the listed folder id and never votes. While a
+// change that removes the member is in progress, its vote may still be needed.
 bool core::may_vote() const
 {
-    const member* own = membership().find(m_self);
+    const member* own = find_member(m_self);
     return own != nullptr && (!own->voter || own->folder == m_folder);
 }
 
@@ -49,13 +50,12 @@
         return;
     }
     const bool pre_vote = m_role == role::pre_candidate;
-    failed_election failed{pre_vote, m_hard_state.term + (pre_vote ? 1 : 0), {}, {}, {}};
-    for (const member& voter : membership().members) {
+    failed_election failed{pre_vote, m_hard_state.term + (pre_vote ? 1 : 0), {}, {}, {}, {}};
+    for (const member& voter : voters().voters()) {
         const auto vote = m_votes.find(voter.id);
-        if (!voter.voter) {
-            continue;
-        }
-        if (vote == m_votes.end()) {
+        if (m_lost_before_election.contains({voter.id, voter.folder})) {
+            failed.lost.push_back(voter.id);
+        } else if (vote == m_votes.end()) {
             failed.unanswered.push_back(voter.id);
         } else {
             (vote->second ? failed.granted : failed.denied).push_back(voter.id);
@@ -69,12 +69,13 @@
     record_failed_election();
     m_role = role::pre_candidate;
     m_leader = 0;
+    m_lost_before_election = m_lost_folders;
     m_votes = {{m_self, true}};
     reset_election_timer(now);
     // A pre-vote changes no state, so it is repeated early: members that restarted together refuse pre-votes
     // until slightly different times.
     m_election_deadline = now + (m_election_deadline - now) / pre_votes_per_election_timeout;
-    if (membership().quorum() == 1) {
+    if (votes_suffice()) {
         start_election(now);
         return;
     }
@@ -85,10 +86,11 @@
 {
     m_role = role::candidate;
     m_leader = 0;
+    m_lost_before_election = m_lost_folders;
     m_hard_state = {m_hard_state.term + 1, m_self};
     m_votes = {{m_self, true}};
     reset_election_timer(now);
-    if (membership().quorum() == 1) {
+    if (votes_suffice()) {
         become_leader(now);
         return;
     }
@@ -97,8 +99,8 @@
 
 void core::request_votes(message_kind kind, term_number term)
 {
-    for (const member& peer : membership().members) {
-        if (peer.voter && peer.id != m_self) {
+    for (const member& peer : voters().voters()) {
+        if (peer.id != m_self) {
             send({.kind = kind,
                   .to = peer.id,
                   .term = term,
@@ -127,19 +129,25 @@
           .reject = !granted});
 }
 
+bool core::votes_suffice() const
+{
+    return voters().decides([this](const member& voter) {
+        const auto vote = m_votes.find(voter.id);
+        return vote != m_votes.end() && vote->second;
+    });
+}
+
 void core::on_vote_reply(const message& input, time_point now)
 {
     const bool pre_vote = input.kind == message_kind::pre_vote_reply;
     const raft::role expected_role = pre_vote ? role::pre_candidate : role::candidate;
     const term_number requested_term = pre_vote ? m_hard_state.term + 1 : m_hard_state.term;
     if (m_role != expected_role || (!input.reject && input.term != requested_term) ||
-        !membership().is_voter(input.from, input.folder)) {
+        !voters().is_voter(input.from, input.folder)) {
         return;
     }
     m_votes[input.from] = !input.reject;
-    const auto granted = static_cast<std::size_t>(
-        std::count_if(m_votes.begin(), m_votes.end(), [](const auto& item) { return item.second; }));
-    if (granted < membership().quorum()) {
+    if (!votes_suffice()) {
         return;
     }
     if (pre_vote) {
--- a/src/raft/core_leader.cpp
+++ b/src/raft/core_leader.cpp
@@ -132,7 +132,7 @@
 progress* core::record_contact(const message& input, time_point now)
 {
     const auto found = m_peers.find(input.from);
-    const member* listed = membership().find(input.from);
+    const member* listed = find_member(input.from);
     if (m_role != role::leader || found == m_peers.end() || listed == nullptr) {
         return nullptr;
     }
@@ -181,7 +181,10 @@
         peer.become_replicate();
     }
     advance_commit();
-    send_entries(input.from, peer);
+    // A commit that completes the removal of this member ends its progress.
+    if (const auto found = m_peers.find(input.from); found != m_peers.end()) {
+        send_entries(input.from, found->second);
+    }
 }
 
 void core::on_append_rejected(const message& input, progress& peer)
@@ -221,21 +224,14 @@
     return m_commit >= m_term_start_index;
 }
 
-// Advances the commit index to the highest index that a majority of the voters has synced, if that entry is
-// of the current term.
+// Advances the commit index to the highest index that enough voters have synced, if that entry is of the
+// current term.
 void core::advance_commit()
 {
-    std::vector<log_index> matches;
-    for (const member& value : membership().members) {
-        if (value.voter) {
-            const auto peer = m_peers.find(value.id);
-            matches.push_back(value.id == m_self      ? m_last_saved
-                              : peer == m_peers.end() ? 0
-                                                      : peer->second.match);
-        }
-    }
-    std::sort(matches.begin(), matches.end(), std::greater<>());
-    const log_index majority = matches[membership().quorum() - 1];
+    const log_index majority = voters().reached([this](const member& voter) {
+        const auto peer = m_peers.find(voter.id);
+        return voter.id == m_self ? m_last_saved : peer == m_peers.end() ? 0 : peer->second.match;
+    });
     if (majority <= m_commit || m_log.term_at(majority) != m_hard_state.term) {
         return;
     }
@@ -243,23 +239,15 @@
         m_uncommitted_bytes -= std::min(m_uncommitted_bytes, cost(m_log.at(i)));
     }
     commit_to(majority);
+    complete_membership_change();
 }
 
 bool core::quorum_active(time_point now) const
 {
-    std::size_t count = 0;
-    for (const member& value : membership().members) {
-        const auto peer = m_peers.find(value.id);
-        if (!value.voter) {
-            continue;
-        }
-        if (value.id == m_self) {
-            ++count;
-        } else if (peer != m_peers.end()) {
-            count += recently_active(peer->second, now) ? 1 : 0;
-        }
-    }
-    return count >= membership().quorum();
+    return voters().decides([this, now](const member& voter) {
+        const auto peer = m_peers.find(voter.id);
+        return voter.id == m_self || (peer != m_peers.end() && recently_active(peer->second, now));
+    });
 }
 
 std::optional<milliseconds> core::confirm_age(time_point now) const
@@ -267,17 +255,10 @@
     if (m_role != role::leader || m_fault || !committed_in_term()) {
         return std::nullopt;
     }
-    std::vector<std::uint64_t> rounds;
-    for (const member& value : membership().members) {
-        if (value.voter) {
-            const auto peer = m_peers.find(value.id);
-            rounds.push_back(value.id == m_self      ? m_heartbeat_round
-                             : peer == m_peers.end() ? 0
-                                                     : peer->second.round);
-        }
-    }
-    std::sort(rounds.begin(), rounds.end(), std::greater<>());
-    const std::uint64_t confirmed_round = rounds[membership().quorum() - 1];
+    const std::uint64_t confirmed_round = voters().reached([this](const member& voter) {
+        const auto peer = m_peers.find(voter.id);
+        return voter.id == m_self ? m_heartbeat_round : peer == m_peers.end() ? 0 : peer->second.round;
+    });
     for (const heartbeat_round& round : m_heartbeat_rounds) {
         if (round.number == confirmed_round) {
             // Rounded up: the reported age may be too high but never too low.
--- a/src/raft/core_members.cpp
+++ b/src/raft/core_members.cpp
@@ -64,17 +64,21 @@
         return make_error(error_kind::conflict, "the leader cannot remove itself",
                           "stop this member first, which transfers leadership, then remove it");
     }
-    // Members that do not answer may be down. The active voters must be a quorum without the removed member.
+    // Members that do not answer may be down. The active voters must be a quorum with and without the removed
+    // member.
     const member* removed = membership().find(change.id);
     if (removed == nullptr || !removed->voter) {
         return success();
     }
-    const core_status current = status(now);
-    const auto active_voters = static_cast<std::size_t>(
-        std::count_if(current.members.begin(), current.members.end(), [&](const member_status& line) {
-            return line.member.voter && line.active && line.member.id != change.id;
-        }));
-    if (active_voters < (membership().voter_count() - 1) / 2 + 1) {
+    BOOST_OUTCOME_TRY(const raft::membership changed, apply_change(membership(), change));
+    std::set<member_id> active;
+    for (const member_status& line : status(now).members) {
+        if (line.active) {
+            active.insert(line.member.id);
+        }
+    }
+    const electorate deciding(changed, &membership(), m_lost_before_election);
+    if (!deciding.decides([&active](const member& voter) { return active.contains(voter.id); })) {
         return make_error(error_kind::conflict, "the remaining active members would not form a quorum",
                           "restart the members that are down first");
     }
@@ -90,11 +94,14 @@
     return token;
 }
 
-// Updates the table of followers after a membership change.
+// Updates the table of followers after a membership change. A member that is being removed still receives
+// entries, as its acknowledgement may be needed.
 void core::sync_progress()
 {
-    std::erase_if(m_peers, [this](const auto& item) { return membership().find(item.first) == nullptr; });
-    for (const member& value : membership().members) {
+    std::erase_if(m_peers, [this](const auto& item) { return find_member(item.first) == nullptr; });
+    std::vector<member> recipients = voters().voters();
+    recipients.insert(recipients.end(), membership().members.begin(), membership().members.end());
+    for (const member& value : recipients) {
         if (value.id != m_self && !m_peers.contains(value.id)) {
             progress fresh;
             fresh.next = m_log.last() + 1;
@@ -103,6 +110,19 @@
     }
 }
 
+// Appends a committed membership once more if its voters differ from those of the one before. Members that
+// have this entry know, also after a restart, that the membership before need not agree any more.
+void core::complete_membership_change()
+{
+    if (m_memberships.size() < 2 || m_memberships.back().index > m_commit) {
+        return;
+    }
+    const raft::membership& before = m_memberships[m_memberships.size() - 2].value;
+    if (before.voter_count() > 0 && !membership().has_same_voters(before)) {
+        append_new_entry(entry_kind::membership, encode(membership()));
+    }
+}
+
 // Promotes a learner to voter once it holds every committed entry. The membership entry records its folder
 // id, so that a folder that later replaces it under the same member id does not count as a voter.
 void core::promote_caught_up(time_point now)
--- a/src/raft/membership.cpp
+++ b/src/raft/membership.cpp
@@ -25,6 +25,15 @@
     return found != nullptr && found->voter && found->folder == folder;
 }
 
+bool membership::has_same_voters(const membership& other) const
+{
+    const auto votes_in_other = [&other](const member& m) {
+        return !m.voter || other.is_voter(m.id, m.folder);
+    };
+    return voter_count() == other.voter_count() &&
+           std::all_of(members.begin(), members.end(), votes_in_other);
+}
+
 membership make_initial_membership(std::vector<member> members)
 {
     membership value;
--- a/src/raft/membership.h
+++ b/src/raft/membership.h
@@ -31,6 +31,8 @@
     // Whether member `id` is listed as a voter with this folder id.
     bool is_voter(member_id id, folder_id folder) const;
 
+    bool has_same_voters(const membership& other) const;
+
     bool operator==(const membership&) const = default;
 };
 
--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -70,6 +70,9 @@
                                              proposal_callback done);
     result<void> transfer_leadership(time_point now);
 
+    // See core::report_lost_folder().
+    void report_lost_folder(const member_folder& lost) { m_core.report_lost_folder(lost); }
+
     // Executes all pending effects. step() and tick() call it; call it after a batch of proposals.
     result<void> flush(time_point now);
 
--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -138,6 +138,9 @@
 void platform_deployment::stop_member(std::size_t index, bool immediately)
 {
     member& value = m_members[index];
+    if (!value.process) {
+        return; // removed before
+    }
     if (immediately) {
         value.process->stop();
     }
@@ -367,12 +370,26 @@
 
 void platform_deployment::lose_disk(std::size_t index)
 {
-    // A planned stop releases the addresses, which the restarted member reuses.
-    m_members[index].service->stop();
-    stop_member(index, false);
-    std::filesystem::remove_all(m_members[index].folder);
-    std::filesystem::create_directory(m_members[index].folder);
-    start_member(index, false);
+    lose_members({}, {index});
+}
+
+void platform_deployment::lose_members(const std::set<std::size_t>& removed,
+                                       const std::set<std::size_t>& lost_disks)
+{
+    std::set<std::size_t> stopped = removed;
+    stopped.insert(lost_disks.begin(), lost_disks.end());
+    // A planned stop releases the addresses, which the restarted members reuse.
+    for (const std::size_t index : stopped) {
+        m_members[index].service->stop();
+    }
+    for (const std::size_t index : stopped) {
+        stop_member(index, false);
+        std::filesystem::remove_all(m_members[index].folder);
+    }
+    for (const std::size_t index : lost_disks) {
+        std::filesystem::create_directory(m_members[index].folder);
+        start_member(index, false);
+    }
 }
 
 void platform_deployment::restart_members(const std::function<void()>& while_down,
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -81,6 +81,12 @@
     // Stops a member, empties its data folder and starts it again at the same address.
     void lose_disk(std::size_t index);
 
+    // Stops all of these members at once. Those in `removed` never return, the others start again with empty
+    // data folders at the same addresses.
+    void lose_members(const std::set<std::size_t>& removed, const std::set<std::size_t>& lost_disks);
+
+    std::size_t member_count() const { return m_members.size(); }
+
     // Stops all members, calls `while_down`, and starts them again with copies of their data folders; those
     // in `lost_disks` start with empty ones.
     void restart_members(
--- a/test/raft_cluster.cpp
+++ b/test/raft_cluster.cpp
@@ -392,6 +392,14 @@
     }
 }
 
+void raft_cluster::remove(member_id id)
+{
+    if (m_nodes.contains(id)) {
+        crash(id, crash_kind::power);
+        m_nodes.erase(id);
+    }
+}
+
 void raft_cluster::start_joining_member(member_id id)
 {
     node& member = add_node(id);
--- a/test/raft_cluster.h
+++ b/test/raft_cluster.h
@@ -79,6 +79,9 @@
     // instead.
     void lose_disk(raft::member_id id, bool reinitialise = false);
 
+    // Ends a member for ever, together with its disk.
+    void remove(raft::member_id id);
+
     // Starts a new member that waits to be added to the group.
     void start_joining_member(raft::member_id id);
 
