Give processes the ids of committed members only

Seen in membership_schedule, not by callers: two processes with the same member id. A leader adds a process, is cut off before the entry is committed, and names the id to the process; the next leader gives the same id to another one. The first then waits as a member that the group knows under another address.

Cause: a join request from the address of a learner was answered with the id in the newest membership, which may never be committed.

Change: the id is named once the membership that lists it is committed.

Test: a_process_gets_the_id_of_a_committed_member_only fails without the change (the second process never becomes a voter).

--- a/src/control/membership_policy.cpp
+++ b/src/control/membership_policy.cpp
@@ -43,7 +43,12 @@
     const auto listed = std::find_if(group.members.begin(), group.members.end(),
                                      [&call](const raft::member& m) { return m.address == call.address; });
     if (listed != group.members.end()) {
-        if (!listed->voter || folder_of(*listed) == call.held) {
+        if (!listed->voter) {
+            // Another leader may give the id of an entry that is not committed to another process.
+            const raft::membership& committed = state.membership_at(state.commit_index());
+            return {committed.find(listed->id) == nullptr ? 0 : listed->id, std::nullopt};
+        }
+        if (folder_of(*listed) == call.held) {
             return {listed->id, std::nullopt};
         }
         m_contested.insert(listed->id);
--- a/test/membership_schedule_test.cpp
+++ b/test/membership_schedule_test.cpp
@@ -131,6 +131,26 @@
     require_no_violations(group);
 }
 
+// Guards against two processes with the same member id: a leader that is cut off must not give away the id of
+// a member that it has added and that is not committed, as the next leader gives the same id to another
+// process.
+BOOST_AUTO_TEST_CASE(a_process_gets_the_id_of_a_committed_member_only)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        membership_group group(seed, 3, 1);
+        BOOST_TEST_REQUIRE(group.run_until([&] { return group.works(); }, recovery));
+        const std::size_t leader = *group.leader();
+        const std::size_t first = group.add_machine();
+        group.split({leader, first});
+        group.run(milliseconds(600));
+        const std::size_t second = group.add_machine();
+        BOOST_TEST_REQUIRE(group.run_until([&] { return group.votes(second); }, recovery));
+        group.split({});
+        BOOST_TEST(group.run_until([&] { return group.votes(first); }, recovery));
+        require_no_violations(group);
+    }
+}
+
 // Guards against two leaders in a term, lost acknowledgements and a group that does not recover, under random
 // sequences of replacements, lost disks, power losses, splits and freezes within the tolerated losses. Prints
 // each failing seed.
