Try a refused removal of a silent member again at once

Cause: the leader tries the removal in the tick after the promotion, while that change is still in progress. The refusal started the silence of the voter anew, so the next attempt came 2.5 s later, longer if the leader changed.

Change: removals are tried every 150 ms until they have taken effect.

Test: a_silent_voter_is_removed_as_soon_as_its_successor_votes fails without the change.

--- a/src/control/membership_policy.cpp
+++ b/src/control/membership_policy.cpp
@@ -9,7 +9,8 @@
 // Members beyond this number add messages and no safety; further processes wait until one is removed.
 constexpr std::size_t max_members = 9;
 
-// Interval between questions of a member without a leader. Several fit into an election timeout.
+// Interval between questions of a member without a leader, and between attempts to remove a member. Several
+// fit into an election timeout.
 constexpr milliseconds retry_interval{150};
 
 bool leads(const raft::core& state)
@@ -76,6 +77,10 @@
     if (std::optional<membership_step> lost = lost_voter(state)) {
         step = lost;
     }
+    if (!step || now < m_next_removal) {
+        return std::nullopt;
+    }
+    m_next_removal = now + retry_interval;
     return step;
 }
 
@@ -110,7 +115,6 @@
     if (silent == nullptr || (silent->voter && state.membership().voter_count() <= needed_voters())) {
         return std::nullopt;
     }
-    m_silent_since[silent->id] = now;
     return removal(*silent, "it does not answer");
 }
 
--- a/src/control/membership_policy.h
+++ b/src/control/membership_policy.h
@@ -65,6 +65,7 @@
     std::map<raft::member_id, time_point> m_silent_since;
     std::set<raft::member_id> m_contested; // voters to be asked because of a join request
     time_point m_next_question;
+    time_point m_next_removal;
 };
 
 } // namespace verbena::control
--- a/test/membership_schedule_test.cpp
+++ b/test/membership_schedule_test.cpp
@@ -151,6 +151,23 @@
     }
 }
 
+// Guards against a silent voter that stays for another timeout because its removal was tried while its
+// successor was being promoted, when no further change was possible.
+BOOST_AUTO_TEST_CASE(a_silent_voter_is_removed_as_soon_as_its_successor_votes)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        membership_group group(seed, 3, 1);
+        BOOST_TEST_REQUIRE(group.run_until([&] { return group.works(); }, recovery));
+        group.remove_machine(pick_machine(group, false, {}));
+        group.run(catch_up);
+        BOOST_TEST_REQUIRE(group.voters() == 3U);
+        const std::size_t successor = group.add_machine();
+        BOOST_TEST_REQUIRE(group.run_until([&] { return group.votes(successor); }, recovery));
+        BOOST_TEST(group.run_until([&] { return group.voters() == 3; }, milliseconds(500)));
+        require_no_violations(group);
+    }
+}
+
 // Guards against two leaders in a term, lost acknowledgements and a group that does not recover, under random
 // sequences of replacements, lost disks, power losses, splits and freezes within the tolerated losses. Prints
 // each failing seed.
