Deliver held-up messages of the schedule beside the sound ones

The schedule of memberships delayed up to 29% of all messages between processes by up to 6 s, in place of delivering them. A machine that is cut off counts as lost, so that case is allowed (DEPLOY.md: "A machine is lost while it is down, frozen, slowed or cut off").

A held-up message now arrives in addition to the sound one, as a process sends its requests again over a new connection; after a split the held-up one arrives alone.

--- a/test/membership_schedule.h
+++ b/test/membership_schedule.h
@@ -59,7 +59,8 @@
     raft_cluster& cluster() { return m_cluster; }
     random_engine& random() { return m_random; }
     time_point now() const { return m_cluster.now(); }
-    // Percentage of messages between processes that arrive up to 6 s late.
+    // Percentage of messages between processes that arrive once more, up to 6 s late, also if a split kept
+    // them back.
     unsigned late_messages = 0;
     const membership_counts& counts() const { return m_counts; }
 
@@ -92,7 +93,7 @@
     std::optional<std::size_t> machine_of(raft::member_id id) const;
     std::optional<std::size_t> machine_at(const std::string& address) const;
     bool separated(std::size_t a, std::size_t b) const;
-    // Delivers a message from one machine to another one, at times twice.
+    // Delivers a message from one machine to another one, and at times a copy that was held up.
     void send(std::size_t from, std::size_t to, const std::function<void()>& deliver);
     void act(std::size_t index);
     void ask(std::size_t index, const raft::member& voter);
