Take an answer that ends early for whole only when its request is taken

Callers saw: a runner answered a long upload at once with a 200 without a length, sent a part, ended its side of the connection and reset it at the next byte of the upload, as a kernel does for a process that has closed its socket.

Cause: a write that fails with a broken pipe was excepted from the failures that break an answer, because nothing told an endpoint that has answered early and reads on from one that has gone.

Change: the request is written on after the end of such an answer, which is whole once the endpoint's machine has acknowledged all of the request. A failed write, a reset or the time limit before that breaks it. net/http_client, the agent's client, does the same for what still waits in the kernel.

--- a/src/forward/endpoint_call.cpp
+++ b/src/forward/endpoint_call.cpp
@@ -3,6 +3,7 @@
 #include "net/address.h"
 #include "net/keep_alive.h"
 #include "net/receive_buffer.h"
+#include "net/sent_data.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -28,20 +29,10 @@
 constexpr milliseconds unread_data_time{10};
 constexpr int max_unread_waits = 10;
 
-// Whether a write of the request has failed because the connection was lost. The kernel reports a reset to
-// one operation only, so a read that follows sees a connection that was closed. A write to a connection that
-// the endpoint has closed before fails with a broken pipe, also after a reset.
-bool is_connection_failure(const error_code& write_failure)
-{
-    return write_failure && write_failure != net::asio::error::broken_pipe &&
-           write_failure != net::asio::error::operation_aborted &&
-           write_failure != net::asio::error::bad_descriptor;
-}
-
 } // namespace
 
 endpoint_call::endpoint_call(const net::asio::any_io_executor& executor)
-    : m_socket(executor), m_timer(executor), m_write_end(executor, time_point::max())
+    : m_socket(executor), m_timer(executor)
 {
 }
 
@@ -122,17 +113,23 @@
     auto [failure, size] = co_await net::asio::async_write(self->m_socket, parts, no_throw);
     self->m_write_failure = failure;
     self->m_writing = false;
-    self->m_write_end.cancel();
 }
 
-net::task<error_code> endpoint_call::end_write()
+net::task<result<void>> endpoint_call::finish_request(time_point deadline, deadline_extension extend)
 {
-    error_code ignored;
-    m_socket.close(ignored);
-    while (m_writing) {
-        co_await m_write_end.async_wait(no_throw);
+    arm(deadline, std::move(extend));
+    const error_code failure =
+        co_await net::await_acknowledgement(m_socket, [this]() -> std::optional<error_code> {
+            return m_writing ? std::nullopt : std::optional(m_write_failure);
+        });
+    disarm();
+    if (m_expired) {
+        co_return make_error(error_kind::timeout, "the request was not taken before the deadline");
+    }
+    if (failure) {
+        co_return net::io_error("send request", failure);
     }
-    co_return m_write_failure;
+    co_return success();
 }
 
 net::task<result<answer_metadata>> endpoint_call::read_head(const protocol_adapter& protocol,
@@ -151,7 +148,7 @@
 net::task<result<std::string>> endpoint_call::read_some(time_point deadline, deadline_extension extend)
 {
     std::string chunk;
-    arm(deadline, std::move(extend));
+    arm(deadline, extend);
     while (chunk.empty() && !m_parser->is_done()) {
         chunk.resize(read_size);
         m_parser->get().body().data = chunk.data();
@@ -166,10 +163,7 @@
     }
     disarm();
     if (chunk.empty() && ends_with_connection()) {
-        const error_code failure = co_await end_write();
-        if (is_connection_failure(failure)) {
-            co_return net::io_error("send request", failure);
-        }
+        BOOST_OUTCOME_CO_TRY(co_await finish_request(deadline, std::move(extend)));
     }
     co_return chunk;
 }
--- a/src/forward/endpoint_call.h
+++ b/src/forward/endpoint_call.h
@@ -31,8 +31,9 @@
                                                  deadline_extension extend = nullptr);
 
     // The next bytes of the body; empty when it is complete. An answer without a length is complete when the
-    // endpoint closes the connection cleanly; a reset that ends it is an error, whichever operation the
-    // kernel has reported it to.
+    // endpoint has ended its side of the connection and has taken the whole request. A reset before that is
+    // an error, whichever operation the kernel reports it to: an endpoint that has closed the connection
+    // while the request was being written has broken its answer off.
     net::task<result<std::string>> read_some(time_point deadline, deadline_extension extend = nullptr);
 
     // Whether bytes of an answer have arrived.
@@ -47,8 +48,8 @@
 private:
     static net::task<void> write(std::shared_ptr<endpoint_call> self, std::string head, std::string body);
 
-    // Closes the socket, which ends the write of the request, and returns how the write has ended.
-    net::task<net::error_code> end_write();
+    // Waits until the endpoint's machine has acknowledged the whole request.
+    net::task<result<void>> finish_request(time_point deadline, deadline_extension extend);
 
     void disarm();
     // `unread_waits`: how often the deadline was put off for data that had arrived.
@@ -56,7 +57,6 @@
 
     net::tcp::socket m_socket;
     net::steady_timer m_timer;
-    net::steady_timer m_write_end; // cancelled when the write of the request has ended
     bool m_writing = false;
     net::error_code m_write_failure;
     bool m_expired = false;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -6,6 +6,7 @@
 #include "net/checked_call.h"
 #include "net/keep_alive.h"
 #include "net/receive_buffer.h"
+#include "net/sent_data.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -132,6 +133,14 @@
             }
             chunk.resize(chunk.size() - m_parser->get().body().size);
         }
+        if (chunk.empty() && m_parser->need_eof()) {
+            const error_code failure = co_await await_acknowledgement(
+                m_stream.socket(), [] { return error_code(); },
+                std::min(m_end, clock::now() + inactivity_timeout));
+            if (failure) {
+                co_return stream_error("send", failure);
+            }
+        }
         co_return chunk;
     }
 
--- a/standin/platform_runner.cpp
+++ b/standin/platform_runner.cpp
@@ -13,6 +13,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include <array>
 #include <chrono>
 #include <sstream>
 
@@ -494,6 +495,29 @@
     m_requests[position].ended = clock::now();
 }
 
+net::task<void> platform_runner::send_cut_head(net::tcp::socket& socket, const runner_request& request,
+                                               runner_fault fault)
+{
+    co_await write(socket, cut_head(request.id));
+    net::error_code ignored;
+    if (fault == runner_fault::half_closed || fault == runner_fault::half_closed_reset) {
+        socket.shutdown(net::tcp::socket::shutdown_send, ignored);
+    }
+    if (fault == runner_fault::half_closed) {
+        std::array<char, 16 * 1024> rest{};
+        while (true) {
+            auto [failure, size] = co_await socket.async_read_some(net::asio::buffer(rest), no_throw);
+            if (failure) {
+                co_return;
+            }
+        }
+    }
+    if (fault == runner_fault::cut_head_reset || fault == runner_fault::half_closed_reset) {
+        co_await net::sleep_for(event_interval); // what was written is not discarded by the reset
+        reset(socket);
+    }
+}
+
 net::task<void> platform_runner::send_answer(net::tcp::socket& socket, const runner_request& request,
                                              runner_fault fault)
 {
@@ -507,12 +531,9 @@
     if (fault == runner_fault::reset) {
         co_return;
     }
-    if (fault == runner_fault::cut_head || fault == runner_fault::cut_head_reset) {
-        co_await write(socket, cut_head(request.id));
-        if (fault == runner_fault::cut_head_reset) {
-            co_await net::sleep_for(event_interval); // what was written is not discarded by the reset
-            reset(socket);
-        }
+    if (fault == runner_fault::cut_head || fault == runner_fault::cut_head_reset ||
+        fault == runner_fault::half_closed || fault == runner_fault::half_closed_reset) {
+        co_await send_cut_head(socket, request, fault);
         co_return;
     }
     if (fault == runner_fault::pause_before_head) {
--- a/standin/platform_runner.h
+++ b/standin/platform_runner.h
@@ -55,6 +55,8 @@
     answer_twice,      // sends its complete answer a second time
     cut_head,          // sends the first bytes of the set head and closes the connection
     cut_head_reset,    // the same, and resets the connection
+    half_closed,       // sends the first bytes of the set head, ends its side, reads what comes and runs on
+    half_closed_reset, // the same, and resets the connection without reading on
 };
 
 // A request as received by a runner.
@@ -197,6 +199,8 @@
     std::string limit_headers() const;
     // Adds the limit headers to the text of a whole answer.
     std::string with_limit(std::string answer) const;
+    net::task<void> send_cut_head(net::tcp::socket& socket, const runner_request& request,
+                                  runner_fault fault);
     net::task<void> send_answer(net::tcp::socket& socket, const runner_request& request, runner_fault fault);
     net::task<void> stream_events(net::tcp::socket& socket, const runner_request& request,
                                   runner_fault fault);
--- a/test/forward_early_answer_test.cpp
+++ b/test/forward_early_answer_test.cpp
@@ -20,7 +20,12 @@
 // The most that one step of a case takes. It only stops a test that hangs.
 constexpr auto step_limit = 10s;
 
-enum class ending : std::uint8_t { reset, closed, closed_then_reset };
+// Time for the whole of an answer.
+constexpr auto read_limit = 3s;
+
+// How the endpoint ends its connection. All but `reset` end its side first; then it reads the rest of the
+// request, reads nothing, or resets the connection.
+enum class ending : std::uint8_t { reset, half_closed, half_closed_silent, half_closed_reset };
 
 // One request whose endpoint answers while the request is still being written, and then ends the connection.
 // Both run on one thread, which makes the order of events certain.
@@ -52,7 +57,11 @@
         if (how != ending::reset) {
             m_peer.shutdown(net::tcp::socket::shutdown_send);
         }
-        if (how != ending::closed) {
+        if (how == ending::half_closed) {
+            BOOST_TEST_REQUIRE(!is_complete_within(100ms));
+            net::asio::co_spawn(m_io, read_request(), net::asio::detached);
+        }
+        if (how == ending::reset || how == ending::half_closed_reset) {
             m_peer.set_option(net::asio::socket_base::linger(true, 0));
             m_peer.close();
             BOOST_TEST_REQUIRE(eventually([this] { return !is_connected(); }));
@@ -93,7 +102,7 @@
             [this]() -> net::task<void> {
                 std::string body;
                 while (true) {
-                    const result<std::string> bytes = co_await m_call->read_some(clock::now() + step_limit);
+                    const result<std::string> bytes = co_await m_call->read_some(clock::now() + read_limit);
                     if (!bytes || bytes.value().empty()) {
                         m_body = bytes ? result<std::string>(body) : bytes;
                         co_return;
@@ -104,6 +113,26 @@
             net::asio::detached);
     }
 
+    net::task<void> read_request()
+    {
+        std::vector<char> rest(1024 * 1024);
+        while (true) {
+            auto [failure, size] = co_await m_peer.async_read_some(net::asio::buffer(rest), net::no_throw);
+            if (failure) {
+                co_return;
+            }
+        }
+    }
+
+    bool is_complete_within(milliseconds span)
+    {
+        const auto end = clock::now() + span;
+        while (clock::now() < end && !m_body) {
+            m_io.run_one_for(10ms);
+        }
+        return m_body.has_value();
+    }
+
     // The coroutine that writes the request shares the call, as does the timer of a pending read.
     bool is_writing() const { return m_call.use_count() > 1; }
 
@@ -173,15 +202,26 @@
     }
 }
 
-// Guards against answers that are lost because their endpoint closes the connection before it has read the
-// request.
-BOOST_AUTO_TEST_CASE(closed_connection_ends_an_answer_without_a_length)
+// Guards against answers that are lost because their endpoint ends its side of the connection before it has
+// read the request: they are whole once it has.
+BOOST_AUTO_TEST_CASE(endpoint_that_reads_on_ends_an_answer_without_a_length)
 {
     for (const bool pending_read : {false, true}) {
-        for (const ending how : {ending::closed, ending::closed_then_reset}) {
-            const result<std::string> body = early_answer(head + "\r\ntext").end(how, pending_read);
-            BOOST_TEST_REQUIRE(body.has_value(), "ending " << static_cast<int>(how));
-            BOOST_TEST(body.value() == "text");
+        const result<std::string> body =
+            early_answer(head + "\r\ntext").end(ending::half_closed, pending_read);
+        BOOST_TEST_REQUIRE(body.has_value(), "read before the end: " << pending_read);
+        BOOST_TEST(body.value() == "text");
+    }
+}
+
+// Guards against a part of an answer without a length that passes for the whole because the endpoint, which
+// goes away or reads nothing more, has ended its side of the connection first.
+BOOST_AUTO_TEST_CASE(endpoint_that_does_not_read_on_ends_no_answer_without_a_length)
+{
+    for (const bool pending_read : {false, true}) {
+        for (const ending how : {ending::half_closed_reset, ending::half_closed_silent}) {
+            const result<std::string> body = early_answer(head + "\r\npart").end(how, pending_read);
+            BOOST_TEST(!body.has_value(), "ending " << static_cast<int>(how));
         }
     }
 }
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -1,5 +1,6 @@
 #include "broken_heads.h"
 #include "net/http_client.h"
+#include "net/receive_buffer.h"
 #include "net_fixture.h"
 
 #include <boost/asio/read.hpp>
@@ -37,12 +38,16 @@
     return false;
 }
 
+enum class ending : std::uint8_t { closed, reset, half_closed_reset };
+
 // What a call gets from a peer that reads `request_bytes` of its request, answers with `text` and closes the
-// connection, or resets it. 0 stands for an error.
-unsigned status_from(const std::string& text, std::size_t upload, std::size_t request_bytes, bool reset)
+// connection, resets it, or ends its side and then resets it. 0 stands for an error.
+unsigned status_from(const std::string& text, std::size_t upload, std::size_t request_bytes, ending how)
 {
     net_threads threads;
     net::tcp::acceptor acceptor(threads.io, {net::asio::ip::address_v4::loopback(), 0});
+    net::set_receive_buffer(acceptor,
+                            net::http_receive_buffer); // of the peer; the rest waits in the send buffer
     const host_port address{"127.0.0.1", acceptor.local_endpoint().port()};
     net::asio::co_spawn(
         threads.io,
@@ -52,7 +57,11 @@
             co_await net::asio::async_read(peer, net::asio::buffer(bytes), net::no_throw);
             co_await net::asio::async_write(peer, net::asio::buffer(text), net::no_throw);
             co_await net::sleep_for(50ms); // a reset discards what has not arrived
-            if (reset) {
+            if (how == ending::half_closed_reset) {
+                peer.shutdown(net::tcp::socket::shutdown_send);
+                co_await net::sleep_for(20ms);
+            }
+            if (how != ending::closed) {
                 peer.set_option(net::asio::socket_base::linger(true, 0));
             }
         },
@@ -115,7 +124,7 @@
 {
     for (const std::string& status : broken_heads::statuses) {
         const std::string text = "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nno";
-        BOOST_TEST(status_from(text, 0, whole_request, false) == 0U, status);
+        BOOST_TEST(status_from(text, 0, whole_request, ending::closed) == 0U, status);
     }
 }
 
@@ -123,7 +132,7 @@
 BOOST_AUTO_TEST_CASE(head_with_a_broken_field_name_is_no_answer)
 {
     for (const std::string& answer : broken_heads::answers_with_lines("")) {
-        BOOST_TEST(status_from(answer, 0, whole_request, false) == 0U, answer);
+        BOOST_TEST(status_from(answer, 0, whole_request, ending::closed) == 0U, answer);
     }
 }
 
@@ -131,7 +140,7 @@
 BOOST_AUTO_TEST_CASE(answer_with_an_unknown_transfer_coding_is_no_answer)
 {
     for (const std::string& answer : broken_heads::answers_with_codings("")) {
-        BOOST_TEST(status_from(answer, 0, whole_request, false) == 0U, answer);
+        BOOST_TEST(status_from(answer, 0, whole_request, ending::closed) == 0U, answer);
     }
 }
 
@@ -139,7 +148,7 @@
 BOOST_AUTO_TEST_CASE(interim_head_is_skipped)
 {
     const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-    BOOST_TEST(status_from(text, 0, whole_request, false) == 200U);
+    BOOST_TEST(status_from(text, 0, whole_request, ending::closed) == 200U);
 }
 
 // Guards against an early answer without a length that is reset while the request is still being written, and
@@ -148,7 +157,19 @@
 {
     const std::string text = "HTTP/1.1 200 OK\r\n\r\na part of the answer";
     for (const std::size_t upload : {std::size_t{6'000}, std::size_t{4'000'000}}) {
-        BOOST_TEST(status_from(text, upload, whole_request, true) == 0U, upload << " bytes");
+        BOOST_TEST(status_from(text, upload, whole_request, ending::reset) == 0U, upload << " bytes");
+    }
+}
+
+// Guards against the same if the peer has ended its side of the connection first, and a part of the request
+// has not left the kernel yet.
+BOOST_AUTO_TEST_CASE(early_answer_of_a_peer_that_goes_away_is_no_answer)
+{
+    const std::string text = "HTTP/1.1 200 OK\r\n\r\na part of the answer";
+    for (const std::size_t upload :
+         {std::size_t{250'000}, std::size_t{500'000}, std::size_t{1'000'000}, std::size_t{4'000'000}}) {
+        BOOST_TEST(status_from(text, upload, whole_request, ending::half_closed_reset) == 0U,
+                   upload << " bytes");
     }
 }
 
--- a/test/platform_early_answer_test.cpp
+++ b/test/platform_early_answer_test.cpp
@@ -47,15 +47,16 @@
         return system.request(spec);
     }
 
-    // What a caller gets while all runners answer with this text.
-    platform_deployment::answer answer_to(const std::string& path, const std::string& text)
+    // What a caller gets while all runners answer with this text and end the connection in this way.
+    platform_deployment::answer answer_to(const std::string& path, const std::string& text,
+                                          runner_fault ending = runner_fault::cut_head_reset)
     {
         std::size_t runs = 0;
         for (const char* id : runner_ids) {
             runs += system.requests_at(id);
             system.runner(id).set_head(text, std::string::npos);
             system.runner(id).answer_early(true);
-            system.runner(id).set_faults(std::vector(3, runner_fault::cut_head_reset));
+            system.runner(id).set_faults(std::vector(3, ending));
         }
         platform_deployment::answer found = ask(path);
         for (const char* id : runner_ids) {
@@ -77,10 +78,13 @@
     for (const std::string status : {"200", "404", "500"}) {
         for (const std::string rest :
              {"text/plain\r\n\r\na part of the answer", "text/event-stream\r\n\r\nid: 1\ndata: a\n\n"}) {
-            for (const std::string path : paths) {
-                const auto answer = answer_to(path, "HTTP/1.1 " + status + head + rest);
-                BOOST_TEST((answer.status == 502 || answer.status == 0),
-                           path << ", " << status << " " << rest << ": " << answer.status);
+            for (const runner_fault ending :
+                 {runner_fault::cut_head_reset, runner_fault::half_closed_reset}) {
+                for (const std::string path : paths) {
+                    const auto answer = answer_to(path, "HTTP/1.1 " + status + head + rest, ending);
+                    BOOST_TEST((answer.status == 502 || answer.status == 0),
+                               path << ", " << status << " " << rest << ": " << answer.status);
+                }
             }
         }
     }
@@ -121,4 +125,15 @@
     }
 }
 
+// Guards against an answer that is lost because its runner ends its side of the connection and reads on.
+BOOST_FIXTURE_TEST_CASE(early_answer_of_a_runner_that_reads_on_is_whole, early_fixture)
+{
+    for (const std::string path : paths) {
+        const auto answer =
+            answer_to(path, "HTTP/1.1 200" + head + "text/plain\r\n\r\ntext", runner_fault::half_closed);
+        BOOST_TEST(answer.status == 200U, path << ": " << answer.failure);
+        BOOST_TEST(answer.body == "text");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
