Let a member that is being removed lead

A leader appended the removal of a voter and lost its disk; only that voter had got the entry.

Cause: since a removal needs the voters before it too, the removed voter receives the entry. It then has the longest log, votes for no shorter one, and was not allowed to campaign itself.

Change: a voter that is being removed may campaign and leads until the complete membership is committed; then it steps down.

Test: raft_electorate/a_member_that_is_being_removed_may_lead; passes.

--- a/src/raft/core_election.cpp
+++ b/src/raft/core_election.cpp
@@ -12,10 +12,11 @@
 } // namespace
 
 // Only a member listed as a voter with this folder id may campaign. Learners, removed members and members
-// whose data folder was replaced may not.
+// whose data folder was replaced may not. A voter that is being removed may: its log may be the longest, so
+// that no other member gets its vote.
 bool core::can_campaign() const
 {
-    return membership().is_voter(m_self, m_folder);
+    return next_electorate().is_voter(m_self, m_folder);
 }
 
 // A member may vote once its own log lists it as a learner, or as a voter with this folder id. A folder that
--- a/src/raft/core_leader.cpp
+++ b/src/raft/core_leader.cpp
@@ -6,7 +6,9 @@
 
 void core::tick_leader(time_point now)
 {
-    if (!quorum_active(now)) {
+    // A leader that is being removed leads until the change is complete and the others know it.
+    const bool removed = m_memberships.back().index <= m_commit && !membership().is_voter(m_self, m_folder);
+    if (removed || !quorum_active(now)) {
         become_follower(m_hard_state.term, 0, now);
         return;
     }
--- a/test/raft_electorate_test.cpp
+++ b/test/raft_electorate_test.cpp
@@ -205,6 +205,32 @@
     }
 }
 
+// Guards against a group that elects nobody because only the member that is being removed holds the removal:
+// it gives no vote to members with shorter logs.
+BOOST_AUTO_TEST_CASE(a_member_that_is_being_removed_may_lead)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        raft_cluster cluster(seed, 4);
+        const member_id leader = wait_for_leader(cluster);
+        const auto others = followers_of(cluster, leader);
+        cut(cluster, {leader, others[0]});
+        BOOST_TEST_REQUIRE(cluster.change(leader, {remove_member, others[0], {}}));
+        cluster.run(milliseconds(100));
+        cluster.remove(leader);
+        cluster.heal_links();
+        const auto complete = [&] {
+            const member_id now_leading = cluster.leader();
+            return now_leading != 0 && now_leading != others[0] &&
+                   cluster.at(now_leading)->consensus().membership().find(others[0]) == nullptr &&
+                   cluster.propose(now_leading);
+        };
+        BOOST_TEST(cluster.run_until(complete, milliseconds(8000)));
+        for (const std::string& line : cluster.checker().violations()) {
+            BOOST_ERROR("seed " << seed << ": " << line);
+        }
+    }
+}
+
 // Guards against a membership that still needs the voters before it after it is known to be complete, also
 // after a restart of all members.
 BOOST_AUTO_TEST_CASE(a_complete_removal_needs_its_own_voters_only)
