Skip the electorate when no voter has to be asked

The policy ran through the voters at each tick of each member, with nothing to ask while a leader is known.

--- a/src/control/group_membership.cpp
+++ b/src/control/group_membership.cpp
@@ -217,7 +217,7 @@
     const join_decision decision =
         m_policy.join(m_replica->consensus(), {address, {request.member_id(), request.folder()}});
     if (decision.step) {
-        make(*decision.step);
+        start_change(*decision.step);
     }
     reply.member_id = decision.assigned;
     return reply;
@@ -364,11 +364,11 @@
             net::asio::detached);
     }
     if (const std::optional<membership_step> step = m_policy.next_removal(state, now)) {
-        make(*step);
+        start_change(*step);
     }
 }
 
-void raft_host::make(const membership_step& step)
+void raft_host::start_change(const membership_step& step)
 {
     change_membership(step.change, change_logger(step));
 }
--- a/src/control/membership_policy.cpp
+++ b/src/control/membership_policy.cpp
@@ -122,6 +122,9 @@
 {
     const std::set<raft::member_id> contested = std::exchange(m_contested, {});
     const bool without_leader = state.leader() == 0 && now >= m_next_question;
+    if (!without_leader && contested.empty()) {
+        return {};
+    }
     if (without_leader) {
         m_next_question = now + retry_interval;
     }
--- a/src/control/raft_host.h
+++ b/src/control/raft_host.h
@@ -179,7 +179,7 @@
     bool accepts_changes(time_point now);
     // Asks voters whether they still hold their folders and removes members, as the policy decides.
     void maintain_membership(time_point now);
-    void make(const membership_step& step);
+    void start_change(const membership_step& step);
     net::task<void> ask_for_folder(raft::member voter);
     // Voters with which the group keeps a majority after losing as many members as the settings tolerate.
     std::size_t needed_voters() const { return m_policy.needed_voters(); }
--- a/test/membership_schedule.h
+++ b/test/membership_schedule.h
@@ -112,8 +112,9 @@
 };
 
 // A randomised run of a membership_group, fully determined by its seed: replacements, lost disks, power
-// losses, splits, freezes and restarts. Never more machines are lost at once than the group has to tolerate,
-// counted as docs/platform.md does. At the end the faults stop and the group must work again.
+// losses, splits, freezes and restarts. Never more machines are lost at once than the group has to tolerate;
+// a machine counts as lost while it does not run, and for the time to catch up after its start. At the end
+// the faults stop and the group must work again.
 class membership_schedule {
 public:
     explicit membership_schedule(std::uint64_t seed);
