Share the checks of simulated groups; split the group from its schedule

Callers see no change; no check is added, dropped or bounded anew.

The suites raft_core, raft_members and raft_electorate each had their own wait_for_leader(), and raft_schedule and membership_schedule the same loop over their seeds.

--- a/test/membership_gone_test.cpp
+++ b/test/membership_gone_test.cpp
@@ -1,4 +1,4 @@
-#include "membership_schedule.h"
+#include "membership_group.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/test/membership_schedule_test.cpp
+++ b/test/membership_schedule_test.cpp
@@ -1,13 +1,14 @@
 #include "membership_schedule.h"
+#include "raft_cluster_checks.h"
+#include "schedule_seeds.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
-
 using namespace verbena;
 using verbena::test::crash_kind;
 using verbena::test::membership_counts;
 using verbena::test::membership_group;
+using verbena::test::require_no_violations;
 
 namespace {
 
@@ -23,21 +24,6 @@
 constexpr milliseconds catch_up{4'000};
 constexpr milliseconds recovery{12'000};
 
-// Reads a number from an environment variable. VERBENA_RAFT_SEED and VERBENA_RAFT_COUNT select other seeds
-// for longer manual runs.
-std::uint64_t setting(const char* name, std::uint64_t standard)
-{
-    const char* text = std::getenv(name);
-    return text == nullptr ? standard : std::strtoull(text, nullptr, 10);
-}
-
-void require_no_violations(membership_group& group)
-{
-    for (const std::string& line : group.cluster().checker().violations()) {
-        BOOST_ERROR(line);
-    }
-}
-
 // A planned replacement, then the loss of as many disks as the group has to tolerate.
 struct replacement {
     std::size_t tolerated_losses;
@@ -83,7 +69,7 @@
     BOOST_TEST(group.run_until([&] { return group.works(); }, recovery));
     const auto whole = [&] { return group.voters() == 2 * plan.tolerated_losses + 1 && group.works(); };
     BOOST_TEST(group.run_until(whole, recovery));
-    require_no_violations(group);
+    require_no_violations(group.cluster());
 }
 
 } // namespace
@@ -128,7 +114,7 @@
         BOOST_TEST_REQUIRE(group.votes(index));
     }
     BOOST_TEST(group.counts().late_requests > late_before);
-    require_no_violations(group);
+    require_no_violations(group.cluster());
 }
 
 // Guards against two processes with the same member id: a leader that is cut off must not give away the id of
@@ -147,7 +133,7 @@
         BOOST_TEST_REQUIRE(group.run_until([&] { return group.votes(second); }, recovery));
         group.split({});
         BOOST_TEST(group.run_until([&] { return group.votes(first); }, recovery));
-        require_no_violations(group);
+        require_no_violations(group.cluster());
     }
 }
 
@@ -164,7 +150,7 @@
         const std::size_t successor = group.add_machine();
         BOOST_TEST_REQUIRE(group.run_until([&] { return group.votes(successor); }, recovery));
         BOOST_TEST(group.run_until([&] { return group.voters() == 3; }, milliseconds(500)));
-        require_no_violations(group);
+        require_no_violations(group.cluster());
     }
 }
 
@@ -173,19 +159,8 @@
 // each failing seed.
 BOOST_AUTO_TEST_CASE(the_group_survives_all_tolerated_losses)
 {
-    const std::uint64_t first = setting("VERBENA_RAFT_SEED", 1);
-    const std::uint64_t count = setting("VERBENA_RAFT_COUNT", schedule_count);
-    membership_counts total;
-    int failures = 0;
-    for (std::uint64_t seed = first; seed < first + count && failures < 5; ++seed) {
-        test::membership_schedule schedule(seed);
-        const auto violations = schedule.run();
-        for (const std::string& line : violations) {
-            BOOST_ERROR("seed " << seed << ": " << line);
-        }
-        failures += violations.empty() ? 0 : 1;
-        total.add(schedule.counts());
-    }
+    const auto [count, total] =
+        test::run_schedules<test::membership_schedule, membership_counts>(schedule_count);
     BOOST_TEST_MESSAGE(count << " schedules, " << total.planned << " planned and " << total.sudden
                              << " sudden replacements, " << total.lost_disks << " lost disks, "
                              << total.at_the_end_of_a_member << " at the end of a member, "
--- a/test/raft_core_test.cpp
+++ b/test/raft_core_test.cpp
@@ -1,30 +1,14 @@
-#include "raft_cluster.h"
-
-#include <boost/test/unit_test.hpp>
+#include "raft_cluster_checks.h"
 
 using namespace verbena;
 using namespace verbena::raft;
 using verbena::test::crash_kind;
 using verbena::test::raft_cluster;
+using verbena::test::require_no_violations;
+using verbena::test::wait_for_leader;
 
 namespace {
 
-void require_no_violations(raft_cluster& cluster)
-{
-    for (const std::string& line : cluster.checker().violations()) {
-        BOOST_ERROR(line);
-    }
-}
-
-member_id wait_for_leader(raft_cluster& cluster)
-{
-    const auto has_leader = [&] {
-        return cluster.leader() != 0 && cluster.at(cluster.leader())->consensus().commit_index() > 1;
-    };
-    BOOST_TEST_REQUIRE(cluster.run_until(has_leader, milliseconds(5000)));
-    return cluster.leader();
-}
-
 bool all_applied(raft_cluster& cluster, log_index index)
 {
     for (const member_id id : cluster.ids()) {
--- a/test/raft_electorate_test.cpp
+++ b/test/raft_electorate_test.cpp
@@ -1,6 +1,4 @@
-#include "raft_cluster.h"
-
-#include <boost/test/unit_test.hpp>
+#include "raft_cluster_checks.h"
 
 #include <bit>
 
@@ -8,6 +6,8 @@
 using namespace verbena::raft;
 using verbena::test::crash_kind;
 using verbena::test::raft_cluster;
+using verbena::test::require_no_violations;
+using verbena::test::wait_for_leader;
 
 namespace {
 
@@ -29,15 +29,6 @@
         [agreeing](const member& voter) { return ((agreeing >> (voter.id - 1)) & 1U) != 0; });
 }
 
-member_id wait_for_leader(raft_cluster& cluster)
-{
-    const auto has_leader = [&] {
-        return cluster.leader() != 0 && cluster.at(cluster.leader())->consensus().commit_index() > 1;
-    };
-    BOOST_TEST_REQUIRE(cluster.run_until(has_leader, milliseconds(5000)));
-    return cluster.leader();
-}
-
 void cut(raft_cluster& cluster, const std::set<member_id>& half)
 {
     for (const member_id a : cluster.ids()) {
@@ -56,6 +47,19 @@
     return others;
 }
 
+// A group of four whose leader reaches only the first of the others.
+struct split_group {
+    raft_cluster cluster;
+    member_id leader;
+    std::vector<member_id> others;
+
+    explicit split_group(std::uint64_t seed)
+        : cluster(seed, 4), leader(wait_for_leader(cluster)), others(followers_of(cluster, leader))
+    {
+        cut(cluster, {leader, others[0]});
+    }
+};
+
 // A member of a group of four without a disk or a network.
 class lone_member {
 public:
@@ -179,28 +183,29 @@
 BOOST_AUTO_TEST_CASE(a_removal_needs_a_majority_of_the_voters_before_it)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        raft_cluster cluster(seed, 4);
-        const member_id leader = wait_for_leader(cluster);
-        const auto others = followers_of(cluster, leader);
-        cut(cluster, {leader, others[0]});
-        BOOST_TEST_REQUIRE(cluster.change(leader, {remove_member, others[2], {}}));
-        BOOST_TEST_REQUIRE(cluster.propose(leader));
-        const std::size_t acknowledged = cluster.checker().acknowledged_count();
-        cluster.run(milliseconds(300));
-        BOOST_TEST(cluster.checker().acknowledged_count() == acknowledged);
-        cluster.crash(others[0], crash_kind::power);
-        cluster.remove(others[0]);
-        for (const member_id id : {others[1], others[2]}) {
-            cluster.at(id)->report_lost_folder({others[0], 0});
-        }
-        const auto elected = [&] {
-            return cluster.leader() != leader && cluster.leader() != 0 && cluster.propose(cluster.leader());
-        };
-        BOOST_TEST_REQUIRE(cluster.run_until(elected, milliseconds(5000)));
-        cluster.heal_links();
-        cluster.run(milliseconds(1000));
-        for (const std::string& line : cluster.checker().violations()) {
-            BOOST_ERROR("seed " << seed << ": " << line);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            split_group group(seed);
+            raft_cluster& cluster = group.cluster;
+            const member_id reached = group.others[0];
+            BOOST_TEST_REQUIRE(cluster.change(group.leader, {remove_member, group.others[2], {}}));
+            BOOST_TEST_REQUIRE(cluster.propose(group.leader));
+            const std::size_t acknowledged = cluster.checker().acknowledged_count();
+            cluster.run(milliseconds(300));
+            BOOST_TEST(cluster.checker().acknowledged_count() == acknowledged);
+            cluster.crash(reached, crash_kind::power);
+            cluster.remove(reached);
+            for (const member_id id : {group.others[1], group.others[2]}) {
+                cluster.at(id)->report_lost_folder({reached, 0});
+            }
+            const auto elected = [&] {
+                return cluster.leader() != group.leader && cluster.leader() != 0 &&
+                       cluster.propose(cluster.leader());
+            };
+            BOOST_TEST_REQUIRE(cluster.run_until(elected, milliseconds(5000)));
+            cluster.heal_links();
+            cluster.run(milliseconds(1000));
+            require_no_violations(cluster);
         }
     }
 }
@@ -210,23 +215,23 @@
 BOOST_AUTO_TEST_CASE(a_member_that_is_being_removed_may_lead)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        raft_cluster cluster(seed, 4);
-        const member_id leader = wait_for_leader(cluster);
-        const auto others = followers_of(cluster, leader);
-        cut(cluster, {leader, others[0]});
-        BOOST_TEST_REQUIRE(cluster.change(leader, {remove_member, others[0], {}}));
-        cluster.run(milliseconds(100));
-        cluster.remove(leader);
-        cluster.heal_links();
-        const auto complete = [&] {
-            const member_id now_leading = cluster.leader();
-            return now_leading != 0 && now_leading != others[0] &&
-                   cluster.at(now_leading)->consensus().membership().find(others[0]) == nullptr &&
-                   cluster.propose(now_leading);
-        };
-        BOOST_TEST(cluster.run_until(complete, milliseconds(8000)));
-        for (const std::string& line : cluster.checker().violations()) {
-            BOOST_ERROR("seed " << seed << ": " << line);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            split_group group(seed);
+            raft_cluster& cluster = group.cluster;
+            const member_id removed = group.others[0];
+            BOOST_TEST_REQUIRE(cluster.change(group.leader, {remove_member, removed, {}}));
+            cluster.run(milliseconds(100));
+            cluster.remove(group.leader);
+            cluster.heal_links();
+            const auto complete = [&] {
+                const member_id leader = cluster.leader();
+                return leader != 0 && leader != removed &&
+                       cluster.at(leader)->consensus().membership().find(removed) == nullptr &&
+                       cluster.propose(leader);
+            };
+            BOOST_TEST(cluster.run_until(complete, milliseconds(8000)));
+            require_no_violations(cluster);
         }
     }
 }
--- a/test/raft_members_test.cpp
+++ b/test/raft_members_test.cpp
@@ -1,6 +1,4 @@
-#include "raft_cluster.h"
-
-#include <boost/test/unit_test.hpp>
+#include "raft_cluster_checks.h"
 
 #include <algorithm>
 
@@ -8,28 +6,14 @@
 using namespace verbena::raft;
 using verbena::test::crash_kind;
 using verbena::test::raft_cluster;
+using verbena::test::require_no_violations;
+using verbena::test::wait_for_leader;
 
 namespace {
 
 constexpr auto add = membership_change::kind::add;
 constexpr auto remove_member = membership_change::kind::remove;
 
-void require_no_violations(raft_cluster& cluster)
-{
-    for (const std::string& line : cluster.checker().violations()) {
-        BOOST_ERROR(line);
-    }
-}
-
-member_id wait_for_leader(raft_cluster& cluster)
-{
-    const auto has_leader = [&] {
-        return cluster.leader() != 0 && cluster.at(cluster.leader())->consensus().commit_index() > 1;
-    };
-    BOOST_TEST_REQUIRE(cluster.run_until(has_leader, milliseconds(5000)));
-    return cluster.leader();
-}
-
 bool is_voter(raft_cluster& cluster, member_id id)
 {
     const core& state = cluster.at(cluster.leader())->consensus();
--- a/test/raft_schedule_test.cpp
+++ b/test/raft_schedule_test.cpp
@@ -1,9 +1,8 @@
 #include "raft_schedule.h"
+#include "schedule_seeds.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
-
 using namespace verbena;
 using verbena::test::schedule_counts;
 
@@ -17,14 +16,6 @@
 constexpr std::uint64_t schedule_count = 4000;
 #endif
 
-// Reads a number from an environment variable. VERBENA_RAFT_SEED and VERBENA_RAFT_COUNT select other seeds
-// for longer manual runs.
-std::uint64_t setting(const char* name, std::uint64_t standard)
-{
-    const char* text = std::getenv(name);
-    return text == nullptr ? standard : std::strtoull(text, nullptr, 10);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(raft_schedule)
@@ -33,19 +24,7 @@
 // partitions, leader pauses, corrupted and lost disks and membership changes. Prints each failing seed.
 BOOST_AUTO_TEST_CASE(no_guarantee_breaks_under_seeded_faults)
 {
-    const std::uint64_t first = setting("VERBENA_RAFT_SEED", 1);
-    const std::uint64_t count = setting("VERBENA_RAFT_COUNT", schedule_count);
-    schedule_counts total;
-    int failures = 0;
-    for (std::uint64_t seed = first; seed < first + count && failures < 5; ++seed) {
-        test::raft_schedule schedule(seed);
-        const auto violations = schedule.run();
-        for (const std::string& line : violations) {
-            BOOST_ERROR("seed " << seed << ": " << line);
-        }
-        failures += violations.empty() ? 0 : 1;
-        total.add(schedule.counts());
-    }
+    const auto [count, total] = test::run_schedules<test::raft_schedule, schedule_counts>(schedule_count);
     BOOST_TEST_MESSAGE(total.schedules
                        << " schedules, " << total.steps << " steps, " << total.accepted << " proposals, "
                        << total.acknowledged << " acknowledged, " << total.unknown << " unknown, "
