Keep to the tolerated losses in the soak of replacements

Trace: the voters were 5 6 7 8 10 11 12 of a group that tolerates two losses. 6 was the member replaced before and not yet removed, 7 was being replaced. 11 and 12 lost their disks in that moment: 12, the successor, 0.3 s after its first join request, 11 0.3 s after it had joined again with an empty disk. Four of seven voters were missing. The soak went on because it compared numbers only: six voters, with the removed member in place of the successor.

DEPLOY.md of the users: a machine "also remains lost for `catchup_s` after it is back or, if it is new, after it starts. A machine that is removed stops counting once its successor has had that time." So the soak lost more than the group has to tolerate.

Change: the soak gives new and returned members that time, and requires the voters to be exactly the members that run, which is more than their number.

--- a/test/control_replacement_soak_test.cpp
+++ b/test/control_replacement_soak_test.cpp
@@ -13,6 +13,10 @@
 
 constexpr std::size_t replacement_count = 3;
 
+// Time after its start for which a machine that is new or back still counts as lost; see catchup_s in the
+// users' settings.
+constexpr std::chrono::seconds catch_up{4};
+
 // Replaces members of a control group one after the other. As each of them stops, as many other members as
 // the group tolerates lose their disks, and each acknowledged change must be readable at every member.
 class replacement_run {
@@ -51,6 +55,7 @@
     void replace_one()
     {
         m_members.push_back(m_system.add_member());
+        std::this_thread::sleep_for(catch_up);
         wait_for_all_voters();
         publish();
         // Changes and check-ins of runners are sent to the second member, so that is never replaced.
@@ -69,6 +74,7 @@
         for (const std::size_t member : m_members) {
             BOOST_TEST(eventually([&] { return reads_back(member); }), "member " << member);
         }
+        std::this_thread::sleep_for(catch_up);
         wait_for_all_voters();
     }
 
@@ -87,11 +93,16 @@
         return read.status == 200 && read.body == platform_deployment::configuration(m_version);
     }
 
+    // Waits until the members that run, and no others, are the voters.
     void wait_for_all_voters()
     {
+        std::set<std::string> running;
+        for (const std::size_t member : m_members) {
+            running.insert(m_system.member_address(member));
+        }
         BOOST_TEST(eventually([&] {
             return std::all_of(m_members.begin(), m_members.end(), [&](std::size_t member) {
-                return m_system.voters(member) == m_members.size();
+                return m_system.voter_addresses(member) == running;
             });
         }));
     }
@@ -112,10 +123,7 @@
 // stop.
 BOOST_AUTO_TEST_CASE(members_are_replaced_in_series_while_disks_are_lost)
 {
-    const auto [first, last] = soak_seeds();
-    for (std::uint64_t seed = first; seed <= last; ++seed) {
-        replacement_run(seed).run();
-    }
+    run_soak<replacement_run>();
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/control_soak_test.cpp
+++ b/test/control_soak_test.cpp
@@ -131,10 +131,7 @@
 // Guards against acknowledged changes that are lost or unreadable after as many disks as tolerated are lost.
 BOOST_AUTO_TEST_CASE(acknowledged_changes_survive_lost_disks)
 {
-    const auto [first, last] = soak_seeds();
-    for (std::uint64_t seed = first; seed <= last; ++seed) {
-        group_run(seed).run();
-    }
+    run_soak<group_run>();
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform_fixture.cpp
+++ b/test/platform_fixture.cpp
@@ -427,21 +427,28 @@
     return m_entries.size() - 1;
 }
 
-std::size_t platform_deployment::voters(std::size_t index)
+std::set<std::string> platform_deployment::voter_addresses(std::size_t index)
 {
+    std::set<std::string> found;
     const answer status = control("POST", "/operator/v1/status", "{}", index);
     if (status.status != 200) {
-        return 0;
+        return found;
     }
-    std::size_t count = 0;
     const boost::json::value parsed = boost::json::parse(status.body);
     const auto* members = parsed.get_object().if_contains("members");
     if (members == nullptr) {
-        return 0;
+        return found;
     }
     for (const boost::json::value& item : members->get_array()) {
         const auto* learner = item.get_object().if_contains("learner");
-        count += learner == nullptr || !learner->get_bool() ? 1 : 0;
+        if (learner == nullptr || !learner->get_bool()) {
+            found.emplace(item.get_object().at("address").as_string());
+        }
     }
-    return count;
+    return found;
+}
+
+std::string platform_deployment::member_address(std::size_t index) const
+{
+    return local(m_members.at(index).frame_port);
 }
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -102,8 +102,12 @@
     // Control processes that the settings of processes name from their next start on.
     void set_seeds(std::vector<std::size_t> seeds) { m_seeds = std::move(seeds); }
 
-    // Number of voters in the group, as reported by the member at this index.
-    std::size_t voters(std::size_t index);
+    // Addresses of the voters in the group, and their number, as reported by the member at this index.
+    std::set<std::string> voter_addresses(std::size_t index);
+    std::size_t voters(std::size_t index) { return voter_addresses(index).size(); }
+
+    // Address of a member, as listed in the group.
+    std::string member_address(std::size_t index) const;
 
     net_threads& threads() { return m_threads; }
 
--- a/test/soak_seeds.h
+++ b/test/soak_seeds.h
@@ -16,3 +16,13 @@
     const std::string text(range);
     return {std::stoull(text), std::stoull(text.substr(text.find('-') + 1))};
 }
+
+// Runs a soak, which is made from its seed, with each of these seeds.
+template <typename Run>
+void run_soak()
+{
+    const auto [first, last] = soak_seeds();
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        Run(seed).run();
+    }
+}
