--- a/test/schedule_seeds.h
+++ b/test/schedule_seeds.h
@@ -10,7 +10,7 @@
 // Reads a number from an environment variable.
 inline std::uint64_t number_from_environment(const char* name, std::uint64_t standard)
 {
-    const char* text = std::getenv(name); // NOLINT(concurrency-mt-unsafe): before any thread
+    const char* text = std::getenv(name);
     return text == nullptr ? standard : std::strtoull(text, nullptr, 10);
 }
 
