Keep the turn of requests that wait for limited endpoints

Seen by callers, with all endpoints of a service limited and more requests than they allow: permits stay unused while all requests are refused (rate_limited). With a limit of 3 a second and an equally valuable request every 20, 10 or 5 ms, none was sent in 20 s. The end of a limit is heard from answers only, so such an endpoint stays limited.

Cause: of equally valuable requests that cannot all be in time, the one due first went behind. Each was the first in line only between the next arrival and the one after, and asks every 40 ms. Also, the first counted as late although its permit was there.

Change: in the line for permits the latest of equals goes behind, and the first goes when its permit comes. No effect while an endpoint without a limit can take the request; the order of prompts that wait to be read is unchanged.

--- a/src/forward/fleet.h
+++ b/src/forward/fleet.h
@@ -401,8 +401,10 @@
     bool at_request_limit(endpoint_state& state, const dispatch_request& request, time_point now);
     // Whether the endpoint could take the request but for its limits.
     bool is_candidate(const endpoint_state& state, const dispatch_request& request, time_point now) const;
-    // Waiting requests that go first when all endpoints together take `rate` requests a second.
-    std::size_t requests_ahead(const dispatch_request& request, double rate, time_point now) const;
+    // Waiting requests that go first when all endpoints together take a request every `interval_ms`, the next
+    // one in `first_permit_ms`. That is negative when several can go now.
+    std::size_t requests_ahead(const dispatch_request& request, double interval_ms, double first_permit_ms,
+                               time_point now) const;
     // The wait or the refusal of a request that only limited endpoints could take, if it is not its turn;
     // `found` are those that may take a request now.
     std::optional<dispatch_result> await_permit(const dispatch_request& request,
--- a/src/forward/fleet_limits.cpp
+++ b/src/forward/fleet_limits.cpp
@@ -68,7 +68,8 @@
     return true;
 }
 
-std::size_t fleet::requests_ahead(const dispatch_request& request, double rate, time_point now) const
+std::size_t fleet::requests_ahead(const dispatch_request& request, double interval_ms, double first_permit_ms,
+                                  time_point now) const
 {
     if (request.answer_started) {
         return 0;
@@ -81,9 +82,12 @@
         }
     }
     for (policy::waiting_prompt& prompt : waiting) {
-        prompt.prefill_ms = 1000 / rate; // one request each, whatever its length
+        prompt.prefill_ms = interval_ms; // one request each, whatever its length
     }
-    const std::vector<policy::work_key> order = policy::serving_order(std::move(waiting), 1, 0, now);
+    // The first request goes when the permit comes, not an interval later. Of equally valuable requests the
+    // first stays the first: one that is overtaken by each later one would leave the permit unused.
+    const std::vector<policy::work_key> order = policy::serving_order(
+        std::move(waiting), 1, first_permit_ms - interval_ms, now, policy::deferred_prompt::latest_due);
     return static_cast<std::size_t>(std::find(order.begin(), order.end(), own_key) - order.begin());
 }
 
@@ -106,12 +110,17 @@
         rate += state.limit.permitted_rate(m_limit_shares, request.alone);
         next = std::min(next, state.limit.next(request.alone));
     }
-    const std::size_t ahead = rate <= 0 ? 0 : requests_ahead(request, rate, now);
-    if (rate <= 0 || ahead < found.size()) {
+    if (rate <= 0) {
         return std::nullopt;
     }
-    const double first_ms = found.empty() ? std::max(milliseconds_of(next - now), 0.0) : 1000 / rate;
-    const double predicted_ms = first_ms + 1000 * static_cast<double>(ahead - found.size()) / rate;
+    const double interval_ms = 1000 / rate;
+    const double first_permit_ms = found.empty() ? std::max(milliseconds_of(next - now), 0.0)
+                                                 : (1 - static_cast<double>(found.size())) * interval_ms;
+    const std::size_t ahead = requests_ahead(request, interval_ms, first_permit_ms, now);
+    if (ahead < found.size()) {
+        return std::nullopt;
+    }
+    const double predicted_ms = first_permit_ms + static_cast<double>(ahead) * interval_ms;
     const time_point permit = now + from_milliseconds(predicted_ms);
     const milliseconds predicted = std::chrono::duration_cast<milliseconds>(permit - now);
     dispatch_result outcome;
@@ -125,7 +134,7 @@
     }
     // The next refused caller is told to return one request later, so that they come back at the rate.
     time_point& booked = m_returns[request.service->name];
-    booked = std::min(std::max(booked, permit) + from_milliseconds(1000 / rate), now + longest_return);
+    booked = std::min(std::max(booked, permit) + from_milliseconds(interval_ms), now + longest_return);
     outcome.refusal.retry_after = std::chrono::duration_cast<milliseconds>(booked - now);
     return outcome;
 }
--- a/src/policy/prefill_order.cpp
+++ b/src/policy/prefill_order.cpp
@@ -1,6 +1,7 @@
 #include "policy/prefill_order.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace verbena::policy {
 
@@ -16,6 +17,15 @@
     return a.value * b.prefill_ms < b.value * a.prefill_ms;
 }
 
+std::vector<waiting_prompt>::iterator find_least_valuable(std::vector<waiting_prompt>& prompts,
+                                                          deferred_prompt among_equals)
+{
+    if (among_equals == deferred_prompt::earliest_due) {
+        return std::min_element(prompts.begin(), prompts.end(), has_less_value_per_ms);
+    }
+    return std::prev(std::min_element(prompts.rbegin(), prompts.rend(), has_less_value_per_ms).base());
+}
+
 // Parts into which a waiting prompt is split at most, and prefill time of each part at least.
 constexpr double max_parts = 17;
 constexpr double min_part_ms = 15;
@@ -23,7 +33,7 @@
 } // namespace
 
 std::vector<work_key> serving_order(std::vector<waiting_prompt> waiting, double endpoints,
-                                    double first_free_ms, time_point now)
+                                    double first_free_ms, time_point now, deferred_prompt among_equals)
 {
     std::sort(waiting.begin(), waiting.end(), is_due_earlier);
     std::vector<waiting_prompt> in_time;
@@ -39,8 +49,7 @@
         in_time.push_back(prompt);
         end_ms += prompt.prefill_ms / parallel;
         if (end_ms > slack_ms) {
-            const auto least_valuable =
-                std::min_element(in_time.begin(), in_time.end(), has_less_value_per_ms);
+            const auto least_valuable = find_least_valuable(in_time, among_equals);
             end_ms -= least_valuable->prefill_ms / parallel;
             deferred.push_back(*least_valuable);
             in_time.erase(least_valuable);
--- a/test/forward_limit_test.cpp
+++ b/test/forward_limit_test.cpp
@@ -1,10 +1,12 @@
 #include "fleet_fixture.h"
+#include "forward/dispatch_wait.h"
 #include "forward/limit_messages.h"
 #include "request_windows.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
+#include <list>
 #include <map>
 #include <memory>
 
@@ -82,6 +84,59 @@
         return found;
     }
 
+    // Plays requests of so many different values that arrive at this interval and wait for a permit as long
+    // as they are told to. Returns how many were sent.
+    std::size_t send_waiting(milliseconds interval, milliseconds duration, std::size_t values)
+    {
+        struct waiting_request {
+            time_point begin;
+            time_point next_try;
+            double value = 0;
+            std::optional<policy::work_key> wait;
+        };
+        std::list<waiting_request> waiting;
+        std::size_t arrived = 0;
+        std::size_t sent_count = 0;
+        const time_point end = now + duration;
+        for (time_point next_arrival = now; now < end; advance(1ms)) {
+            if (now >= next_arrival) {
+                waiting.push_back({now, now, static_cast<double>(1 + arrived++ % values), {}});
+                next_arrival += interval;
+            }
+            for (auto item = waiting.begin(); item != waiting.end();) {
+                const time_point begin = item->begin;
+                if (now < item->next_try) {
+                    ++item;
+                    continue;
+                }
+                forward::dispatch_request request;
+                request.service = &desk;
+                request.time_left = 5s;
+                request.model.objective = 1s;
+                request.model.value = item->value;
+                request.may_wait = true;
+                request = forward::aged(request, std::chrono::duration_cast<milliseconds>(now - begin), 1s);
+                request.wait = item->wait;
+                const forward::dispatch_result found = fleets.front()->dispatch(request, now);
+                if (found.wait > 0ms) {
+                    item->wait = item->wait ? item->wait : fleets.front()->begin_wait(request, now);
+                    item->next_try = now + found.wait + 1ms; // timers are late
+                    ++item;
+                    continue;
+                }
+                if (item->wait) {
+                    fleets.front()->end_wait(*item->wait);
+                }
+                if (found.choice) {
+                    ++sent_count;
+                    fleets.front()->record_end(found.choice->number, now);
+                }
+                item = waiting.erase(item);
+            }
+        }
+        return sent_count;
+    }
+
     time_point now = clock::now();
     bool connected = true;
     route::service_rule desk;
@@ -183,6 +238,21 @@
     BOOST_TEST(group.fleets[0]->dispatch(request, group.now).choice.has_value());
 }
 
+// Guards against permits that nobody takes, because each request that waits lets another one go first.
+BOOST_AUTO_TEST_CASE(permits_are_taken_however_often_requests_arrive)
+{
+    for (const milliseconds interval : {300ms, 100ms, 40ms, 20ms, 10ms, 5ms}) {
+        for (const std::size_t values : {1, 5}) {
+            scheduler_group group(1);
+            group.add("limited-1", "d0");
+            group.name_limit("limited-1", 3);
+            const std::size_t count = group.send_waiting(interval, 20s, values);
+            BOOST_TEST(count >= 20 * 3 * 0.8 * 0.9,
+                       "interval " << interval.count() << ", values " << values << ": " << count);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(begun_answer_goes_first)
 {
     scheduler_group group(1);
